--- /dev/null
+++ b/cmake/Briarspread.cmake
@@ -0,0 +1,70 @@
+# Targets of this project. Each folder names its dependencies in one line.
+
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+# Debian's cpp-httplib is compiled with these defines; headers used without them
+# disagree with the library about the layout of its classes.
+pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
+pkg_check_modules(GLOG REQUIRED IMPORTED_TARGET libglog)
+pkg_check_modules(GFLAGS REQUIRED IMPORTED_TARGET gflags)
+pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-memb)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(LUA REQUIRED IMPORTED_TARGET lua5.4)
+find_package(OpenSSL REQUIRED)
+find_package(Catch2 2 REQUIRED)
+
+set(BRIARSPREAD_SANITIZE "" CACHE STRING
+    "Sanitizers to build with, for example address,undefined")
+
+add_library(briarspread_options INTERFACE)
+target_include_directories(briarspread_options INTERFACE ${PROJECT_SOURCE_DIR})
+target_compile_options(briarspread_options INTERFACE
+  -Wall -Wextra -Wpedantic -Werror -Wnon-virtual-dtor -Woverloaded-virtual)
+target_compile_definitions(briarspread_options INTERFACE
+  ASIO_STANDALONE BRIARSPREAD_VERSION="${PROJECT_VERSION}")
+target_link_libraries(briarspread_options INTERFACE Threads::Threads)
+if(BRIARSPREAD_SANITIZE)
+  target_compile_options(briarspread_options INTERFACE
+    -fsanitize=${BRIARSPREAD_SANITIZE} -fno-omit-frame-pointer)
+  target_link_options(briarspread_options INTERFACE
+    -fsanitize=${BRIARSPREAD_SANITIZE})
+endif()
+
+# briarspread_library(NAME [DEPS...]): all *.cc in the folder.
+function(briarspread_library name)
+  file(GLOB sources CONFIGURE_DEPENDS *.cc)
+  add_library(briarspread_${name} STATIC ${sources})
+  target_link_libraries(briarspread_${name} PUBLIC briarspread_options ${ARGN})
+endfunction()
+
+# briarspread_program(NAME [DEPS...]): all *.cc in the folder, as one binary.
+function(briarspread_program name)
+  file(GLOB sources CONFIGURE_DEPENDS *.cc)
+  add_executable(${name} ${sources})
+  target_link_libraries(${name} PRIVATE briarspread_options ${ARGN})
+  set_target_properties(${name} PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
+endfunction()
+
+# briarspread_test(NAME [DEPS...]): all *.cc in the folder, as one test program.
+# RC_PARAMS fixes the seed of property tests, so that each run checks the same.
+function(briarspread_test name)
+  file(GLOB sources CONFIGURE_DEPENDS *.cc)
+  add_executable(${name}_test ${sources})
+  target_link_libraries(${name}_test PRIVATE briarspread_options
+    briarspread_test_support ${ARGN})
+  set_target_properties(${name}_test PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
+  add_test(NAME ${name} COMMAND ${name}_test)
+  set_tests_properties(${name} PROPERTIES
+    ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300)
+endfunction()
+
+# briarspread_subdirectories(): each folder below that has a CMakeLists.txt.
+function(briarspread_subdirectories)
+  file(GLOB children CONFIGURE_DEPENDS */CMakeLists.txt)
+  foreach(child ${children})
+    get_filename_component(folder ${child} DIRECTORY)
+    add_subdirectory(${folder})
+  endforeach()
+endfunction()
