Thin whole path: entry, stand-ins, load tool, rules tool, demo

Cause: the path of a request must stand before any decision is refined. Change: an entry instance that routes completions and service calls, a trainer's step pulled by cursor, stand-ins for platform, engine and service, the load tool and a demo of three entries in two regions with one weight change and two kills. Ruled out: SO_REUSEPORT, the HTTP library's default, since two processes would share a port unnoticed. Before: nothing ran. At most once across instances, membership and admission are not in yet.

--- /dev/null
+++ b/briarspread/client/caller_client.cc
@@ -0,0 +1,102 @@
+#include "briarspread/client/caller_client.h"
+
+#include <algorithm>
+#include <cassert>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "briarspread/core/http_headers.h"
+
+namespace briarspread {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr milliseconds kShortestPause{20};
+constexpr milliseconds kSlack{200};
+
+milliseconds RetryAfter(const CallerAnswer& answer) {
+  const Json body = Json::parse(answer.body, nullptr, false);
+  if (!body.is_object()) return milliseconds(0);
+  return milliseconds(body.value("retry_after_ms", std::int64_t{0}));
+}
+
+}  // namespace
+
+CallerClient::CallerClient(std::vector<Endpoint> entries,
+                           UpstreamClient& client, const Clock& clock,
+                           RandomSource& random)
+    : entries_(std::move(entries)),
+      client_(client),
+      clock_(clock),
+      random_(random) {
+  assert(!entries_.empty());
+}
+
+CallerAnswer CallerClient::SendOnce(const CallerRequest& request,
+                                    const Endpoint& entry, milliseconds left) {
+  UpstreamRequest sent;
+  sent.endpoint = entry;
+  sent.method = request.method;
+  sent.path = request.path;
+  sent.body = request.body;
+  sent.timeout = left + kSlack;
+  sent.may_reuse_connection = request.idempotent;
+  sent.headers = {{headers::kCustomer, request.customer.value()},
+                  {headers::kRequestClass, request.request_class.value()},
+                  {headers::kDeadline, std::to_string(left.count())}};
+  if (!request.key.value().empty()) {
+    sent.headers.push_back({headers::kIdempotencyKey, request.key.value()});
+  }
+  ExchangeOutcome outcome = client_.Exchange(sent, nullptr);
+  CallerAnswer answer;
+  answer.status = outcome.status;
+  answer.headers = std::move(outcome.headers);
+  answer.body = std::move(outcome.body);
+  if (outcome.stage <= ExchangeStage::kConnecting) {
+    answer.verdict = Verdict::kNotRun;
+  } else if (outcome.stage != ExchangeStage::kEnded) {
+    answer.verdict = Verdict::kMayHaveRun;
+  } else {
+    const std::string named = FindHeader(answer.headers, headers::kVerdict);
+    answer.verdict = ParseVerdict(named).value_or(Verdict::kMayHaveRun);
+  }
+  return answer;
+}
+
+void CallerClient::Pause(const CallerAnswer& answer, milliseconds left) {
+  const milliseconds jitter(
+      static_cast<std::int64_t>(random_.Below(kShortestPause.count())));
+  const milliseconds wait = std::max(kShortestPause, RetryAfter(answer));
+  std::this_thread::sleep_for(std::min(left, wait + jitter));
+}
+
+CallerAnswer CallerClient::Call(const CallerRequest& request) {
+  const TimePoint deadline = clock_.Now() + request.deadline;
+  CallerAnswer answer;
+  Verdict combined = Verdict::kNotRun;
+  int sends = 0;
+  while (true) {
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(deadline - clock_.Now());
+    if (left.count() <= 0) break;
+    const Endpoint& entry = entries_[next_entry_++ % entries_.size()];
+    answer = SendOnce(request, entry, left);
+    ++sends;
+    combined = Combine(combined, answer.verdict);
+    // With a key, the service itself tells a re-send from a new request.
+    const bool safe = MaySendAgain(
+        combined, request.idempotent || !request.key.value().empty());
+    if (answer.verdict == Verdict::kAnswered || !safe) break;
+    const bool is_final =
+        answer.status >= 400 && answer.status < 500 && answer.status != 429;
+    if (is_final) break;
+    Pause(answer, left);
+  }
+  answer.verdict = combined;
+  answer.sends = sends;
+  return answer;
+}
+
+}  // namespace briarspread
--- a/briarspread/core/clock.h
+++ b/briarspread/core/clock.h
@@ -25,9 +25,7 @@
 class SystemClock final : public Clock {
  public:
   TimePoint Now() const override { return std::chrono::steady_clock::now(); }
-  WallTime WallNow() const override {
-    return std::chrono::system_clock::now();
-  }
+  WallTime WallNow() const override { return std::chrono::system_clock::now(); }
 };
 
 }  // namespace briarspread
--- a/briarspread/core/rcu_cell.cc
+++ b/briarspread/core/rcu_cell.cc
@@ -14,9 +14,7 @@
   ThreadRegistration& operator=(const ThreadRegistration&) = delete;
 };
 
-void EnsureRegistered() {
-  static thread_local ThreadRegistration registration;
-}
+void EnsureRegistered() { static thread_local ThreadRegistration registration; }
 
 }  // namespace
 
--- /dev/null
+++ b/briarspread/gateway/entry.cc
@@ -0,0 +1,99 @@
+#include "briarspread/gateway/entry.h"
+
+#include <glog/logging.h>
+
+#include <nlohmann/json.hpp>
+
+namespace briarspread {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kTrainerWorkers = 64;
+/// How long the balancer may still send new work once readiness has dropped.
+constexpr milliseconds kBalancerLag{1000};
+constexpr milliseconds kDrainCheck{20};
+
+HttpServerSettings ServerSettings(const EntrySettings& settings) {
+  HttpServerSettings server;
+  server.listen = settings.listen;
+  server.threads = settings.http_threads;
+  server.max_body_bytes = settings.max_body_bytes;
+  server.read_timeout = settings.read_timeout;
+  return server;
+}
+
+ConsulSettings PlatformSettings(const EntrySettings& settings) {
+  ConsulSettings platform;
+  platform.endpoint = settings.platform;
+  return platform;
+}
+
+PlatformPollerSettings PollerSettings(const EntrySettings& settings) {
+  PlatformPollerSettings poller;
+  poller.interval = settings.poll_interval;
+  return poller;
+}
+
+}  // namespace
+
+Entry::Entry(const EntrySettings& settings)
+    : settings_(settings),
+      client_(HttpUpstreamClientSettings{}, clock_),
+      store_(PlatformSettings(settings), client_),
+      list_(PlatformSettings(settings), client_),
+      caller_(state_, router_, client_, clock_),
+      live_(settings.instance, state_, caller_, clock_),
+      trainers_(state_, caller_, clock_, kTrainerWorkers),
+      poller_(PollerSettings(settings), store_, list_, client_, state_, clock_),
+      server_(ServerSettings(settings)) {}
+
+void Entry::AddOperatorRoutes() {
+  httplib::Server& routes = server_.routes();
+  routes.Get("/healthz",
+             [](const auto&, auto& out) { RespondJson(out, 200, "{}"); });
+  routes.Get("/readyz", [this](const auto&, auto& out) {
+    const bool ready = state_.has_rules.load() && !state_.draining.load();
+    RespondJson(out, ready ? 200 : 503, Json{{"ready", ready}}.dump());
+  });
+  routes.Get("/v1/status", [this](const auto&, auto& out) {
+    RespondJson(out, 200,
+                Json{{"instance", settings_.instance.value()},
+                     {"rules_revision", state_.rules.Read()->revision.value()},
+                     {"upstreams", state_.routing.Read()->upstreams.size()},
+                     {"in_flight", state_.in_flight.load()},
+                     {"draining", state_.draining.load()}}
+                    .dump());
+  });
+}
+
+Status Entry::Start() {
+  AddOperatorRoutes();
+  live_.AddRoutes(server_.routes());
+  trainers_.AddRoutes(server_.routes());
+  Status started = server_.Start();
+  if (!IsOk(started)) return started;
+  poller_.Start();
+  LOG(INFO) << "event=started instance=" << settings_.instance
+            << " port=" << settings_.listen.port;
+  return OkStatus();
+}
+
+bool Entry::Drain() {
+  LOG(INFO) << "event=drain_started in_flight=" << state_.in_flight;
+  state_.draining = true;
+  const TimePoint limit = clock_.Now() + settings_.drain_limit;
+  const TimePoint earliest = clock_.Now() + kBalancerLag;
+  while (clock_.Now() < limit &&
+         (clock_.Now() < earliest || state_.in_flight > 0)) {
+    std::this_thread::sleep_for(kDrainCheck);
+  }
+  const bool finished = state_.in_flight == 0;
+  trainers_.Stop();
+  poller_.Stop();
+  server_.Stop();
+  LOG(INFO) << "event=drained finished=" << finished;
+  return finished;
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/briarspread/gateway/entry.h
@@ -0,0 +1,49 @@
+#ifndef BRIARSPREAD_GATEWAY_ENTRY_H_
+#define BRIARSPREAD_GATEWAY_ENTRY_H_
+
+#include "briarspread/core/clock.h"
+#include "briarspread/core/random_source.h"
+#include "briarspread/gateway/control_state.h"
+#include "briarspread/gateway/live_handler.h"
+#include "briarspread/gateway/platform_poller.h"
+#include "briarspread/gateway/trainer_handler.h"
+#include "briarspread/gateway/upstream_call.h"
+#include "briarspread/routing/router.h"
+#include "briarspread/settings/entry_settings.h"
+#include "briarspread/transport/consul_store.h"
+#include "briarspread/transport/http_server.h"
+#include "briarspread/transport/http_upstream_client.h"
+
+namespace briarspread {
+
+/// One entry instance: data path and control, wired to HTTP.
+class Entry {
+ public:
+  explicit Entry(const EntrySettings& settings);
+
+  /// Starts serving. Fails where the address is taken.
+  Status Start();
+  /// Shuts down gracefully: readiness drops, new work is refused, requests in
+  /// flight finish. Returns whether all finished within the drain limit.
+  bool Drain();
+
+ private:
+  void AddOperatorRoutes();
+
+  const EntrySettings settings_;
+  SystemClock clock_;
+  ControlState state_;
+  HttpUpstreamClient client_;
+  ConsulStore store_;
+  ConsulInstanceList list_;
+  FewestInFlightRouter router_;
+  UpstreamCaller caller_;
+  LiveHandler live_;
+  TrainerHandler trainers_;
+  PlatformPoller poller_;
+  HttpServer server_;
+};
+
+}  // namespace briarspread
+
+#endif  // BRIARSPREAD_GATEWAY_ENTRY_H_
--- /dev/null
+++ b/briarspread/gateway/live_handler.cc
@@ -0,0 +1,204 @@
+#include "briarspread/gateway/live_handler.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "briarspread/core/http_headers.h"
+#include "briarspread/core/rendezvous.h"
+#include "briarspread/transport/http_server.h"
+
+namespace briarspread {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr milliseconds kRetryAfterUnready{2000};
+constexpr milliseconds kLongestDeadline{3'600'000};
+constexpr std::size_t kPrefixBytes = 256;
+
+Error BadRequest(const std::string& message) {
+  return Error{ErrorCode::kInvalidArgument, Verdict::kNotRun, message};
+}
+
+/// Counts a request as in flight while it lives.
+class InFlight {
+ public:
+  explicit InFlight(ControlState& state) : state_(state) { ++state_.in_flight; }
+  ~InFlight() { --state_.in_flight; }
+  InFlight(const InFlight&) = delete;
+  InFlight& operator=(const InFlight&) = delete;
+
+ private:
+  ControlState& state_;
+};
+
+Result<std::optional<milliseconds>> ReadDeadline(const httplib::Request& in) {
+  if (!in.has_header(headers::kDeadline)) return std::optional<milliseconds>{};
+  const std::string text = in.get_header_value(headers::kDeadline);
+  std::int64_t n = 0;
+  const auto [end, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), n);
+  if (ec != std::errc() || end != text.data() + text.size() || n <= 0 ||
+      n > kLongestDeadline.count()) {
+    return BadRequest(std::string(headers::kDeadline) + ": found '" + text +
+                      "', allowed: milliseconds from 1 to " +
+                      std::to_string(kLongestDeadline.count()));
+  }
+  return std::optional<milliseconds>(milliseconds(n));
+}
+
+Json ErrorEvent(const CallResult& result) {
+  return {{"error",
+           {{"code", ToString(result.error.code)},
+            {"message", result.error.message}}},
+          {"verdict", ToString(result.verdict)}};
+}
+
+Json EndEvent(const CallResult& result) {
+  return {{"verdict", ToString(result.verdict)},
+          {"weight_versions", FormatVersions(result.versions)},
+          {"upstream", result.upstream.value()}};
+}
+
+}  // namespace
+
+LiveHandler::LiveHandler(const InstanceId& self, ControlState& state,
+                         UpstreamCaller& caller, const Clock& clock)
+    : self_(self), state_(state), caller_(caller), clock_(clock) {}
+
+void LiveHandler::AddRoutes(httplib::Server& routes) {
+  routes.Post("/v1/completions",
+              [this](const auto& in, auto& out) { ServeCompletion(in, out); });
+  const auto service = [this](const auto& in, auto& out) {
+    ServeService(in, out);
+  };
+  constexpr char kServicePath[] = R"(/v1/services/([^/]+)(/.*))";
+  routes.Get(kServicePath, service);
+  routes.Post(kServicePath, service);
+  routes.Put(kServicePath, service);
+  routes.Delete(kServicePath, service);
+}
+
+bool LiveHandler::RefuseWhereUnready(httplib::Response& out) const {
+  const bool draining = state_.draining.load();
+  if (!draining && state_.has_rules.load()) return false;
+  const Error error{ErrorCode::kUnavailable, Verdict::kNotRun,
+                    draining ? "the instance is shutting down"
+                             : "the instance has no rules yet",
+                    kRetryAfterUnready};
+  out.set_header("Connection", "close");
+  RespondError(out, HttpStatusOf(error.code), error);
+  return true;
+}
+
+Result<CallSpec> LiveHandler::MakeSpec(const httplib::Request& in,
+                                       InstanceKind kind,
+                                       const std::string& serves) const {
+  const auto deadline = ReadDeadline(in);
+  if (!IsOk(deadline)) return ErrorOf(deadline);
+  const CustomerId customer(in.get_header_value(headers::kCustomer));
+  const RequestClass request_class(in.get_header_value(headers::kRequestClass));
+  const auto rules = state_.rules.Read();
+  const PriorityRule priority = rules->PriorityOf(customer, request_class);
+  CallSpec spec;
+  spec.route.kind = kind;
+  spec.route.serves = serves;
+  spec.route.request_class = request_class;
+  spec.method = in.method;
+  spec.body = in.body;
+  spec.idempotent = rules->IsIdempotent(ServiceName(serves), in.method);
+  spec.deadline = clock_.Now() + ValueOf(deadline).value_or(priority.deadline);
+  for (const char* name : {headers::kIdempotencyKey, headers::kTraceParent}) {
+    if (in.has_header(name)) {
+      spec.headers.push_back({name, in.get_header_value(name)});
+    }
+  }
+  return spec;
+}
+
+void LiveHandler::ServeCompletion(const httplib::Request& in,
+                                  httplib::Response& out) {
+  if (RefuseWhereUnready(out)) return;
+  Json body = Json::parse(in.body, nullptr, false);
+  if (!body.is_object() || !body.contains("model") ||
+      !body["model"].is_string() || !body.contains("prompt") ||
+      !body["prompt"].is_string()) {
+    const Error error = BadRequest(
+        "the body must be a JSON object with the strings model and prompt");
+    RespondError(out, HttpStatusOf(error.code), error);
+    return;
+  }
+  auto spec = MakeSpec(in, InstanceKind::kModelEngine,
+                       body["model"].get<std::string>());
+  if (!IsOk(spec)) {
+    RespondError(out, HttpStatusOf(ErrorOf(spec).code), ErrorOf(spec));
+    return;
+  }
+  CallSpec& call = ValueOf(spec);
+  call.path = "/v1/completions";
+  call.stream = body.value("stream", false);
+  const std::string prompt = body["prompt"].get<std::string>();
+  call.route.prefix_hash =
+      StableHash(std::string_view{prompt}.substr(0, kPrefixBytes));
+  if (call.stream) {
+    AnswerStream(call, out);
+  } else {
+    Answer(call, out);
+  }
+}
+
+void LiveHandler::ServeService(const httplib::Request& in,
+                               httplib::Response& out) {
+  if (RefuseWhereUnready(out)) return;
+  auto spec = MakeSpec(in, InstanceKind::kPlainService, in.matches[1]);
+  if (!IsOk(spec)) {
+    RespondError(out, HttpStatusOf(ErrorOf(spec).code), ErrorOf(spec));
+    return;
+  }
+  ValueOf(spec).path = in.matches[2];
+  Answer(ValueOf(spec), out);
+}
+
+void LiveHandler::Answer(const CallSpec& spec, httplib::Response& out) {
+  const InFlight in_flight(state_);
+  const CallResult result = caller_.Run(spec, {});
+  out.set_header(headers::kInstance, self_.value());
+  if (result.verdict != Verdict::kAnswered) {
+    RespondError(out, HttpStatusOf(result.error.code), result.error);
+    return;
+  }
+  out.set_header(headers::kVerdict, std::string(ToString(result.verdict)));
+  out.set_header(headers::kUpstream, result.upstream.value());
+  if (!result.versions.empty()) {
+    out.set_header(headers::kWeightVersions, FormatVersions(result.versions));
+  }
+  RespondJson(out, result.status, result.body);
+}
+
+void LiveHandler::AnswerStream(const CallSpec& spec, httplib::Response& out) {
+  out.set_header(headers::kInstance, self_.value());
+  out.set_chunked_content_provider(
+      "text/event-stream",
+      [this, spec](std::size_t /*offset*/, httplib::DataSink& sink) {
+        const InFlight in_flight(state_);
+        // The end marker is held back until the verdict can go before it.
+        constexpr std::string_view kEnd = "data: [DONE]\n\n";
+        const EventSink pass_on = [&sink, kEnd](std::string_view events) {
+          if (events.ends_with(kEnd)) events.remove_suffix(kEnd.size());
+          return events.empty() || sink.write(events.data(), events.size());
+        };
+        const CallResult result = caller_.Run(spec, pass_on);
+        const bool whole = result.verdict == Verdict::kAnswered;
+        const Json event = whole ? EndEvent(result) : ErrorEvent(result);
+        std::string tail = std::string("event: ") +
+                           (whole ? "briarspread" : "error") +
+                           "\ndata: " + event.dump() + "\n\n";
+        if (whole) tail += kEnd;
+        sink.write(tail.data(), tail.size());
+        sink.done();
+        return true;
+      });
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/briarspread/gateway/upstream_call.cc
@@ -0,0 +1,163 @@
+#include "briarspread/gateway/upstream_call.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "briarspread/core/http_headers.h"
+
+namespace briarspread {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kMaxAttempts = 3;
+constexpr int kHttpServerError = 500;
+constexpr int kHttpTooManyRequests = 429;
+constexpr int kHttpUnavailable = 503;
+constexpr milliseconds kRetryAfterNoUpstream{1000};
+
+/// Passes complete events on and keeps what the answer needs.
+class StreamReceiver final : public ResponseReceiver {
+ public:
+  StreamReceiver(CompletionStream& stream, const EventSink& sink)
+      : stream_(stream), sink_(sink) {}
+  bool OnHead(int status, const std::vector<Header>& /*headers*/) override {
+    status_ = status;
+    return true;
+  }
+  bool OnData(std::string_view data) override {
+    if (status_ >= 400) {
+      error_body_.append(data);
+      return true;
+    }
+    const std::string events = stream_.Take(data);
+    if (stream_.is_malformed()) return false;
+    return events.empty() || sink_(events);
+  }
+
+ private:
+  CompletionStream& stream_;
+  const EventSink& sink_;
+  int status_ = 0;
+  std::string error_body_;
+};
+
+/// Whether the upstream says that it did not run the request.
+bool IsRefusal(int status) {
+  return status == kHttpTooManyRequests || status == kHttpUnavailable;
+}
+
+Verdict VerdictOf(const ExchangeOutcome& outcome) {
+  if (outcome.stage <= ExchangeStage::kConnecting) return Verdict::kNotRun;
+  if (outcome.stage != ExchangeStage::kEnded) return Verdict::kMayHaveRun;
+  if (IsRefusal(outcome.status)) return Verdict::kNotRun;
+  if (outcome.status >= kHttpServerError) return Verdict::kMayHaveRun;
+  return Verdict::kAnswered;
+}
+
+void ReadVersions(const std::string& body, CallResult& result) {
+  const Json json = Json::parse(body, nullptr, false);
+  if (!json.is_object() || !json.contains("weight_versions")) return;
+  for (const Json& span : json["weight_versions"]) {
+    result.versions.push_back(
+        {WeightVersion(span.value("version", std::uint64_t{0})),
+         span.value("begin", 0U), span.value("end", 0U)});
+  }
+  result.has_all_versions = !result.versions.empty();
+}
+
+}  // namespace
+
+UpstreamCaller::UpstreamCaller(ControlState& state, Router& router,
+                               UpstreamClient& client, const Clock& clock)
+    : state_(state), router_(router), client_(client), clock_(clock) {}
+
+std::optional<UpstreamCaller::Target> UpstreamCaller::Choose(
+    const RouteRequest& route) const {
+  const auto table = state_.routing.Read();
+  const auto rules = state_.rules.Read();
+  const auto index = router_.Choose(route, *table, *rules);
+  if (!index.has_value()) return std::nullopt;
+  const UpstreamView& chosen = table->upstreams[*index];
+  return Target{UpstreamId(chosen.listed.name), chosen.listed.endpoint,
+                chosen.counters};
+}
+
+CallResult UpstreamCaller::Attempt(const CallSpec& spec, const Target& target,
+                                   CompletionStream& stream,
+                                   const EventSink& sink) {
+  UpstreamRequest request;
+  request.endpoint = target.endpoint;
+  request.method = spec.method;
+  request.path = spec.path;
+  request.headers = spec.headers;
+  request.body = spec.body;
+  request.may_reuse_connection = spec.idempotent;
+  request.timeout =
+      std::chrono::duration_cast<milliseconds>(spec.deadline - clock_.Now());
+  const std::string exchange = std::to_string(++last_exchange_);
+  request.headers.push_back({headers::kExchange, exchange});
+
+  StreamReceiver receiver(stream, sink);
+  ++target.counters->in_flight;
+  ExchangeOutcome outcome =
+      client_.Exchange(request, spec.stream ? &receiver : nullptr);
+  --target.counters->in_flight;
+
+  CallResult result;
+  result.verdict = VerdictOf(outcome);
+  result.upstream = target.id;
+  result.status = outcome.status;
+  const std::string echoed = FindHeader(outcome.headers, headers::kExchange);
+  const bool crossed = !echoed.empty() && echoed != exchange;
+  const bool cut = spec.stream && outcome.status < 400 && !stream.is_whole();
+  if (result.verdict == Verdict::kAnswered && (crossed || cut)) {
+    result.verdict = Verdict::kMayHaveRun;
+    outcome.failure = crossed ? "answer of another exchange" : "stream cut";
+  }
+  if (result.verdict != Verdict::kAnswered) {
+    result.error = Error{ErrorCode::kUnavailable, result.verdict,
+                         target.id.value() + ": " + outcome.failure,
+                         kRetryAfterNoUpstream};
+    return result;
+  }
+  result.body = std::move(outcome.body);
+  if (spec.stream) {
+    result.versions = stream.spans();
+    result.has_all_versions = stream.has_all_versions();
+  } else {
+    ReadVersions(result.body, result);
+  }
+  return result;
+}
+
+CallResult UpstreamCaller::Run(const CallSpec& spec, const EventSink& sink) {
+  RouteRequest route = spec.route;
+  CompletionStream stream;
+  CallResult result;
+  result.error =
+      Error{ErrorCode::kUnavailable, Verdict::kNotRun,
+            "no upstream serves " + route.serves, kRetryAfterNoUpstream};
+  Verdict combined = Verdict::kNotRun;
+  for (int i = 0; i < kMaxAttempts; ++i) {
+    if (clock_.Now() >= spec.deadline) {
+      result.error.code = ErrorCode::kDeadlineExceeded;
+      break;
+    }
+    const auto target = Choose(route);
+    if (!target.has_value()) break;
+    result = Attempt(spec, *target, stream, sink);
+    result.attempts = i + 1;
+    if (result.verdict == Verdict::kAnswered) return result;
+    combined = Combine(combined, result.verdict);
+    if (!MaySendAgain(combined, spec.idempotent)) break;
+    // A stream that has passed tokens on is not started anew.
+    if (spec.stream && stream.next_token() > 0) break;
+    route.excluded.push_back(target->id);
+  }
+  result.verdict = combined;
+  result.error.verdict = combined;
+  return result;
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/briarspread/routing/router.cc
@@ -0,0 +1,38 @@
+#include "briarspread/routing/router.h"
+
+#include <algorithm>
+
+namespace briarspread {
+
+bool IsEligible(const RouteRequest& request, const UpstreamView& upstream,
+                const RuleSet& rules) {
+  const ListedInstance& listed = upstream.listed;
+  if (listed.kind != request.kind || listed.serves != request.serves) {
+    return false;
+  }
+  if (listed.state == ListedState::kLeaving) return false;
+  if (upstream.counters->refuses_work.load()) return false;
+  const UpstreamId id(listed.name);
+  if (rules.IsDrained(id)) return false;
+  return std::find(request.excluded.begin(), request.excluded.end(), id) ==
+         request.excluded.end();
+}
+
+std::optional<std::size_t> FewestInFlightRouter::Choose(
+    const RouteRequest& request, const RoutingTable& table,
+    const RuleSet& rules) {
+  std::optional<std::size_t> best;
+  std::uint32_t fewest = 0;
+  for (std::size_t i = 0; i < table.upstreams.size(); ++i) {
+    const UpstreamView& upstream = table.upstreams[i];
+    if (!IsEligible(request, upstream, rules)) continue;
+    const std::uint32_t n = upstream.counters->in_flight.load();
+    if (!best.has_value() || n < fewest) {
+      best = i;
+      fewest = n;
+    }
+  }
+  return best;
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/briarspread/settings/json_schema.h
@@ -0,0 +1,23 @@
+#ifndef BRIARSPREAD_SETTINGS_JSON_SCHEMA_H_
+#define BRIARSPREAD_SETTINGS_JSON_SCHEMA_H_
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+#include "briarspread/core/result.h"
+
+namespace briarspread {
+
+/// Parses `text` and checks it against a JSON Schema. The error names `source`,
+/// the key, what was found and what is allowed. Precondition: `schema` is a
+/// valid JSON Schema. Thread-safe.
+Result<nlohmann::json> ParseChecked(const std::string& text,
+                                    const std::string& source,
+                                    const std::string& schema);
+
+/// The whole of a file, or an error that names it. Thread-safe.
+Result<std::string> ReadFile(const std::string& path);
+
+}  // namespace briarspread
+
+#endif  // BRIARSPREAD_SETTINGS_JSON_SCHEMA_H_
--- a/cmake/Briarspread.cmake
+++ b/cmake/Briarspread.cmake
@@ -12,6 +12,7 @@
 pkg_check_modules(LUA REQUIRED IMPORTED_TARGET lua5.4)
 find_package(OpenSSL REQUIRED)
 find_package(Catch2 2 REQUIRED)
+find_package(rapidcheck REQUIRED)
 
 set(BRIARSPREAD_SANITIZE "" CACHE STRING
     "Sanitizers to build with, for example address,undefined")
@@ -20,6 +21,8 @@
 target_include_directories(briarspread_options INTERFACE ${PROJECT_SOURCE_DIR})
 target_compile_options(briarspread_options INTERFACE
   -Wall -Wextra -Wpedantic -Werror -Wnon-virtual-dtor -Woverloaded-virtual)
+# GCC 12 reports -Wrestrict wrongly on std::string assignments (GCC bug 105651).
+target_compile_options(briarspread_options INTERFACE -Wno-restrict)
 target_compile_definitions(briarspread_options INTERFACE
   ASIO_STANDALONE BRIARSPREAD_VERSION="${PROJECT_VERSION}")
 target_link_libraries(briarspread_options INTERFACE Threads::Threads)
--- /dev/null
+++ b/programs/load/main.cc
@@ -0,0 +1,275 @@
+// briarspread-load: live callers and a trainer as a load and experiment tool.
+
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+#include "briarspread/client/caller_client.h"
+#include "briarspread/client/trainer_client.h"
+#include "briarspread/transport/http_upstream_client.h"
+#include "programs/load/load_report.h"
+
+DEFINE_string(entries, "", "entry instances, as host:port,host:port");
+DEFINE_uint32(seconds, 10, "how long live callers call");
+DEFINE_double(quotes_per_second, 20, "quotes: completions that run once");
+DEFINE_double(stock_checks_per_second, 20, "stock checks at a plain service");
+DEFINE_string(quote_model, "desk", "model that answers quotes");
+DEFINE_string(stock_service, "stock", "service that answers stock checks");
+DEFINE_string(rollout_model, "rollout", "model that the trainer samples");
+DEFINE_uint32(groups, 32, "groups a step; 0 for no trainer");
+DEFINE_uint32(samples_per_group, 4, "samples a group");
+DEFINE_uint32(max_tokens, 32, "tokens a sample");
+DEFINE_uint32(staleness_bound, 2, "versions a sample may be behind");
+DEFINE_double(train_seconds, 0.5, "time the trainer computes after a step");
+DEFINE_string(version_file, "", "file that holds the newest weight version");
+DEFINE_uint32(threads, 64, "threads that carry live calls");
+DEFINE_uint64(seed, 1, "seed of the random numbers");
+DEFINE_string(json, "", "file for the report as JSON");
+
+namespace briarspread {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr milliseconds kQuoteDeadline{4000};
+constexpr seconds kStepLimit{60};
+constexpr milliseconds kPullPause{50};
+
+std::vector<Endpoint> ParseEntries() {
+  std::vector<Endpoint> entries;
+  std::istringstream in(FLAGS_entries);
+  std::string item;
+  while (std::getline(in, item, ',')) {
+    const std::size_t colon = item.rfind(':');
+    if (colon == std::string::npos) continue;
+    entries.push_back(
+        {item.substr(0, colon),
+         static_cast<std::uint16_t>(std::atoi(item.c_str() + colon + 1))});
+  }
+  return entries;
+}
+
+WeightVersion NewestVersion() {
+  std::ifstream in(FLAGS_version_file);
+  std::uint64_t version = 1;
+  in >> version;
+  return WeightVersion(version);
+}
+
+/// One kind of live call at a steady rate.
+class LiveLoad {
+ public:
+  LiveLoad(std::string name, double rate, CallerClient& caller,
+           const Clock& clock, LoadReport& report)
+      : name_(std::move(name)),
+        rate_(rate),
+        caller_(caller),
+        clock_(clock),
+        report_(report) {}
+
+  /// Calls until `end` on `threads` threads, then joins them.
+  void Run(TimePoint end, std::uint32_t threads) {
+    const TimePoint start = clock_.Now();
+    std::vector<std::thread> workers;
+    for (std::uint32_t i = 0; i < threads; ++i) {
+      workers.emplace_back([this, start, end] { CallUntil(start, end); });
+    }
+    for (std::thread& worker : workers) worker.join();
+  }
+
+ private:
+  void CallUntil(TimePoint start, TimePoint end) {
+    while (true) {
+      const std::uint64_t n = next_++;
+      const TimePoint due =
+          start +
+          std::chrono::duration_cast<Duration>(
+              std::chrono::duration<double>(static_cast<double>(n) / rate_));
+      if (due >= end) return;
+      std::this_thread::sleep_until(due);
+      CallOnce(n);
+    }
+  }
+
+  CallerRequest MakeRequest(const std::string& mark) const {
+    CallerRequest request;
+    request.customer = CustomerId("andes");
+    request.request_class = RequestClass(name_);
+    request.key = RequestKey(mark);
+    request.deadline = kQuoteDeadline;
+    if (name_ == "quote") {
+      request.path = "/v1/completions";
+      request.body = Json{
+          {"model", FLAGS_quote_model},
+          {"prompt", "quote " + mark},
+          {"max_tokens",
+           8}}.dump();
+    } else {
+      request.path = "/v1/services/" + FLAGS_stock_service + "/check";
+      request.body = Json{{"sku", mark}}.dump();
+      request.idempotent = true;
+    }
+    return request;
+  }
+
+  void CallOnce(std::uint64_t n) {
+    const std::string mark =
+        name_ + "-" + std::to_string(FLAGS_seed) + "-" + std::to_string(n);
+    const TimePoint start = clock_.Now();
+    const CallerAnswer answer = caller_.Call(MakeRequest(mark));
+    bool wrong = false;
+    if (answer.verdict == Verdict::kAnswered && name_ != "quote") {
+      const Json body = Json::parse(answer.body, nullptr, false);
+      wrong = !body.is_object() || body.value("key", "") != mark;
+    }
+    report_.AddCall(name_, answer, wrong, clock_.Now() - start);
+  }
+
+  const std::string name_;
+  const double rate_;
+  CallerClient& caller_;
+  const Clock& clock_;
+  LoadReport& report_;
+  std::atomic<std::uint64_t> next_{0};
+};
+
+/// A trainer that pulls whole steps and then computes for a while.
+class TrainerLoad {
+ public:
+  TrainerLoad(TrainerClient& client, const Clock& clock, LoadReport& report)
+      : client_(client), clock_(clock), report_(report) {}
+
+  void Run(TimePoint end) {
+    const TimePoint start = clock_.Now();
+    for (std::uint64_t step = 1; clock_.Now() < end; ++step) {
+      RunStep(StepNumber(step));
+      std::this_thread::sleep_for(
+          std::chrono::duration<double>(FLAGS_train_seconds));
+      result_.total_seconds =
+          std::chrono::duration<double>(clock_.Now() - start).count();
+      report_.SetTrainer(result_);
+    }
+  }
+
+ private:
+  static std::string StepBody(StepNumber step) {
+    Json groups = Json::array();
+    for (std::uint32_t i = 0; i < FLAGS_groups; ++i) {
+      groups.push_back({{"id", i},
+                        {"prompt", "step " + std::to_string(step.value()) +
+                                       " group " + std::to_string(i)}});
+    }
+    return Json{{"model", FLAGS_rollout_model},
+                {"max_tokens", FLAGS_max_tokens},
+                {"samples_per_group", FLAGS_samples_per_group},
+                {"staleness_bound", FLAGS_staleness_bound},
+                {"groups", groups}}
+        .dump();
+  }
+
+  void RunStep(StepNumber step) {
+    const TimePoint start = clock_.Now();
+    while (!IsOk(client_.PutStep(step, StepBody(step)))) {
+      if (clock_.Now() - start > kStepLimit) break;
+      std::this_thread::sleep_for(kPullPause);
+    }
+    std::set<std::uint32_t> seen;
+    while (seen.size() < FLAGS_groups && clock_.Now() - start < kStepLimit) {
+      const WeightVersion newest = NewestVersion();
+      const auto batch = client_.NextBatch(newest);
+      if (!IsOk(batch) || ValueOf(batch).empty()) {
+        std::this_thread::sleep_for(kPullPause);
+        continue;
+      }
+      TakeBatch(ValueOf(batch), newest, seen);
+    }
+    result_.lost += (FLAGS_groups - seen.size()) * FLAGS_samples_per_group;
+    ++result_.steps;
+    result_.idle_seconds +=
+        std::chrono::duration<double>(clock_.Now() - start).count();
+  }
+
+  void TakeBatch(const std::string& batch, WeightVersion newest,
+                 std::set<std::uint32_t>& seen) {
+    const Json json = Json::parse(batch);
+    for (const Json& group : json["groups"]) {
+      const bool is_new = seen.insert(group.value("id", 0U)).second;
+      for (const Json& sample : group["samples"]) {
+        ++result_.samples;
+        if (!is_new) ++result_.doubled;
+        TakeSample(sample, newest);
+      }
+    }
+  }
+
+  void TakeSample(const Json& sample, WeightVersion newest) {
+    if (sample["versions"].empty()) ++result_.unlabelled;
+    std::uint64_t oldest = newest.value();
+    for (const Json& span : sample["versions"]) {
+      const std::uint64_t version = span.value("version", std::uint64_t{0});
+      result_.versions.insert(version);
+      oldest = std::min(oldest, version);
+    }
+    const std::uint64_t staleness = newest.value() - oldest;
+    result_.staleness.push_back(static_cast<double>(staleness));
+    if (staleness > FLAGS_staleness_bound) ++result_.stale;
+  }
+
+  TrainerClient& client_;
+  const Clock& clock_;
+  LoadReport& report_;
+  TrainerReport result_;
+};
+
+int Run() {
+  const std::vector<Endpoint> entries = ParseEntries();
+  if (entries.empty()) {
+    std::cerr << "briarspread-load: --entries: found '" << FLAGS_entries
+              << "', allowed: host:port,host:port\n";
+    return 2;
+  }
+  SystemClock clock;
+  SeededRandom random(FLAGS_seed);
+  HttpUpstreamClient client(HttpUpstreamClientSettings{}, clock);
+  CallerClient caller(entries, client, clock, random);
+  TrainerClient trainer(TrainerId("lima"), entries, client);
+  LoadReport report;
+  const TimePoint end = clock.Now() + seconds(FLAGS_seconds);
+
+  std::vector<std::thread> threads;
+  LiveLoad quotes("quote", FLAGS_quotes_per_second, caller, clock, report);
+  LiveLoad checks("stock-check", FLAGS_stock_checks_per_second, caller, clock,
+                  report);
+  TrainerLoad steps(trainer, clock, report);
+  if (FLAGS_quotes_per_second > 0) {
+    threads.emplace_back([&] { quotes.Run(end, FLAGS_threads); });
+  }
+  if (FLAGS_stock_checks_per_second > 0) {
+    threads.emplace_back([&] { checks.Run(end, FLAGS_threads); });
+  }
+  if (FLAGS_groups > 0) threads.emplace_back([&] { steps.Run(end); });
+  for (std::thread& thread : threads) thread.join();
+
+  std::cout << report.ToText();
+  if (!FLAGS_json.empty()) std::ofstream(FLAGS_json) << report.ToJson() << "\n";
+  return report.IsBroken() ? 1 : 0;
+}
+
+}  // namespace
+}  // namespace briarspread
+
+int main(int argc, char** argv) {
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  gflags::SetVersionString(BRIARSPREAD_VERSION);
+  gflags::SetUsageMessage(
+      "sends live calls and trainer steps and reports what came back\n"
+      "exit codes: 0 all promises kept, 1 a promise broken, 2 bad arguments");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return briarspread::Run();
+}
--- /dev/null
+++ b/scripts/check.sh
@@ -0,0 +1,25 @@
+#!/usr/bin/env bash
+# Checks format, lint, and what no commit may hold. Changes nothing.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+mapfile -t sources < <(git ls-files '*.h' '*.cc')
+echo "clang-format: ${#sources[@]} files"
+clang-format --dry-run --Werror "${sources[@]}"
+
+# A build folder without precompiled headers gives the linter plain commands.
+lint_dir="${1:-build}"
+[ -f "$lint_dir/compile_commands.json" ] ||
+  cmake -S . -B "$lint_dir" -G Ninja >/dev/null
+mapfile -t units < <(git ls-files '*.cc')
+echo "clang-tidy: ${#units[@]} files"
+printf '%s\n' "${units[@]}" |
+  xargs -P "$(nproc)" -n 4 clang-tidy --quiet -p "$lint_dir" \
+    --extra-arg=-Wno-unknown-warning-option 2>/dev/null
+
+echo "paths of this machine"
+if git grep -nE '/(work|farm)/|/tmp/[a-z]+\.' -- . ':!scripts/check.sh'; then
+  echo "a path of this machine stands in the files above" >&2
+  exit 1
+fi
+echo "checks passed"
--- /dev/null
+++ b/tests/settings/entry_settings_test.cc
@@ -0,0 +1,51 @@
+#include "briarspread/settings/entry_settings.h"
+
+#include <catch2/catch.hpp>
+
+namespace briarspread {
+namespace {
+
+constexpr char kGood[] = R"({"instance":"lim-a-1","zone":"lim-a",
+  "region":"lim","listen":{"host":"127.0.0.1","port":8080},
+  "platform":{"host":"127.0.0.1","port":8500},
+  "peer_key":"0123456789abcdef"})";
+
+std::string MessageOf(const std::string& text) {
+  const auto parsed = ParseEntrySettings(text, "entry.json");
+  return IsOk(parsed) ? "" : ErrorOf(parsed).message;
+}
+
+TEST_CASE("good settings are read") {
+  const auto parsed = ParseEntrySettings(kGood, "entry.json");
+  REQUIRE(IsOk(parsed));
+  REQUIRE(ValueOf(parsed).listen.port == 8080);
+}
+
+TEST_CASE("an error names the file, the key, what was found and allowed") {
+  std::string text = kGood;
+  text.replace(text.find("8080"), 4, "70000");
+  const std::string message = MessageOf(text);
+  CAPTURE(message);
+  REQUIRE(message.find("entry.json") != std::string::npos);
+  REQUIRE(message.find("/listen/port") != std::string::npos);
+  REQUIRE(message.find("70000") != std::string::npos);
+  REQUIRE(message.find("65535") != std::string::npos);
+}
+
+TEST_CASE("an unknown key is refused") {
+  std::string text = kGood;
+  text.replace(text.find("\"zone\""), 6, "\"colour\":1,\"zone\"");
+  const std::string message = MessageOf(text);
+  CAPTURE(message);
+  REQUIRE(message.find("colour") != std::string::npos);
+}
+
+TEST_CASE("a missing peer key is refused unless authentication is off") {
+  std::string text = kGood;
+  text.replace(text.find("\"peer_key\":\"0123456789abcdef\""), 29,
+               "\"http_threads\":8");
+  REQUIRE(MessageOf(text).find("/peer_key") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace briarspread
