Rules: table-driven parser of all kinds, operators' page, example files

The parser knew 4 of 16 kinds, and its reading code grew by a function a kind. It is now a table of kinds and arguments that checks lines, and that the page's test reads: each kind, argument, default, unit and choice must stand on docs/RULES.md, and each example there must parse.

New refusals: a rule that an earlier one keeps from ever taking effect (an accepted line has to be in force); a fraction where a whole number is meant (level=1.5 was cut to 1 without a word, so the error text of the level test now says 'a whole number'); text that is no UTF-8; sizes beyond the stated bounds.

Ruled out: picking the most specific rule whatever the order. It would make the order of lines free, but ties (customer=a against class=b) need a further rule that operators would have to know.

--- a/briarspread/rules/rule_parser.h
+++ b/briarspread/rules/rule_parser.h
@@ -1,36 +1,44 @@
 #ifndef BRIARSPREAD_RULES_RULE_PARSER_H_
 #define BRIARSPREAD_RULES_RULE_PARSER_H_
 
-#include <cstddef>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
+#include "briarspread/rules/rule_document.h"
 #include "briarspread/rules/rule_set.h"
 
 namespace briarspread {
 
-/// What is wrong with a line of the operators' file.
-struct RuleError {
-  /// Counted from 1.
-  std::size_t line = 0;
-  /// Counted from 1.
-  std::size_t column = 0;
-  /// The text found there.
-  std::string found;
-  /// What is allowed there.
-  std::string allowed;
-};
-
 /// Parses the operators' file. A rule is one line:
 /// `kind name=value ... # who asked for it`. Blank lines and lines that start
-/// with `#` carry no rule. All or nothing: any error refuses the whole text.
-/// Thread-safe.
+/// with `#` carry no rule. All or nothing: any error refuses the whole text,
+/// and so does a rule that an earlier one keeps from ever taking effect.
+/// Takes any bytes. Thread-safe.
 std::variant<RuleSet, std::vector<RuleError>> ParseRules(std::string_view text);
 
-/// One line for a person: place, what was found, what is allowed. Thread-safe.
-std::string Describe(const RuleError& error);
+/// As `ParseRules`, and gives the lines. Thread-safe.
+std::variant<RuleDocument, std::vector<RuleError>> ParseDocument(
+    std::string_view text);
+
+/// What a rule is about: its kind and the values of its selecting arguments.
+struct RuleIdentity {
+  /// The kind.
+  std::string kind;
+  /// The selecting arguments' values, in the order of the kind's arguments.
+  std::vector<std::string> selectors;
+
+  friend auto operator<=>(const RuleIdentity&, const RuleIdentity&) = default;
+};
+
+/// The identity of a rule that parsed. Precondition: its kind is known.
+/// Thread-safe.
+RuleIdentity IdentityOf(const RuleLine& rule);
+
+/// Whether `rule` matches all that `other` matches, so that `other` has no
+/// effect after it. Thread-safe.
+bool Covers(const RuleIdentity& rule, const RuleIdentity& other);
 
 }  // namespace briarspread
 
--- a/tests/rules/rule_parser_test.cc
+++ b/tests/rules/rule_parser_test.cc
@@ -33,7 +33,8 @@
   const auto errors = ErrorsOf("\npriority level=12 # Rosa\n");
   REQUIRE(errors.size() == 1);
   REQUIRE(Describe(errors[0]) ==
-          "line 2, column 16: found '12', allowed: a number from 0 to 9");
+          "line 2, column 16: found '12', allowed: a whole number "
+          "from 0 to 9");
 }
 
 TEST_CASE("a rule without a name, kind or known argument is refused") {
--- /dev/null
+++ b/tests/rules/rule_texts.h
@@ -0,0 +1,65 @@
+#ifndef TESTS_RULES_RULE_TEXTS_H_
+#define TESTS_RULES_RULE_TEXTS_H_
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "briarspread/rules/rule_parser.h"
+#include "briarspread/rules/rule_schema.h"
+
+namespace briarspread::testing {
+
+/// An allowed value of an argument.
+inline rc::Gen<std::string> AnyValue(const ArgumentSpec& spec) {
+  switch (spec.type) {
+    case ArgumentType::kName:
+      return rc::gen::element<std::string>("*", "a", "b", "c", "d", "e=f");
+    case ArgumentType::kNames:
+      return rc::gen::element<std::string>("*", "a", "a,b", "b,c,d");
+    case ArgumentType::kChoice:
+      return rc::gen::elementOf(spec.choices);
+    case ArgumentType::kNumber:
+    case ArgumentType::kInteger:
+      break;
+  }
+  const auto least = static_cast<int>(spec.least);
+  const auto most = static_cast<int>(spec.most);
+  const std::string unit = spec.unit;
+  return rc::gen::map(
+      rc::gen::inRange(std::max(least, most > 1 ? 1 : 0), most + 1),
+      [unit](int n) { return std::to_string(n) + unit; });
+}
+
+/// One rule line that parses by itself.
+inline std::string AnyRuleLine() {
+  const KindSpec kind = *rc::gen::elementOf(RuleKinds());
+  std::string line = kind.name;
+  for (const ArgumentSpec& spec : kind.arguments) {
+    const bool stands =
+        spec.required || kind.needs_a_value || *rc::gen::arbitrary<bool>();
+    if (stands) line += " " + spec.name + "=" + *AnyValue(spec);
+  }
+  const auto who = *rc::gen::element<std::string>("Rosa", "Luis, warehouse",
+                                                  "J\xc3\xbcrgen # 2");
+  return line + "  # " + who;
+}
+
+/// A text that parses: rules that keep none below from taking effect, with
+/// comments and blank lines between.
+inline std::string AnyRulesText() {
+  std::string text;
+  const int count = *rc::gen::inRange(0, 12);
+  for (int i = 0; i < count; ++i) {
+    if (*rc::gen::inRange(0, 5) == 0) text += "# a heading\n\n";
+    const std::string longer = text + AnyRuleLine() + "\n";
+    if (std::holds_alternative<RuleSet>(ParseRules(longer))) text = longer;
+  }
+  return text;
+}
+
+}  // namespace briarspread::testing
+
+#endif  // TESTS_RULES_RULE_TEXTS_H_
