Routing: two choices over corrected load, zone and link aware, breakers

Cause: the gateway sent each request to the upstream with the fewest own requests in flight, by a scan of the whole table that knew neither other instances' load nor zones, links, pins or failing upstreams. Ruled out: consistent hash rings (virtual nodes to keep even), a scan per request (12,000 rows), one mutex-guarded random source on the request path. Change: tables are indexed when published (model or service, then nearness); TwoChoicesRouter draws from the nearest group over load corrected by own requests, prefers a prefix's engine by bounded-load rendezvous hashing or a cache hint, spills by rule within the link's token bucket; CircuitBreaker and BreakerPanel bound ejections; RefusalWatch learns of leaving upstreams ahead of the list. Round robin and least reported load stay as baselines.

--- /dev/null
+++ b/briarspread/routing/breaker_panel.cc
@@ -0,0 +1,51 @@
+#include "briarspread/routing/breaker_panel.h"
+
+#include <cassert>
+#include <cstdint>
+#include <utility>
+
+namespace briarspread {
+
+BreakerPanel::BreakerPanel(const BreakerPanelSettings& settings)
+    : settings_(settings) {
+  assert(settings.most_ejected >= 0 && settings.most_ejected < 1);
+}
+
+std::shared_ptr<EjectionQuota> BreakerPanel::QuotaOf(
+    const std::string& serves) {
+  std::shared_ptr<EjectionQuota>& quota = quotas_[serves];
+  if (quota == nullptr) quota = std::make_shared<EjectionQuota>();
+  return quota;
+}
+
+void BreakerPanel::SetListed(const std::vector<ListedInstance>& listed) {
+  std::lock_guard lock(mutex_);
+  std::map<UpstreamId, Entry> next;
+  std::map<std::string, std::uint32_t> counts;
+  for (const ListedInstance& instance : listed) {
+    if (instance.kind == InstanceKind::kEntry) continue;
+    if (instance.state == ListedState::kLive) ++counts[instance.serves];
+    const UpstreamId id(instance.name);
+    const auto old = breakers_.find(id);
+    if (old != breakers_.end() && old->second.serves == instance.serves) {
+      next[id] = old->second;
+      continue;
+    }
+    next[id] = {instance.serves,
+                std::make_shared<CircuitBreaker>(settings_.breaker,
+                                                 QuotaOf(instance.serves))};
+  }
+  breakers_ = std::move(next);
+  for (auto& [serves, quota] : quotas_) {
+    quota->SetLimit(
+        static_cast<std::uint32_t>(settings_.most_ejected * counts[serves]));
+  }
+}
+
+std::shared_ptr<CircuitBreaker> BreakerPanel::Find(const UpstreamId& upstream) {
+  std::lock_guard lock(mutex_);
+  const auto it = breakers_.find(upstream);
+  return it == breakers_.end() ? nullptr : it->second.breaker;
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/briarspread/routing/circuit_breaker.cc
@@ -0,0 +1,85 @@
+#include "briarspread/routing/circuit_breaker.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace briarspread {
+
+bool EjectionQuota::TryTake() {
+  std::uint32_t taken = taken_.load();
+  while (taken < limit_.load()) {
+    if (taken_.compare_exchange_weak(taken, taken + 1)) return true;
+  }
+  return false;
+}
+
+void EjectionQuota::Return() {
+  assert(taken_.load() > 0);
+  --taken_;
+}
+
+CircuitBreaker::CircuitBreaker(const CircuitBreakerSettings& settings,
+                               std::shared_ptr<EjectionQuota> quota)
+    : settings_(settings),
+      quota_(std::move(quota)),
+      next_open_(settings.first_open) {
+  assert(quota_ != nullptr);
+}
+
+CircuitBreaker::~CircuitBreaker() {
+  if (is_open_.load()) quota_->Return();
+}
+
+bool CircuitBreaker::Allows(TimePoint now) const {
+  if (!is_open_.load()) return true;
+  return now >= open_until_.load() && now >= probe_until_.load();
+}
+
+bool CircuitBreaker::Admit(TimePoint now) {
+  if (!is_open_.load()) return true;
+  std::lock_guard lock(mutex_);
+  if (!is_open_.load()) return true;
+  if (!Allows(now)) return false;
+  probe_until_ = now + settings_.probe_timeout;
+  return true;
+}
+
+void CircuitBreaker::OnSuccess(TimePoint now) {
+  failures_ = 0;
+  if (!is_open_.load()) return;
+  std::lock_guard lock(mutex_);
+  // A request sent before the breaker opened says nothing of the state now.
+  if (is_open_.load() && now >= open_until_.load()) Close();
+}
+
+void CircuitBreaker::OnFailure(TimePoint now) {
+  if (++failures_ < settings_.failures_to_open && !is_open_.load()) return;
+  std::lock_guard lock(mutex_);
+  if (is_open_.load()) {
+    if (now >= open_until_.load()) Open(now);
+    return;
+  }
+  // Without a place in the quota it stays in use: a poor upstream is better
+  // than none.
+  if (failures_.load() >= settings_.failures_to_open && quota_->TryTake()) {
+    Open(now);
+  }
+}
+
+void CircuitBreaker::Close() {
+  next_open_ = settings_.first_open;
+  failures_ = 0;
+  probe_until_ = TimePoint{};
+  is_open_ = false;
+  quota_->Return();
+}
+
+void CircuitBreaker::Open(TimePoint now) {
+  open_until_ = now + next_open_;
+  probe_until_ = TimePoint{};
+  next_open_ = std::min(2 * next_open_, settings_.longest_open);
+  is_open_ = true;
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/briarspread/routing/link_budget.cc
@@ -0,0 +1,67 @@
+#include "briarspread/routing/link_budget.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace briarspread {
+namespace {
+
+/// This instance's part of one direction; empty: no budget.
+std::optional<TokenRate> OwnRate(const Link& link, const RegionId& from,
+                                 const RegionId& to, const RuleSet& rules) {
+  const std::optional<ByteCount> budget = rules.LinkBudgetOf(from, to);
+  if (!budget.has_value()) return std::nullopt;
+  const double whole = static_cast<double>(budget->value());
+  return TokenRate{whole / link.instances.load(), LinkBudget::kBurst};
+}
+
+/// Bytes used beyond those taken. Unused bytes are not given back: a late
+/// return would let a window that began after the taking carry them twice.
+double Excess(ByteCount used, ByteCount taken) {
+  return used > taken ? static_cast<double>(used.value() - taken.value()) : 0.0;
+}
+
+}  // namespace
+
+std::shared_ptr<Link> LinkBudget::LinkBetween(const RegionId& self,
+                                              const RegionId& other) {
+  std::lock_guard lock(mutex_);
+  std::shared_ptr<Link>& link = links_[Ends{self, other}];
+  if (link == nullptr) {
+    link = std::make_shared<Link>();
+    link->self = self;
+    link->other = other;
+  }
+  return link;
+}
+
+bool LinkBudget::TryTake(Link& link, const LinkVolume& volume,
+                         const RuleSet& rules, TimePoint now) {
+  const auto out = OwnRate(link, link.self, link.other, rules);
+  const auto in = OwnRate(link, link.other, link.self, rules);
+  const auto out_bytes = static_cast<double>(volume.outward.value());
+  const auto in_bytes = static_cast<double>(volume.inward.value());
+  if (out.has_value() && !link.outward.TryTake(out_bytes, *out, now)) {
+    return false;
+  }
+  if (in.has_value() && !link.inward.TryTake(in_bytes, *in, now)) {
+    if (out.has_value()) link.outward.Charge(-out_bytes, *out, now);
+    return false;
+  }
+  return true;
+}
+
+void LinkBudget::Settle(Link& link, const LinkVolume& taken,
+                        const LinkVolume& used, const RuleSet& rules,
+                        TimePoint now) {
+  const auto out = OwnRate(link, link.self, link.other, rules);
+  const auto in = OwnRate(link, link.other, link.self, rules);
+  if (out.has_value() && out->per_second > 0) {
+    link.outward.Charge(Excess(used.outward, taken.outward), *out, now);
+  }
+  if (in.has_value() && in->per_second > 0) {
+    link.inward.Charge(Excess(used.inward, taken.inward), *in, now);
+  }
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/briarspread/routing/load_view.cc
@@ -0,0 +1,64 @@
+#include "briarspread/routing/load_view.h"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+
+#include "briarspread/routing/routing_table.h"
+
+namespace briarspread {
+namespace {
+
+/// Slots assumed of an upstream that has not reported any.
+constexpr std::uint32_t kAssumedSlots = 8;
+/// Service time assumed before the first exchange has ended.
+constexpr std::chrono::microseconds kAssumedServiceTime{100'000};
+/// The newest exchange weighs one part in this many of the moving average.
+constexpr std::int64_t kAverageParts = 8;
+
+}  // namespace
+
+std::uint32_t LoadView::InFlight() const {
+  const LoadReport& report = upstream_.load;
+  const std::int64_t own = upstream_.counters->in_flight.load();
+  const std::int64_t reported =
+      std::int64_t{report.running} + std::int64_t{report.queued};
+  const std::int64_t corrected = reported + own - report.own_in_flight;
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      std::max(corrected, own), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+std::uint32_t LoadView::Slots() const {
+  return upstream_.load.slots == 0 ? kAssumedSlots : upstream_.load.slots;
+}
+
+double LoadView::Fraction() const {
+  return static_cast<double>(InFlight()) / static_cast<double>(Slots());
+}
+
+Duration LoadView::ExpectedWait() const {
+  const std::uint32_t in_flight = InFlight();
+  const std::uint32_t slots = Slots();
+  if (in_flight < slots) return Duration::zero();
+  const std::uint32_t measured = upstream_.counters->service_time_us.load();
+  const auto service =
+      measured == 0 ? kAssumedServiceTime : std::chrono::microseconds(measured);
+  // A slot frees every service / slots; one more than those waiting must.
+  const std::int64_t ahead = std::int64_t{in_flight} - slots + 1;
+  return Duration(service) * ahead / slots;
+}
+
+void RecordServiceTime(UpstreamCounters& counters, Duration taken) {
+  const auto us =
+      std::chrono::duration_cast<std::chrono::microseconds>(taken).count();
+  const std::int64_t sample = std::clamp<std::int64_t>(
+      us, 1, std::numeric_limits<std::uint32_t>::max());
+  std::uint32_t old = counters.service_time_us.load();
+  std::uint32_t next = 0;
+  do {
+    const std::int64_t change = (sample - std::int64_t{old}) / kAverageParts;
+    next = static_cast<std::uint32_t>(old == 0 ? sample : old + change);
+  } while (!counters.service_time_us.compare_exchange_weak(old, next));
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/briarspread/routing/refusal_watch.cc
@@ -0,0 +1,44 @@
+#include "briarspread/routing/refusal_watch.h"
+
+#include <algorithm>
+
+namespace briarspread {
+
+RefusalWatch::RefusalWatch(const RefusalWatchSettings& settings)
+    : settings_(settings) {}
+
+void RefusalWatch::OnRefusal(const UpstreamId& upstream,
+                             UpstreamCounters& counters, TimePoint now) {
+  std::lock_guard lock(mutex_);
+  counters.refuses_work = true;
+  Refusal& refusal = refusals_[upstream];
+  refusal.last = now;
+  // Refusals of requests that were sent together count as one.
+  if (now < refusal.hold_until) return;
+  const Duration hold =
+      std::max(refusal.next_hold, Duration(settings_.first_hold));
+  refusal.hold_until = now + hold;
+  refusal.next_hold = std::min(2 * hold, Duration(settings_.longest_hold));
+}
+
+void RefusalWatch::OnHealthRead(const UpstreamId& upstream,
+                                UpstreamCounters& counters,
+                                const HealthRead& read, TimePoint now) {
+  std::lock_guard lock(mutex_);
+  if (!read.accepts_work) {
+    counters.refuses_work = true;
+    return;
+  }
+  const auto it = refusals_.find(upstream);
+  if (it != refusals_.end()) {
+    if (now < it->second.hold_until || read.started <= it->second.last) return;
+  }
+  counters.refuses_work = false;
+}
+
+void RefusalWatch::Forget(const UpstreamId& upstream) {
+  std::lock_guard lock(mutex_);
+  refusals_.erase(upstream);
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/briarspread/routing/rollout_quota.h
@@ -0,0 +1,22 @@
+#ifndef BRIARSPREAD_ROUTING_ROLLOUT_QUOTA_H_
+#define BRIARSPREAD_ROUTING_ROLLOUT_QUOTA_H_
+
+#include <cstdint>
+
+#include "briarspread/routing/routing_table.h"
+
+namespace briarspread {
+
+/// How many rollouts this instance may have in flight on one upstream so that
+/// all instances together leave `reserve` of its slots to live callers. The
+/// quotas of all ranks add up to exactly the slots left; the places of the odd
+/// ones differ by upstream, so that no instance goes without everywhere.
+/// Preconditions: 0 <= `reserve` <= 1, and `share.rank` < `share.count`.
+/// Thread-safe.
+std::uint32_t RolloutQuota(std::uint32_t slots, double reserve,
+                           const InstanceShare& share,
+                           std::uint64_t upstream_hash);
+
+}  // namespace briarspread
+
+#endif  // BRIARSPREAD_ROUTING_ROLLOUT_QUOTA_H_
--- a/briarspread/routing/router.cc
+++ b/briarspread/routing/router.cc
@@ -12,10 +12,18 @@
   }
   if (listed.state == ListedState::kLeaving) return false;
   if (upstream.counters->refuses_work.load()) return false;
-  const UpstreamId id(listed.name);
-  if (rules.IsDrained(id)) return false;
-  return std::find(request.excluded.begin(), request.excluded.end(), id) ==
-         request.excluded.end();
+  // Names are compared in place: an `UpstreamId` made here could allocate.
+  const auto is_drained = [&listed](const DrainRule& rule) {
+    return rule.upstream.value() == listed.name;
+  };
+  if (std::any_of(rules.drains.begin(), rules.drains.end(), is_drained)) {
+    return false;
+  }
+  const auto is_excluded = [&listed](const UpstreamId& id) {
+    return id.value() == listed.name;
+  };
+  return std::none_of(request.excluded.begin(), request.excluded.end(),
+                      is_excluded);
 }
 
 std::optional<std::size_t> FewestInFlightRouter::Choose(
--- a/briarspread/routing/router.h
+++ b/briarspread/routing/router.h
@@ -27,6 +27,8 @@
   bool is_rollout = false;
   /// Bytes that the call may carry over the link between regions.
   ByteCount expected_bytes{0};
+  /// Bytes that the answer may carry back over the link.
+  ByteCount expected_answer_bytes{0};
   /// Upstreams already tried, or otherwise not wanted.
   std::vector<UpstreamId> excluded;
 };
--- /dev/null
+++ b/briarspread/routing/two_choices_router.cc
@@ -0,0 +1,313 @@
+#include "briarspread/routing/two_choices_router.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+#include "briarspread/core/rendezvous.h"
+#include "briarspread/routing/load_view.h"
+#include "briarspread/routing/rollout_quota.h"
+#include "briarspread/routing/split_mix_random.h"
+
+namespace briarspread {
+namespace {
+
+/// Random draws before a group is scanned for an eligible member.
+constexpr int kDraws = 8;
+/// Upstreams that a prefix may prefer, the first included.
+constexpr std::size_t kPreferences = 3;
+/// Members sampled for the mean load.
+constexpr std::size_t kMeanSamples = 8;
+/// Choices anew where another thread took a half-open breaker's probe.
+constexpr int kAdmitTries = 4;
+
+/// The members that rendezvous hashing prefers for a prefix, best first.
+class Preferences {
+ public:
+  explicit Preferences(std::uint64_t prefix) : prefix_(prefix) {}
+
+  void Offer(const GroupMember& member) {
+    Ranked ranked{MixBits(prefix_ ^ member.name_hash), member.index};
+    for (std::size_t i = 0; i < kPreferences; ++i) {
+      if (i == size_) {
+        best_[size_++] = ranked;
+        return;
+      }
+      if (ranked.weight > best_[i].weight) std::swap(ranked, best_[i]);
+    }
+  }
+  std::size_t size() const { return size_; }
+  std::uint32_t IndexAt(std::size_t i) const { return best_[i].index; }
+
+ private:
+  struct Ranked {
+    std::uint64_t weight = 0;
+    std::uint32_t index = 0;
+  };
+  /// The key.
+  std::uint64_t prefix_;
+  /// The first `size_` are set, by falling weight.
+  std::array<Ranked, kPreferences> best_{};
+  std::size_t size_ = 0;
+};
+
+/// The bucket that comes first for a prefix.
+std::size_t PreferredBucket(const LocalityGroup& group, std::uint64_t prefix) {
+  constexpr std::uint64_t kBucketSeed = 0x9e3779b97f4a7c15ULL;
+  std::size_t best = 0;
+  std::uint64_t best_weight = 0;
+  for (std::size_t i = 0; i < group.bucket_count(); ++i) {
+    if (group.Bucket(i).empty()) continue;
+    const std::uint64_t weight = MixBits(prefix ^ MixBits(i + kBucketSeed));
+    if (weight >= best_weight) {
+      best = i;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+/// The member whose name has the hash.
+std::optional<std::uint32_t> FindMember(
+    const LocalityGroup& group, std::optional<std::uint64_t> name_hash) {
+  if (!name_hash.has_value()) return std::nullopt;
+  const auto bucket = group.Bucket(*name_hash % group.bucket_count());
+  const auto it = std::find_if(bucket.begin(), bucket.end(),
+                               [&](const GroupMember& member) {
+                                 return member.name_hash == *name_hash;
+                               });
+  if (it == bucket.end()) return std::nullopt;
+  return it->index;
+}
+
+}  // namespace
+
+/// What one decision reads.
+struct TwoChoicesRouter::Context {
+  const RouteRequest& request;
+  const RoutingTable& table;
+  const RuleSet& rules;
+  TimePoint now;
+  /// Fraction of slots closed to the request.
+  double reserve = 0;
+
+  const UpstreamView& At(std::uint32_t index) const {
+    return table.upstreams[index];
+  }
+  double LoadAt(std::uint32_t index) const {
+    return LoadView(At(index)).Fraction();
+  }
+  bool IsFit(std::uint32_t index) const {
+    const UpstreamView& upstream = At(index);
+    if (!IsEligible(request, upstream, rules)) return false;
+    if (upstream.breaker != nullptr && !upstream.breaker->Allows(now)) {
+      return false;
+    }
+    return !request.is_rollout || HasRoomForRollout(upstream);
+  }
+  bool HasRoomForRollout(const UpstreamView& upstream) const {
+    const std::uint32_t quota =
+        RolloutQuota(LoadView(upstream).Slots(), reserve, upstream.share,
+                     StableHash(upstream.listed.name));
+    return upstream.counters->rollouts_in_flight.load() < quota;
+  }
+};
+
+/// An upstream that may be chosen.
+struct TwoChoicesRouter::Candidate {
+  std::uint32_t index = 0;
+  double load = 0;
+};
+
+TwoChoicesRouter::TwoChoicesRouter(const TwoChoicesSettings& settings,
+                                   RandomSource& random, const Clock& clock,
+                                   const CacheHints* hints)
+    : settings_(settings), random_(random), clock_(clock), hints_(hints) {}
+
+std::optional<std::size_t> TwoChoicesRouter::Choose(const RouteRequest& request,
+                                                    const RoutingTable& table,
+                                                    const RuleSet& rules) {
+  assert(table.upstreams.empty() || !table.index.pools.empty() ||
+         std::all_of(table.upstreams.begin(), table.upstreams.end(),
+                     [](const UpstreamView& upstream) {
+                       return upstream.listed.state == ListedState::kLeaving;
+                     }));
+  Context context{request, table, rules, clock_.Now()};
+  if (request.is_rollout) context.reserve = rules.ReserveOf(request.serves);
+  for (int i = 0; i < kAdmitTries; ++i) {
+    const auto chosen = ChooseOnce(context);
+    if (!chosen.has_value()) return std::nullopt;
+    const auto& breaker = context.At(chosen->index).breaker;
+    if (breaker == nullptr || breaker->Admit(context.now)) {
+      return chosen->index;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<TwoChoicesRouter::Candidate> TwoChoicesRouter::ChooseOnce(
+    const Context& context) {
+  if (!context.rules.pins.empty()) {
+    const auto pin = context.rules.PinOf(context.request.request_class);
+    if (pin.has_value()) return ChoosePinned(context, *pin);
+  }
+  const UpstreamPool* pool =
+      context.table.index.Find(context.request.kind, context.request.serves);
+  if (pool == nullptr) return std::nullopt;
+  std::optional<Candidate> best;
+  for (const LocalityGroup& group : pool->groups) {
+    if (group.nearness == Nearness::kOtherRegion) break;
+    if (best.has_value() && best->load < settings_.spill_load) return best;
+    if (group.nearness == Nearness::kSameRegion &&
+        context.rules.SpillOf(context.request.serves) ==
+            LocalitySpill::kZoneOnly) {
+      return best;
+    }
+    const auto candidate = ChooseInGroup(context, group);
+    if (!candidate.has_value()) continue;
+    if (!best.has_value() || candidate->load < best->load) best = candidate;
+  }
+  if (best.has_value() && best->load < settings_.spill_load) return best;
+  return ChooseRemote(context, *pool, best);
+}
+
+std::optional<TwoChoicesRouter::Candidate> TwoChoicesRouter::ChoosePinned(
+    const Context& context, const UpstreamId& pin) const {
+  const auto& upstreams = context.table.upstreams;
+  const auto it =
+      std::lower_bound(upstreams.begin(), upstreams.end(), pin.value(),
+                       [](const UpstreamView& upstream, const auto& name) {
+                         return upstream.listed.name < name;
+                       });
+  if (it == upstreams.end() || it->listed.name != pin.value()) {
+    return std::nullopt;
+  }
+  const auto index = static_cast<std::uint32_t>(it - upstreams.begin());
+  if (!context.IsFit(index)) return std::nullopt;
+  return Candidate{index, context.LoadAt(index)};
+}
+
+std::optional<TwoChoicesRouter::Candidate> TwoChoicesRouter::ChooseRemote(
+    const Context& context, const UpstreamPool& pool,
+    std::optional<Candidate> near) {
+  const auto first = std::find_if(
+      pool.groups.begin(), pool.groups.end(), [](const LocalityGroup& group) {
+        return group.nearness == Nearness::kOtherRegion;
+      });
+  const auto count = static_cast<std::size_t>(pool.groups.end() - first);
+  if (count == 0 ||
+      context.rules.SpillOf(context.request.serves) != LocalitySpill::kAny) {
+    return near;
+  }
+  const LinkVolume volume{context.request.expected_bytes,
+                          context.request.expected_answer_bytes};
+  // From a random region on, so that a full region does not load its
+  // neighbour alone.
+  const std::size_t start = random_.Below(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    const LocalityGroup& group =
+        *(first + static_cast<std::ptrdiff_t>((start + i) % count));
+    const auto candidate = ChooseInGroup(context, group);
+    if (!candidate.has_value()) continue;
+    if (near.has_value() &&
+        candidate->load + settings_.region_margin >= near->load) {
+      continue;
+    }
+    if (LinkBudget::TryTake(*group.link, volume, context.rules, context.now)) {
+      return candidate;
+    }
+  }
+  return near;
+}
+
+std::optional<TwoChoicesRouter::Candidate> TwoChoicesRouter::ChooseInGroup(
+    const Context& context, const LocalityGroup& group) {
+  if (context.request.prefix_hash != 0) {
+    const auto preferred = ChoosePreferred(context, group);
+    if (preferred.has_value()) return preferred;
+  }
+  return ChooseLessLoaded(context, group);
+}
+
+std::optional<TwoChoicesRouter::Candidate> TwoChoicesRouter::ChoosePreferred(
+    const Context& context, const LocalityGroup& group) {
+  const std::uint64_t prefix = context.request.prefix_hash;
+  if (hints_ != nullptr) {
+    const auto hinted = FindMember(group, hints_->Find(prefix));
+    if (hinted.has_value()) {
+      const auto candidate = TakeUnlessOverloaded(context, group, *hinted);
+      if (candidate.has_value()) return candidate;
+    }
+  }
+  const auto bucket = group.Bucket(PreferredBucket(group, prefix));
+  Preferences preferences(prefix);
+  for (const GroupMember& member : bucket) preferences.Offer(member);
+  for (std::size_t i = 0; i < preferences.size(); ++i) {
+    const auto candidate =
+        TakeUnlessOverloaded(context, group, preferences.IndexAt(i));
+    if (candidate.has_value()) return candidate;
+  }
+  return std::nullopt;
+}
+
+std::optional<TwoChoicesRouter::Candidate>
+TwoChoicesRouter::TakeUnlessOverloaded(const Context& context,
+                                       const LocalityGroup& group,
+                                       std::uint32_t index) {
+  if (!context.IsFit(index)) return std::nullopt;
+  const LoadView view(context.At(index));
+  const Candidate candidate{index, view.Fraction()};
+  if (candidate.load < settings_.affinity_free_load) return candidate;
+  const double most =
+      (1.0 + settings_.affinity_excess) * EstimateMeanLoad(context, group);
+  if (candidate.load + 1.0 / view.Slots() > most) return std::nullopt;
+  return candidate;
+}
+
+double TwoChoicesRouter::EstimateMeanLoad(const Context& context,
+                                          const LocalityGroup& group) {
+  // Only the change since the table was published is sampled, so few samples
+  // give a close estimate.
+  const std::size_t n = group.members.size();
+  const std::size_t samples = std::min(kMeanSamples, n);
+  const std::size_t start = random_.Below(n);
+  const std::size_t stride = n / samples;
+  double change = 0;
+  for (std::size_t i = 0; i < samples; ++i) {
+    const GroupMember& member = group.members[(start + i * stride) % n];
+    const UpstreamView& upstream = context.At(member.index);
+    const double now = LoadView(upstream).Fraction();
+    change += now - upstream.published_load;
+  }
+  return group.published_load + change / static_cast<double>(samples);
+}
+
+std::optional<TwoChoicesRouter::Candidate> TwoChoicesRouter::ChooseLessLoaded(
+    const Context& context, const LocalityGroup& group) {
+  const auto first = Draw(context, group, std::nullopt);
+  if (!first.has_value()) return std::nullopt;
+  const Candidate one{*first, context.LoadAt(*first)};
+  const auto second = Draw(context, group, first);
+  if (!second.has_value()) return one;
+  const Candidate two{*second, context.LoadAt(*second)};
+  return two.load < one.load ? two : one;
+}
+
+std::optional<std::uint32_t> TwoChoicesRouter::Draw(
+    const Context& context, const LocalityGroup& group,
+    std::optional<std::uint32_t> other) {
+  const std::size_t n = group.members.size();
+  for (int i = 0; i < kDraws; ++i) {
+    const std::uint32_t index = group.members[random_.Below(n)].index;
+    if (index != other && context.IsFit(index)) return index;
+  }
+  // Few are fit: look at all, from a random one on.
+  const std::size_t start = random_.Below(n);
+  for (std::size_t i = 0; i < n; ++i) {
+    const std::uint32_t index = group.members[(start + i) % n].index;
+    if (index != other && context.IsFit(index)) return index;
+  }
+  return std::nullopt;
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/tests/routing/two_choices_router_test.cc
@@ -0,0 +1,213 @@
+#include "briarspread/routing/two_choices_router.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "briarspread/core/rendezvous.h"
+#include "briarspread/routing/load_view.h"
+#include "tests/routing/routing_fixture.h"
+
+namespace briarspread {
+namespace {
+
+using testing::AqpA;
+using testing::LimA;
+using testing::LimB;
+using testing::MakeEngine;
+using testing::RoutingFixture;
+using testing::RulesFrom;
+
+std::vector<UpstreamView> OnePerZone() {
+  return {MakeEngine("near", LimA()), MakeEngine("region", LimB()),
+          MakeEngine("remote", AqpA())};
+}
+
+std::set<std::string> ChosenIn(RoutingFixture& fixture, int times) {
+  std::set<std::string> chosen;
+  for (int i = 0; i < times; ++i) chosen.insert(fixture.Choose());
+  return chosen;
+}
+
+TEST_CASE("a load report is corrected by own requests since") {
+  UpstreamView view = MakeEngine("a", LimA());
+  view.load.running = 6;
+  view.load.own_in_flight = 2;
+  view.counters->in_flight = 5;
+  REQUIRE(LoadView(view).InFlight() == 9);
+  REQUIRE(LoadView(view).ExpectedWait() == Duration::zero());
+  view.counters->in_flight = 0;
+  REQUIRE(LoadView(view).InFlight() == 4);
+  view.load = {};
+  view.counters->in_flight = 3;
+  REQUIRE(LoadView(view).InFlight() == 3);
+}
+
+TEST_CASE("the expected wait follows the measured service time") {
+  UpstreamView view = MakeEngine("a", LimA());
+  view.load.running = 10;
+  view.load.queued = 4;
+  RecordServiceTime(*view.counters, seconds(2));
+  REQUIRE(LoadView(view).ExpectedWait() == seconds(1));
+}
+
+TEST_CASE("near upstreams come first, farther ones as they fill up") {
+  RoutingFixture fixture(OnePerZone());
+  REQUIRE(ChosenIn(fixture, 50) == std::set<std::string>{"near"});
+  fixture.At("near").counters->in_flight = 10;
+  REQUIRE(ChosenIn(fixture, 50) == std::set<std::string>{"region"});
+  fixture.At("region").counters->in_flight = 10;
+  REQUIRE(ChosenIn(fixture, 50) == std::set<std::string>{"remote"});
+  fixture.At("remote").counters->in_flight = 8;
+  REQUIRE(fixture.Choose() == "near");
+}
+
+TEST_CASE("the spill rule keeps requests in their place") {
+  RoutingFixture fixture(OnePerZone());
+  fixture.At("near").counters->in_flight = 30;
+  fixture.At("region").counters->in_flight = 20;
+  REQUIRE(fixture.Choose() == "remote");
+  fixture.rules = RulesFrom("spill serves=* to=region # Rosa\n");
+  REQUIRE(fixture.Choose() == "region");
+  fixture.rules = RulesFrom("spill serves=* to=zone # Rosa\n");
+  REQUIRE(fixture.Choose() == "near");
+  fixture.At("near").counters->refuses_work = true;
+  REQUIRE(fixture.Choose() == "none");
+}
+
+TEST_CASE("the link's budget bounds what goes to the other region") {
+  RoutingFixture fixture({MakeEngine("remote", AqpA())});
+  fixture.request.expected_bytes = ByteCount(400);
+  REQUIRE(ChosenIn(fixture, 100).count("none") == 0);
+  fixture.rules = RulesFrom("link from=lim to=aqp budget=0.001MB/s # Rosa\n");
+  int sent = 0;
+  while (fixture.Choose() == "remote") ++sent;
+  REQUIRE(sent == 2);
+  fixture.clock.Advance(seconds(1));
+  REQUIRE(fixture.Choose() == "remote");
+}
+
+TEST_CASE("an answer is paid from the other direction's budget") {
+  RoutingFixture fixture({MakeEngine("remote", AqpA())});
+  fixture.request.expected_answer_bytes = ByteCount(600);
+  fixture.rules = RulesFrom("link from=aqp to=lim budget=0.001MB/s # Rosa\n");
+  REQUIRE(fixture.Choose() == "remote");
+  REQUIRE(fixture.Choose() == "none");
+}
+
+TEST_CASE("a pinned class goes to its upstream only") {
+  RoutingFixture fixture(OnePerZone());
+  fixture.rules = RulesFrom("pin class=quote upstream=region # Rosa\n");
+  REQUIRE(ChosenIn(fixture, 20) == std::set<std::string>{"region"});
+  fixture.At("region").counters->refuses_work = true;
+  REQUIRE(fixture.Choose() == "none");
+  fixture.request.request_class = RequestClass("stock");
+  REQUIRE(fixture.Choose() == "near");
+}
+
+TEST_CASE("rollouts leave the reserve to live callers") {
+  RoutingFixture fixture({MakeEngine("near", LimA())});
+  fixture.rules = RulesFrom("reserve serves=* share=0.3 # Rosa\n");
+  UpstreamCounters& counters = *fixture.At("near").counters;
+  fixture.request.is_rollout = true;
+  int rollouts = 0;
+  while (fixture.Choose() == "near") {
+    ++counters.in_flight;
+    counters.rollouts_in_flight = static_cast<std::uint32_t>(++rollouts);
+  }
+  REQUIRE(rollouts == 7);
+  fixture.request.is_rollout = false;
+  REQUIRE(fixture.Choose() == "near");
+  fixture.request.is_rollout = true;
+  fixture.rules = RulesFrom("reserve serves=* share=0.1 # Rosa\n");
+  REQUIRE(fixture.Choose() == "near");
+}
+
+TEST_CASE("a prefix keeps its upstream until that is overloaded") {
+  std::vector<UpstreamView> engines;
+  for (int i = 0; i < 9; ++i) {
+    engines.push_back(MakeEngine("e" + std::to_string(i), LimA()));
+  }
+  RoutingFixture fixture(std::move(engines));
+  fixture.request.prefix_hash = 1234;
+  const auto first = ChosenIn(fixture, 50);
+  REQUIRE(first.size() == 1);
+  fixture.At(*first.begin()).counters->in_flight = 9;
+  const auto second = ChosenIn(fixture, 50);
+  REQUIRE(second.size() == 1);
+  REQUIRE(second != first);
+  // All equally loaded: it is no longer above the mean.
+  for (UpstreamView& view : fixture.table->upstreams) {
+    view.counters->in_flight = 9;
+  }
+  REQUIRE(ChosenIn(fixture, 50) == first);
+}
+
+TEST_CASE("a cache hint moves a prefix to the engine that holds it") {
+  RoutingFixture fixture({MakeEngine("a", LimA()), MakeEngine("b", LimA()),
+                          MakeEngine("c", LimA())});
+  CacheHints hints(64);
+  TwoChoicesRouter router(TwoChoicesSettings{}, fixture.random, fixture.clock,
+                          &hints);
+  fixture.request.prefix_hash = 99;
+  for (const char* name : {"a", "b", "c"}) {
+    hints.Take(StableHash(name), {1, CacheChange::kStored, 99});
+    const auto index =
+        router.Choose(fixture.request, *fixture.table, fixture.rules);
+    REQUIRE(fixture.table->upstreams[*index].listed.name == name);
+  }
+}
+
+/// An upstream in a state drawn at random.
+UpstreamView ArbitraryEngine(const std::string& name, CircuitBreaker* opened) {
+  const Locality places[] = {LimA(), LimB(), AqpA()};
+  UpstreamView view = MakeEngine(name, places[*rc::gen::inRange(0, 3)]);
+  if (*rc::gen::inRange(0, 4) == 0) view.listed.serves = "other";
+  if (*rc::gen::inRange(0, 4) == 0) view.listed.state = ListedState::kLeaving;
+  view.counters->refuses_work = *rc::gen::inRange(0, 3) == 0;
+  view.counters->in_flight = *rc::gen::inRange(0U, 20U);
+  view.counters->rollouts_in_flight = *rc::gen::inRange(0U, 12U);
+  if (*rc::gen::inRange(0, 3) == 0) {
+    view.breaker = std::shared_ptr<CircuitBreaker>(
+        opened, [](CircuitBreaker* /*not owned*/) {});
+  }
+  return view;
+}
+
+TEST_CASE("two choices never picks an upstream that is not fit") {
+  rc::prop("a chosen upstream is fit, and one is chosen if any near is", [] {
+    const auto quota = std::make_shared<EjectionQuota>();
+    quota->SetLimit(1);
+    CircuitBreaker opened(CircuitBreakerSettings{1}, quota);
+    testing::ManualClock clock;
+    opened.OnFailure(clock.Now());
+    std::vector<UpstreamView> engines;
+    const int n = *rc::gen::inRange(1, 40);
+    for (int i = 0; i < n; ++i) {
+      engines.push_back(ArbitraryEngine("e" + std::to_string(i), &opened));
+    }
+    RoutingFixture fixture(std::move(engines));
+    fixture.rules = RulesFrom(
+        "drain upstream=e0 # Rosa\n"
+        "reserve serves=* share=0.3 # Rosa\n");
+    fixture.request.is_rollout = *rc::gen::arbitrary<bool>();
+    fixture.request.prefix_hash = *rc::gen::inRange<std::uint64_t>(0, 3);
+    fixture.request.excluded = {UpstreamId("e1")};
+    const auto is_fit = [&](const UpstreamView& view) {
+      return IsEligible(fixture.request, view, fixture.rules) &&
+             view.breaker == nullptr &&
+             (!fixture.request.is_rollout ||
+              view.counters->rollouts_in_flight < 7);
+    };
+    const auto& upstreams = fixture.table->upstreams;
+    const auto chosen =
+        fixture.router.Choose(fixture.request, *fixture.table, fixture.rules);
+    const bool any = std::any_of(upstreams.begin(), upstreams.end(), is_fit);
+    RC_ASSERT(chosen.has_value() == any);
+    if (any) RC_ASSERT(is_fit(upstreams[*chosen]));
+  });
+}
+
+}  // namespace
+}  // namespace briarspread
--- /dev/null
+++ b/tests/routing/upstream_health_test.cc
@@ -0,0 +1,165 @@
+#include <catch2/catch.hpp>
+
+#include "briarspread/routing/breaker_panel.h"
+#include "briarspread/routing/refusal_watch.h"
+#include "tests/routing/routing_fixture.h"
+
+namespace briarspread {
+namespace {
+
+using testing::LimA;
+using testing::MakeEngine;
+using testing::ManualClock;
+using testing::RoutingFixture;
+
+/// Which of the two signs of leaving reach the instance.
+struct Signs {
+  bool refusals = true;
+  bool health_reads = true;
+  /// Whether the leaving upstream still answers health reads as healthy.
+  bool reads_lie = false;
+};
+
+/// Runs a minute in which one of two engines leaves at 10 s while the list
+/// shows it as live throughout. Returns how many requests went to it later than
+/// 3 s after it left.
+int LateRequests(const Signs& signs) {
+  constexpr milliseconds kStep{50};
+  constexpr seconds kLeaves{10};
+  constexpr seconds kAllowed{3};
+  RoutingFixture fixture(
+      {MakeEngine("leaver", LimA()), MakeEngine("stayer", LimA())});
+  RefusalWatch watch(RefusalWatchSettings{});
+  const TimePoint start = fixture.clock.Now();
+  int late = 0;
+  for (int step = 0; step < 60 * 20; ++step) {
+    fixture.clock.Advance(kStep);
+    const TimePoint now = fixture.clock.Now();
+    const bool has_left = now - start >= kLeaves;
+    UpstreamCounters& leaver = *fixture.At("leaver").counters;
+    if (step % 20 == 0 && signs.health_reads) {
+      const bool good = !has_left || signs.reads_lie;
+      watch.OnHealthRead(UpstreamId("leaver"), leaver, {now - kStep, good},
+                         now);
+    }
+    if (fixture.Choose() != "leaver" || !has_left) continue;
+    if (now - start > kLeaves + kAllowed) ++late;
+    if (signs.refusals) watch.OnRefusal(UpstreamId("leaver"), leaver, now);
+  }
+  return late;
+}
+
+TEST_CASE("a leaving upstream gets no work after 3 s although the list lags") {
+  // Protection off: the list alone keeps sending work.
+  REQUIRE(LateRequests({false, false, false}) > 100);
+  REQUIRE(LateRequests({true, true, false}) == 0);
+  REQUIRE(LateRequests({true, false, false}) == 0);
+  REQUIRE(LateRequests({false, true, false}) == 0);
+}
+
+TEST_CASE("an upstream that refuses but reads as healthy is tried rarely") {
+  // Held for 10, 20, 40 s: tried again 2 times in the 50 s.
+  REQUIRE(LateRequests({true, true, true}) <= 2);
+}
+
+TEST_CASE("a refusal ends with a later good read after the hold") {
+  ManualClock clock;
+  UpstreamCounters counters;
+  RefusalWatch watch(RefusalWatchSettings{seconds(10), seconds(60)});
+  const UpstreamId id("a");
+  const TimePoint refused = clock.Now();
+  watch.OnRefusal(id, counters, refused);
+  clock.Advance(seconds(11));
+  watch.OnHealthRead(id, counters, {refused - seconds(1), true}, clock.Now());
+  REQUIRE(counters.refuses_work);
+  watch.OnHealthRead(id, counters, {refused + seconds(10), true}, clock.Now());
+  REQUIRE_FALSE(counters.refuses_work);
+}
+
+std::vector<ListedInstance> Listed(int n) {
+  std::vector<ListedInstance> listed;
+  for (int i = 0; i < n; ++i) {
+    listed.push_back(MakeEngine("e" + std::to_string(i), LimA()).listed);
+  }
+  return listed;
+}
+
+void Fail(CircuitBreaker& breaker, TimePoint now, int times) {
+  for (int i = 0; i < times; ++i) breaker.OnFailure(now);
+}
+
+TEST_CASE("a breaker opens, probes once and closes") {
+  BreakerPanel panel(BreakerPanelSettings{});
+  panel.SetListed(Listed(2));
+  CircuitBreaker& breaker = *panel.Find(UpstreamId("e0"));
+  ManualClock clock;
+  Fail(breaker, clock.Now(), 4);
+  REQUIRE(breaker.Allows(clock.Now()));
+  Fail(breaker, clock.Now(), 1);
+  REQUIRE_FALSE(breaker.Allows(clock.Now()));
+  // An exchange from before it opened does not close it.
+  breaker.OnSuccess(clock.Now());
+  REQUIRE(breaker.is_open());
+  clock.Advance(seconds(2));
+  REQUIRE(breaker.Admit(clock.Now()));
+  REQUIRE_FALSE(breaker.Admit(clock.Now()));
+  Fail(breaker, clock.Now(), 1);
+  clock.Advance(seconds(3));
+  REQUIRE_FALSE(breaker.Allows(clock.Now()));
+  clock.Advance(seconds(1));
+  REQUIRE(breaker.Admit(clock.Now()));
+  breaker.OnSuccess(clock.Now());
+  REQUIRE_FALSE(breaker.is_open());
+}
+
+TEST_CASE("a probe without a result is given up") {
+  BreakerPanel panel(BreakerPanelSettings{});
+  panel.SetListed(Listed(2));
+  CircuitBreaker& breaker = *panel.Find(UpstreamId("e0"));
+  ManualClock clock;
+  Fail(breaker, clock.Now(), 5);
+  clock.Advance(seconds(2));
+  REQUIRE(breaker.Admit(clock.Now()));
+  clock.Advance(seconds(30));
+  REQUIRE(breaker.Admit(clock.Now()));
+}
+
+/// How many of `n` upstreams stay in use when all fail.
+int LeftInUse(int n, double most_ejected) {
+  BreakerPanelSettings settings;
+  settings.most_ejected = most_ejected;
+  BreakerPanel panel(settings);
+  panel.SetListed(Listed(n));
+  ManualClock clock;
+  int left = 0;
+  for (int i = 0; i < n; ++i) {
+    CircuitBreaker& breaker = *panel.Find(UpstreamId("e" + std::to_string(i)));
+    Fail(breaker, clock.Now(), 20);
+    if (breaker.Allows(clock.Now())) ++left;
+  }
+  return left;
+}
+
+TEST_CASE("breakers cannot empty the fleet") {
+  REQUIRE(LeftInUse(9, 0.5) == 5);
+  REQUIRE(LeftInUse(1, 0.5) == 1);
+  REQUIRE(LeftInUse(2, 0.9) == 1);
+}
+
+TEST_CASE("a place in the quota is given back on closing and on leaving") {
+  BreakerPanel panel(BreakerPanelSettings{});
+  panel.SetListed(Listed(2));
+  ManualClock clock;
+  Fail(*panel.Find(UpstreamId("e0")), clock.Now(), 5);
+  CircuitBreaker* other = panel.Find(UpstreamId("e1")).get();
+  Fail(*other, clock.Now(), 5);
+  REQUIRE_FALSE(other->is_open());
+  auto listed = Listed(3);
+  listed.erase(listed.begin());
+  panel.SetListed(listed);
+  Fail(*other, clock.Now(), 1);
+  REQUIRE(other->is_open());
+}
+
+}  // namespace
+}  // namespace briarspread
