Admission: bounded queues, waiting facade, adaptive and rate limits

Cause: requests went straight to an upstream; nothing bounded what waits, kept trainers behind live callers or told a refused caller when to come back. Ruled out: a queue per class drained in turn (a late quote waits behind stock checks), an expected wait from counts alone (rollouts run far longer than quotes), holding refused requests until their deadline. Change: AdmissionQueue orders live before rollouts, then level, then deadline, and refuses by simulating the slots' drain; AdmissionGate lets threads wait; ConcurrencyLimiter adapts by latency; RateLimiter keeps rate and concurrency by customer and class, each instance an equal part. A class that may not queue was told a time too early; it now gets the time of the next free slot.

--- /dev/null
+++ b/briarspread/admission/concurrency_limiter.cc
@@ -0,0 +1,84 @@
+#include "briarspread/admission/concurrency_limiter.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace briarspread {
+
+ConcurrencyLimiter::ConcurrencyLimiter(
+    const ConcurrencyLimiterSettings& settings)
+    : settings_(settings),
+      limit_(static_cast<std::uint32_t>(settings.initial)),
+      exact_limit_(settings.initial) {
+  assert(settings.lowest >= 1 && settings.lowest <= settings.initial);
+  assert(settings.initial <= settings.highest);
+}
+
+bool ConcurrencyLimiter::TryAcquire() {
+  std::uint32_t taken = in_flight_.load();
+  while (taken < limit_.load()) {
+    if (in_flight_.compare_exchange_weak(taken, taken + 1)) return true;
+  }
+  return false;
+}
+
+void ConcurrencyLimiter::Release(LimiterOutcome outcome, Duration latency) {
+  std::lock_guard lock(mutex_);
+  window_peak_ = std::max(window_peak_, in_flight_.fetch_sub(1));
+  if (outcome == LimiterOutcome::kIgnored) return;
+  if (outcome == LimiterOutcome::kOverloaded) {
+    // Counts as a window of its own: the upstream said it plainly.
+    exact_limit_ =
+        std::max(exact_limit_ * settings_.decrease, settings_.lowest);
+    limit_ = static_cast<std::uint32_t>(exact_limit_);
+    return;
+  }
+  least_ = least_ == Duration{} ? latency : std::min(least_, latency);
+  window_sum_ += latency;
+  if (++window_count_ >= settings_.window) EndWindow();
+}
+
+void ConcurrencyLimiter::EndWindow() {
+  if (phase_ == Phase::kAdapt) {
+    Adapt();
+  } else {
+    Remeasure();
+  }
+  exact_limit_ = std::clamp(exact_limit_, settings_.lowest, settings_.highest);
+  limit_ = static_cast<std::uint32_t>(exact_limit_);
+  window_sum_ = {};
+  window_count_ = 0;
+  window_peak_ = 0;
+}
+
+void ConcurrencyLimiter::Adapt() {
+  const Duration mean = window_sum_ / window_count_;
+  const bool is_queueing =
+      static_cast<double>(mean.count()) >
+      settings_.tolerance * static_cast<double>(least_.count());
+  if (is_queueing) {
+    exact_limit_ *= settings_.decrease;
+  } else if (2 * window_peak_ >= limit_.load()) {
+    // A limit that is not made use of says nothing about a higher one.
+    exact_limit_ += 1;
+  }
+  if (++windows_ < settings_.windows_to_remeasure) return;
+  // The least latency is only seen where nothing queues. The limit settles
+  // where latency is `tolerance` times the least, so that fraction of it does.
+  windows_ = 0;
+  limit_before_ = exact_limit_;
+  exact_limit_ /= settings_.tolerance;
+  phase_ = Phase::kDrain;
+}
+
+void ConcurrencyLimiter::Remeasure() {
+  if (phase_ == Phase::kDrain) {
+    least_ = {};
+    phase_ = Phase::kMeasure;
+    return;
+  }
+  exact_limit_ = limit_before_;
+  phase_ = Phase::kAdapt;
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/briarspread/admission/rate_limiter.cc
@@ -0,0 +1,135 @@
+#include "briarspread/admission/rate_limiter.h"
+
+#include <algorithm>
+#include <limits>
+#include <string>
+
+#include "briarspread/core/rendezvous.h"
+
+namespace briarspread {
+namespace {
+
+/// How long unused tokens add up; at least one request.
+constexpr Duration kBurst = seconds(1);
+/// The newest hold weighs one part in this many of the average.
+constexpr std::int64_t kAverageParts = 8;
+/// The longest time to come back that is told.
+constexpr milliseconds kLongestRetry{3'600'000};
+
+TokenRate RateOf(double per_second) {
+  const auto one = Duration(static_cast<std::int64_t>(1e9 / per_second) + 1);
+  return TokenRate{per_second, std::max(kBurst, one)};
+}
+
+Error Refusal(const char* what, Duration wait) {
+  const auto rounded =
+      std::chrono::ceil<milliseconds>(std::min(wait, Duration(kLongestRetry)));
+  return Error{ErrorCode::kOverloaded, Verdict::kNotRun,
+               std::string("the limit of ") + what + " is reached",
+               std::max(rounded, milliseconds(1))};
+}
+
+}  // namespace
+
+std::size_t RateLimiter::KeyHash::operator()(const Key& key) const {
+  return StableHash(key.customer.value(),
+                    StableHash(key.request_class.value()));
+}
+
+RateLimiter::RateLimiter(const RateLimiterSettings& settings,
+                         const Clock& clock)
+    : settings_(settings), clock_(clock) {}
+
+Result<RatePermit> RateLimiter::Enter(const CustomerId& customer,
+                                      const RequestClass& request_class,
+                                      const std::optional<LimitRule>& limit) {
+  RatePermit permit;
+  if (!limit.has_value()) return permit;
+  const std::shared_ptr<Usage> usage = Find({customer, request_class});
+  const std::uint32_t instances = instances_.load();
+  // An instance's part is at least one: with fewer places than instances the
+  // balancer may send a customer anywhere, and must find one.
+  const std::uint32_t most = std::max(1U, limit->concurrency / instances);
+  const double rate = limit->rate_per_second / instances;
+  const bool has_rate = limit->rate_per_second < kUnlimitedRate;
+  if (has_rate) {
+    if (const auto refused = TakeToken(*usage, rate)) return *refused;
+  }
+  if (const auto refused = TakePlace(*usage, most)) {
+    // The request does not run, so its token goes back.
+    if (has_rate) usage->tokens.Charge(-1.0, RateOf(rate), clock_.Now());
+    return *refused;
+  }
+  permit.hold_ = HoldPlace(usage);
+  return permit;
+}
+
+std::optional<Error> RateLimiter::TakePlace(Usage& usage,
+                                            std::uint32_t most) const {
+  std::uint32_t taken = usage.in_flight.load();
+  while (taken < most) {
+    if (usage.in_flight.compare_exchange_weak(taken, taken + 1)) {
+      return std::nullopt;
+    }
+  }
+  const std::uint32_t measured = usage.hold_us.load();
+  const Duration hold = measured == 0
+                            ? Duration(settings_.assumed_hold)
+                            : Duration(std::chrono::microseconds(measured));
+  // With `taken` requests under way, one ends every hold / taken.
+  return Refusal("concurrency", hold / taken);
+}
+
+std::optional<Error> RateLimiter::TakeToken(Usage& usage, double rate) const {
+  const TimePoint now = clock_.Now();
+  const TokenRate token_rate = RateOf(rate);
+  if (usage.tokens.TryTake(1.0, token_rate, now)) return std::nullopt;
+  return Refusal("rate", usage.tokens.WaitFor(1.0, token_rate, now));
+}
+
+std::shared_ptr<void> RateLimiter::HoldPlace(
+    const std::shared_ptr<Usage>& usage) const {
+  const TimePoint started = clock_.Now();
+  return {usage.get(), [usage, started, &clock = clock_](void* /*unused*/) {
+            --usage->in_flight;
+            const std::int64_t us =
+                std::chrono::duration_cast<std::chrono::microseconds>(
+                    clock.Now() - started)
+                    .count();
+            const std::int64_t sample = std::clamp<std::int64_t>(
+                us, 1, std::numeric_limits<std::uint32_t>::max());
+            const std::int64_t old = usage->hold_us.load();
+            const std::int64_t next =
+                old == 0 ? sample : old + (sample - old) / kAverageParts;
+            usage->hold_us = static_cast<std::uint32_t>(next);
+          }};
+}
+
+std::shared_ptr<RateLimiter::Usage> RateLimiter::Find(const Key& key) {
+  Shard& shard = shards_[KeyHash{}(key) % kShards];
+  std::lock_guard lock(shard.mutex);
+  const auto it = shard.usages.find(key);
+  if (it != shard.usages.end()) return it->second;
+  if (shard.usages.size() >= settings_.keys_per_shard) DropIdle(shard);
+  if (shard.usages.size() >= settings_.keys_per_shard) return overflow_;
+  return shard.usages.emplace(key, std::make_shared<Usage>()).first->second;
+}
+
+void RateLimiter::DropIdle(Shard& shard) const {
+  const TimePoint now = clock_.Now();
+  std::erase_if(shard.usages, [now](const auto& entry) {
+    const Usage& usage = *entry.second;
+    return usage.in_flight.load() == 0 && usage.tokens.IsFull(now);
+  });
+}
+
+std::size_t RateLimiter::size() const {
+  std::size_t total = 0;
+  for (const Shard& shard : shards_) {
+    std::lock_guard lock(shard.mutex);
+    total += shard.usages.size();
+  }
+  return total;
+}
+
+}  // namespace briarspread
--- a/briarspread/routing/routing_table.cc
+++ b/briarspread/routing/routing_table.cc
@@ -119,11 +119,12 @@
     const ListedInstance& listed = upstream.listed;
     if (listed.state == ListedState::kLeaving) continue;
     const Nearness nearness = NearnessOf(self, listed.locality);
-    GroupKey key{nearness, {}};
+    GroupKey key;
+    key.nearness = nearness;
     if (nearness == Nearness::kOtherRegion) key.region = listed.locality.region;
     LocalityGroup& group = pools[PoolKey{listed.kind, listed.serves}][key];
-    group.members.push_back(
-        {static_cast<std::uint32_t>(i), StableHash(listed.name)});
+    const auto index = static_cast<std::uint32_t>(i);
+    group.members.push_back(GroupMember{index, StableHash(listed.name)});
   }
   for (auto& [key, groups] : pools) {
     table->index.pools.push_back(
--- a/briarspread/routing/routing_table.h
+++ b/briarspread/routing/routing_table.h
@@ -65,9 +65,9 @@
   /// Own counts; never null.
   std::shared_ptr<UpstreamCounters> counters;
   /// Own share of it.
-  InstanceShare share;
+  InstanceShare share = {};
   /// Its circuit breaker; null for none.
-  std::shared_ptr<CircuitBreaker> breaker;
+  std::shared_ptr<CircuitBreaker> breaker = nullptr;
   /// Load as a fraction of slots when the table was published; set by
   /// `MakeRoutingTable`.
   double published_load = 0;
--- /dev/null
+++ b/tests/admission/admission_queue_test.cc
@@ -0,0 +1,192 @@
+#include "briarspread/admission/admission_queue.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "tests/support/manual_clock.h"
+
+namespace briarspread {
+namespace {
+
+using testing::ManualClock;
+
+constexpr seconds kService{1};
+
+AdmissionRequest Live(int level = 5, std::uint32_t queue_length = 100) {
+  return {RequestClass("quote"), level, false, queue_length};
+}
+
+AdmissionRequest Rollout(std::uint32_t queue_length = 100) {
+  return {RequestClass("rollout"), 5, true, queue_length};
+}
+
+/// A queue, its clock, and the requests that run.
+struct QueueFixture {
+  explicit QueueFixture(AdmissionCapacity capacity)
+      : queue(AdmissionQueueSettings{kService}, capacity) {}
+
+  /// Queues and starts what can start.
+  Result<AdmissionTicket> Offer(const AdmissionRequest& request,
+                                Duration budget) {
+    auto result = queue.Enqueue(request, clock.Now() + budget, clock.Now());
+    StartReady();
+    return result;
+  }
+  void StartReady() {
+    while (const auto ticket = queue.NextReady(clock.Now())) {
+      running.push_back({*ticket, clock.Now()});
+      started.push_back(*ticket);
+    }
+  }
+  /// Moves time on in small steps; each request runs for `kService`.
+  void Run(Duration time) {
+    for (Duration t{}; t < time; t += milliseconds(1)) {
+      clock.Advance(milliseconds(1));
+      FinishDue();
+      StartReady();
+      while (queue.NextExpired(clock.Now())) ++expired;
+    }
+  }
+  void FinishDue() {
+    std::erase_if(running, [this](const Running& request) {
+      const bool is_due = clock.Now() - request.since >= kService;
+      if (is_due) queue.Finish(request.ticket, clock.Now());
+      return is_due;
+    });
+  }
+
+  struct Running {
+    AdmissionTicket ticket;
+    TimePoint since;
+  };
+  ManualClock clock;
+  AdmissionQueue queue;
+  std::vector<Running> running;
+  std::vector<AdmissionTicket> started;
+  int expired = 0;
+};
+
+TEST_CASE("live comes before rollouts, then level, then deadline") {
+  QueueFixture fixture({1, 1});
+  fixture.Offer(Live(), seconds(60));
+  const auto rollout = ValueOf(fixture.Offer(Rollout(), seconds(20)));
+  const auto late = ValueOf(fixture.Offer(Live(3), seconds(60)));
+  const auto early = ValueOf(fixture.Offer(Live(3), seconds(30)));
+  const auto first = ValueOf(fixture.Offer(Live(0), seconds(60)));
+  fixture.started.clear();
+  fixture.Run(seconds(5));
+  REQUIRE(fixture.started ==
+          std::vector<AdmissionTicket>{first, early, late, rollout});
+}
+
+TEST_CASE("rollouts leave the reserve free") {
+  QueueFixture fixture({4, 3});
+  for (int i = 0; i < 6; ++i) fixture.Offer(Rollout(), seconds(60));
+  REQUIRE(fixture.running.size() == 3);
+  fixture.Offer(Live(), seconds(60));
+  REQUIRE(fixture.running.size() == 4);
+}
+
+TEST_CASE("a wait beyond the deadline is refused at once") {
+  QueueFixture fixture({1, 1});
+  fixture.Offer(Live(), seconds(60));
+  REQUIRE(IsOk(fixture.Offer(Live(), seconds(2))));
+  const auto refused = fixture.Offer(Live(), milliseconds(2500));
+  REQUIRE_FALSE(IsOk(refused));
+  REQUIRE(ErrorOf(refused).code == ErrorCode::kOverloaded);
+  REQUIRE(ErrorOf(refused).verdict == Verdict::kNotRun);
+  REQUIRE(ErrorOf(refused).retry_after == milliseconds(500));
+  // More urgent: it is not behind the one that waits.
+  REQUIRE(IsOk(fixture.Offer(Live(0), milliseconds(2500))));
+}
+
+TEST_CASE("a queued request that cannot be in time any more is refused") {
+  QueueFixture fixture({1, 1});
+  fixture.Offer(Live(), seconds(60));
+  const auto waiting = ValueOf(fixture.Offer(Live(), milliseconds(2100)));
+  REQUIRE(fixture.queue.NextExpiry() ==
+          fixture.clock.Now() + milliseconds(1100) + Duration(1));
+  // The running one hangs.
+  fixture.clock.Advance(milliseconds(1101));
+  const auto expired = fixture.queue.NextExpired(fixture.clock.Now());
+  REQUIRE(expired.has_value());
+  REQUIRE(expired->ticket == waiting);
+  REQUIRE(expired->error.verdict == Verdict::kNotRun);
+  REQUIRE(expired->error.retry_after.has_value());
+  REQUIRE(fixture.queue.queued() == 0);
+}
+
+TEST_CASE("a request that has gone leaves the queue") {
+  QueueFixture fixture({1, 1});
+  fixture.Offer(Live(), seconds(60));
+  const auto ticket = ValueOf(fixture.Offer(Live(), seconds(60)));
+  REQUIRE(fixture.queue.Remove(ticket));
+  REQUIRE_FALSE(fixture.queue.Remove(ticket));
+  REQUIRE_FALSE(fixture.queue.NextExpiry().has_value());
+}
+
+TEST_CASE("a class longer than its deadline is still tried when idle") {
+  QueueFixture fixture({1, 1});
+  REQUIRE(IsOk(fixture.Offer(Live(), milliseconds(10))));
+}
+
+/// A request drawn at random.
+AdmissionRequest ArbitraryRequest() {
+  const bool is_rollout = *rc::gen::arbitrary<bool>();
+  AdmissionRequest request = is_rollout ? Rollout(4) : Live(0, 4);
+  request.level = *rc::gen::inRange(0, 3);
+  return request;
+}
+
+TEST_CASE("bounds hold and the order is kept under any events") {
+  rc::prop("queues, slots and reserve", [] {
+    QueueFixture fixture({3, 2});
+    std::map<AdmissionTicket, bool> is_rollout;
+    for (int i = 0; i < 60; ++i) {
+      const AdmissionRequest request = ArbitraryRequest();
+      const milliseconds budget{*rc::gen::inRange(1, 9000)};
+      const auto result = fixture.Offer(request, budget);
+      if (IsOk(result)) is_rollout[ValueOf(result)] = request.is_rollout;
+      fixture.Run(milliseconds(*rc::gen::inRange(0, 400)));
+      RC_ASSERT(fixture.queue.QueuedOf(RequestClass("quote")) <= 4U);
+      RC_ASSERT(fixture.queue.QueuedOf(RequestClass("rollout")) <= 4U);
+      RC_ASSERT(fixture.queue.running() <= 3U);
+      const auto rollouts = std::count_if(
+          fixture.running.begin(), fixture.running.end(),
+          [&](const auto& running) { return is_rollout[running.ticket]; });
+      RC_ASSERT(rollouts <= 2);
+      // No live request waits while a slot is free.
+      RC_ASSERT(fixture.queue.QueuedOf(RequestClass("quote")) == 0U ||
+                fixture.queue.running() == 3U);
+    }
+  });
+}
+
+TEST_CASE("the time to come back is the time of the next admission") {
+  rc::prop("refused before it, taken at it", [] {
+    QueueFixture fixture({*rc::gen::inRange(1U, 5U), 0});
+    const AdmissionRequest request =
+        Live(5, *rc::gen::inRange<std::uint32_t>(0, 12));
+    const milliseconds budget{*rc::gen::inRange(1001, 6000)};
+    std::optional<milliseconds> retry_after;
+    for (int i = 0; i < 100 && !retry_after.has_value(); ++i) {
+      if (*rc::gen::inRange(0, 4) == 0) fixture.Run(milliseconds(7));
+      const auto result = fixture.Offer(request, budget);
+      if (!IsOk(result)) retry_after = ErrorOf(result).retry_after;
+    }
+    RC_ASSERT(retry_after.has_value());
+    for (milliseconds t{}; t + milliseconds(1) < *retry_after;
+         t += milliseconds(1)) {
+      RC_ASSERT(!IsOk(fixture.queue.Enqueue(
+          request, fixture.clock.Now() + budget, fixture.clock.Now())));
+      fixture.Run(milliseconds(1));
+    }
+    fixture.Run(milliseconds(1));
+    RC_ASSERT(IsOk(fixture.Offer(request, budget)));
+  });
+}
+
+}  // namespace
+}  // namespace briarspread
--- a/tests/routing/two_choices_router_test.cc
+++ b/tests/routing/two_choices_router_test.cc
@@ -126,6 +126,7 @@
 
 TEST_CASE("a prefix keeps its upstream until that is overloaded") {
   std::vector<UpstreamView> engines;
+  engines.reserve(9);
   for (int i = 0; i < 9; ++i) {
     engines.push_back(MakeEngine("e" + std::to_string(i), LimA()));
   }
@@ -184,6 +185,7 @@
     opened.OnFailure(clock.Now());
     std::vector<UpstreamView> engines;
     const int n = *rc::gen::inRange(1, 40);
+    engines.reserve(static_cast<std::size_t>(n));
     for (int i = 0; i < n; ++i) {
       engines.push_back(ArbitraryEngine("e" + std::to_string(i), &opened));
     }
--- a/tests/routing/upstream_health_test.cc
+++ b/tests/routing/upstream_health_test.cc
@@ -78,6 +78,7 @@
 
 std::vector<ListedInstance> Listed(int n) {
   std::vector<ListedInstance> listed;
+  listed.reserve(static_cast<std::size_t>(n));
   for (int i = 0; i < n; ++i) {
     listed.push_back(MakeEngine("e" + std::to_string(i), LimA()).listed);
   }
