Routing: subsets of a large fleet, and a bench of decisions, herd and subsets

Cause: at 12,000 replicas no instance can follow all loads. Change: SubsetPlan names each upstream's instances by rendezvous hashing, 16 at least and more where few replicas serve a model, 60% of its own zone.

--- /dev/null
+++ b/bench/routing_bench/decision_bench.h
@@ -0,0 +1,29 @@
+#ifndef BENCH_ROUTING_BENCH_DECISION_BENCH_H_
+#define BENCH_ROUTING_BENCH_DECISION_BENCH_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace briarspread::bench {
+
+/// How long decisions took in one setting.
+struct DecisionResult {
+  /// The setting.
+  std::string name;
+  double p50_us = 0;
+  double p99_us = 0;
+  double max_us = 0;
+  double mean_us = 0;
+  /// Calls of `operator new` per decision.
+  double allocations = 0;
+  /// Fraction of decisions that found an upstream.
+  double chosen = 0;
+};
+
+/// Times single decisions at `replicas` replicas.
+std::vector<DecisionResult> RunDecisionBench(std::uint64_t seed, int replicas);
+
+}  // namespace briarspread::bench
+
+#endif  // BENCH_ROUTING_BENCH_DECISION_BENCH_H_
--- /dev/null
+++ b/bench/routing_bench/herd_model.h
@@ -0,0 +1,94 @@
+#ifndef BENCH_ROUTING_BENCH_HERD_MODEL_H_
+#define BENCH_ROUTING_BENCH_HERD_MODEL_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <vector>
+
+#include "bench/routing_bench/fleet.h"
+#include "bench/routing_bench/herd_bench.h"
+#include "briarspread/routing/router.h"
+#include "briarspread/routing/split_mix_random.h"
+
+namespace briarspread::bench {
+
+/// Makes the router of one instance.
+using RouterFactory = std::function<std::unique_ptr<Router>(
+    int instance, RandomSource& random, const Clock& clock)>;
+
+/// Discrete-event model of instances, engines and lagging load reports. One
+/// run per object; one thread.
+class HerdModel {
+ public:
+  HerdModel(std::uint64_t seed, const HerdSettings& settings,
+            const RouterFactory& make_router);
+
+  /// Runs the modelled time.
+  HerdResult Run();
+
+ private:
+  enum class EventKind { kArrival, kEnd, kReport, kSample };
+  struct Event {
+    double at = 0;
+    EventKind kind = EventKind::kArrival;
+    /// The instance of a report, or the engine of an end.
+    std::size_t who = 0;
+    /// The instance whose request ends.
+    std::size_t instance = 0;
+    /// The engine's place in that instance's counters.
+    std::size_t tracked = 0;
+    bool operator>(const Event& other) const { return at > other.at; }
+  };
+  struct Request {
+    double arrived = 0;
+    std::size_t instance = 0;
+    std::size_t tracked = 0;
+  };
+  struct Engine {
+    int running = 0;
+    std::deque<Request> waiting;
+    /// Load by time of change, oldest first, as far back as reports look.
+    std::deque<std::pair<double, std::uint32_t>> history;
+  };
+  struct Instance {
+    std::vector<TrackedUpstream> tracked;
+    std::vector<std::shared_ptr<UpstreamCounters>> counters;
+    std::unique_ptr<RoutingTable> table;
+    std::unique_ptr<Router> router;
+  };
+
+  double Exponential(double mean);
+  void SetTime(double at);
+  void Arrive();
+  void Send(std::size_t engine, const Request& request);
+  void Start(std::size_t engine, const Request& request);
+  void End(const Event& event);
+  void Report(std::size_t instance);
+  void Sample();
+  void NoteLoad(std::size_t engine);
+  std::uint32_t LoadAt(const Engine& engine, double at) const;
+  HerdResult Summarize();
+
+  const HerdSettings settings_;
+  FleetSize size_;
+  SplitMixRandom traffic_random_;
+  SplitMixRandom router_random_;
+  ModelClock clock_;
+  LinkBudget links_;
+  RuleSet rules_;
+  RouteRequest request_;
+  double now_ = 0;
+  std::vector<ListedInstance> replicas_;
+  std::vector<Engine> engines_;
+  std::vector<Instance> instances_;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::vector<double> waits_s_;
+  std::vector<double> imbalances_;
+};
+
+}  // namespace briarspread::bench
+
+#endif  // BENCH_ROUTING_BENCH_HERD_MODEL_H_
--- a/briarspread/routing/routing_index.h
+++ b/briarspread/routing/routing_index.h
@@ -16,6 +16,13 @@
 /// How far an upstream stands from this instance.
 enum class Nearness { kSameZone, kSameRegion, kOtherRegion };
 
+/// How far apart two places are. Thread-safe.
+inline Nearness NearnessOf(const Locality& self, const Locality& other) {
+  if (self == other) return Nearness::kSameZone;
+  if (self.region == other.region) return Nearness::kSameRegion;
+  return Nearness::kOtherRegion;
+}
+
 /// One member of a group.
 struct GroupMember {
   /// Its index in the table.
--- a/briarspread/routing/routing_table.cc
+++ b/briarspread/routing/routing_table.cc
@@ -14,12 +14,6 @@
 /// Members a bucket holds on average before their number is doubled.
 constexpr std::size_t kMembersPerBucket = 64;
 
-Nearness NearnessOf(const Locality& self, const Locality& other) {
-  if (self == other) return Nearness::kSameZone;
-  if (self.region == other.region) return Nearness::kSameRegion;
-  return Nearness::kOtherRegion;
-}
-
 /// Orders groups within a pool; one group for each other region.
 struct GroupKey {
   Nearness nearness = Nearness::kSameZone;
--- /dev/null
+++ b/briarspread/routing/subset_plan.cc
@@ -0,0 +1,173 @@
+#include "briarspread/routing/subset_plan.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <map>
+#include <utility>
+
+#include "briarspread/core/rendezvous.h"
+#include "briarspread/routing/split_mix_random.h"
+
+namespace briarspread {
+namespace {
+
+using CountByService = std::map<std::string, std::size_t>;
+
+CountByService CountServed(const std::vector<ListedInstance>& upstreams) {
+  CountByService counts;
+  for (const ListedInstance& upstream : upstreams) ++counts[upstream.serves];
+  return counts;
+}
+
+std::uint32_t FractionOf(std::uint32_t count, double fraction) {
+  return static_cast<std::uint32_t>(std::lround(count * fraction));
+}
+
+}  // namespace
+
+SubsetPlan::SubsetPlan(const SubsetPlanSettings& settings,
+                       std::vector<PlannedInstance> instances)
+    : settings_(settings), instances_(std::move(instances)) {
+  assert(!instances_.empty());
+  name_hashes_.reserve(instances_.size());
+  for (const PlannedInstance& instance : instances_) {
+    name_hashes_.push_back(StableHash(instance.id.value()));
+  }
+}
+
+std::uint32_t SubsetPlan::CoverageFor(std::size_t upstreams) const {
+  // Pairs enough for each instance to use `upstreams_per_instance`.
+  const std::size_t pairs =
+      settings_.upstreams_per_instance * instances_.size();
+  const std::size_t wanted = std::max<std::size_t>(
+      settings_.instances_per_upstream, (pairs + upstreams - 1) / upstreams);
+  return static_cast<std::uint32_t>(std::min(wanted, instances_.size()));
+}
+
+SubsetPlan::Surroundings SubsetPlan::LookFrom(const Locality& locality) const {
+  Surroundings surroundings;
+  for (std::size_t i = 0; i < instances_.size(); ++i) {
+    switch (NearnessOf(locality, instances_[i].locality)) {
+      case Nearness::kSameZone:
+        surroundings.same_zone.push_back(i);
+        break;
+      case Nearness::kSameRegion:
+        surroundings.same_region.push_back(i);
+        break;
+      case Nearness::kOtherRegion:
+        surroundings.elsewhere.push_back(i);
+        break;
+    }
+  }
+  return surroundings;
+}
+
+class SubsetPlan::Selector {
+ public:
+  Selector(const SubsetPlan& plan, const std::vector<ListedInstance>& upstreams)
+      : plan_(plan), counts_(CountServed(upstreams)) {}
+
+  /// The indexes of the instances that use `upstream`, in order of rank. Valid
+  /// until the next call.
+  const std::vector<std::size_t>& Select(const ListedInstance& upstream) {
+    const std::uint32_t count = plan_.CoverageFor(counts_.at(upstream.serves));
+    upstream_hash_ = StableHash(upstream.name);
+    selected_.clear();
+    spare_.clear();
+    const Surroundings& near = SurroundingsOf(upstream.locality);
+    const std::uint32_t zone = FractionOf(count, plan_.settings_.same_zone);
+    const std::uint32_t region = FractionOf(count, plan_.settings_.same_region);
+    TakeBest(near.same_zone, zone, count);
+    TakeBest(near.same_region, zone + region, count);
+    TakeBest(near.elsewhere, count, count);
+    // What one nearness could not fill is taken from the nearest others.
+    for (const std::size_t instance : spare_) {
+      if (selected_.size() == count) break;
+      selected_.push_back(instance);
+    }
+    return selected_;
+  }
+
+ private:
+  struct Ranked {
+    std::uint64_t weight = 0;
+    std::size_t instance = 0;
+    friend bool operator<(const Ranked& a, const Ranked& b) {
+      return a.weight > b.weight;
+    }
+  };
+
+  const Surroundings& SurroundingsOf(const Locality& locality) {
+    const auto it = surroundings_.find(locality);
+    if (it != surroundings_.end()) return it->second;
+    return surroundings_.emplace(locality, plan_.LookFrom(locality))
+        .first->second;
+  }
+
+  /// Selects the best `candidates` until `selected_` holds `most`, and keeps
+  /// the following ones spare.
+  void TakeBest(const std::vector<std::size_t>& candidates, std::size_t most,
+                std::size_t count) {
+    ranked_.clear();
+    for (const std::size_t i : candidates) {
+      const std::uint64_t name_hash = plan_.name_hashes_[i];
+      ranked_.push_back({MixBits(upstream_hash_ ^ MixBits(name_hash)), i});
+    }
+    // No more than `count` are ever needed, spare ones included.
+    const std::size_t n = std::min(ranked_.size(), count);
+    std::partial_sort(ranked_.begin(),
+                      ranked_.begin() + static_cast<std::ptrdiff_t>(n),
+                      ranked_.end());
+    for (std::size_t i = 0; i < n; ++i) {
+      auto& list = selected_.size() < most ? selected_ : spare_;
+      list.push_back(ranked_[i].instance);
+    }
+  }
+
+  const SubsetPlan& plan_;
+  /// Upstreams of each model or service.
+  const CountByService counts_;
+  /// By the upstreams' places.
+  std::map<Locality, Surroundings> surroundings_;
+  /// The hash of the present upstream's name.
+  std::uint64_t upstream_hash_ = 0;
+  /// Scratch space, kept to save allocations.
+  std::vector<Ranked> ranked_;
+  std::vector<std::size_t> selected_;
+  std::vector<std::size_t> spare_;
+};
+
+std::vector<TrackedUpstream> SubsetPlan::TrackedBy(
+    const InstanceId& self,
+    const std::vector<ListedInstance>& upstreams) const {
+  const auto own = std::find_if(
+      instances_.begin(), instances_.end(),
+      [&self](const PlannedInstance& instance) { return instance.id == self; });
+  assert(own != instances_.end());
+  const auto own_index = static_cast<std::size_t>(own - instances_.begin());
+  std::vector<TrackedUpstream> tracked;
+  Selector selector(*this, upstreams);
+  for (std::size_t i = 0; i < upstreams.size(); ++i) {
+    const auto& users = selector.Select(upstreams[i]);
+    const auto it = std::find(users.begin(), users.end(), own_index);
+    if (it == users.end()) continue;
+    const auto rank = static_cast<std::uint32_t>(it - users.begin());
+    const auto count = static_cast<std::uint32_t>(users.size());
+    tracked.push_back({i, InstanceShare{rank, count}});
+  }
+  return tracked;
+}
+
+std::vector<std::vector<std::size_t>> SubsetPlan::InstancesOfEach(
+    const std::vector<ListedInstance>& upstreams) const {
+  std::vector<std::vector<std::size_t>> instances;
+  instances.reserve(upstreams.size());
+  Selector selector(*this, upstreams);
+  for (const ListedInstance& upstream : upstreams) {
+    instances.push_back(selector.Select(upstream));
+  }
+  return instances;
+}
+
+}  // namespace briarspread
