Admission: refused requests are told successive times; admission_bench

Cause: in the bench at 1.5 of capacity all refused trainers were told the time of the same place, came back together and were refused again; the run did not end within 200 s. Ruled out: random jitter (late on average, and still many for one place), holding places for named callers (state for callers that may never return). Change: each refusal for a full queue promises the next place, up to one queue's drain ahead; all waiting requests together are bounded too.

--- /dev/null
+++ b/bench/admission_bench/policy.cc
@@ -0,0 +1,54 @@
+#include "bench/admission_bench/policy.h"
+
+namespace briarspread::bench {
+
+Status FirstComePolicy::Offer(std::uint64_t id,
+                              const AdmissionRequest& /*request*/,
+                              TimePoint /*deadline*/, TimePoint /*now*/) {
+  queue_.push_back(id);
+  return OkStatus();
+}
+
+std::optional<std::uint64_t> FirstComePolicy::NextReady(TimePoint /*now*/) {
+  if (free_slots_ == 0 || queue_.empty()) return std::nullopt;
+  const std::uint64_t id = queue_.front();
+  queue_.pop_front();
+  --free_slots_;
+  return id;
+}
+
+std::optional<std::uint64_t> FirstComePolicy::NextExpired(TimePoint /*now*/) {
+  return std::nullopt;
+}
+
+void FirstComePolicy::Finish(std::uint64_t /*id*/, TimePoint /*now*/) {
+  ++free_slots_;
+}
+
+Status AdmissionPolicy::Offer(std::uint64_t id, const AdmissionRequest& request,
+                              TimePoint deadline, TimePoint now) {
+  const auto result = queue_.Enqueue(request, deadline, now);
+  if (!IsOk(result)) return ErrorOf(result);
+  const AdmissionTicket ticket = ValueOf(result);
+  id_of_ticket_[ticket.value()] = id;
+  ticket_of_id_[id] = ticket;
+  return OkStatus();
+}
+
+std::optional<std::uint64_t> AdmissionPolicy::NextReady(TimePoint now) {
+  const auto ticket = queue_.NextReady(now);
+  if (!ticket.has_value()) return std::nullopt;
+  return id_of_ticket_.at(ticket->value());
+}
+
+std::optional<std::uint64_t> AdmissionPolicy::NextExpired(TimePoint now) {
+  const auto expired = queue_.NextExpired(now);
+  if (!expired.has_value()) return std::nullopt;
+  return id_of_ticket_.at(expired->ticket.value());
+}
+
+void AdmissionPolicy::Finish(std::uint64_t id, TimePoint now) {
+  queue_.Finish(ticket_of_id_.at(id), now);
+}
+
+}  // namespace briarspread::bench
--- a/briarspread/admission/admission_queue.cc
+++ b/briarspread/admission/admission_queue.cc
@@ -24,7 +24,9 @@
 
 AdmissionQueue::AdmissionQueue(const AdmissionQueueSettings& settings,
                                const AdmissionCapacity& capacity)
-    : capacity_(capacity), service_times_(settings.assumed_service_time) {}
+    : capacity_(capacity),
+      most_queued_(settings.most_queued),
+      service_times_(settings.assumed_service_time) {}
 
 bool AdmissionQueue::HasSlotFor(bool is_rollout) const {
   if (running_.size() >= capacity_.slots) return false;
@@ -38,7 +40,8 @@
 }
 
 bool AdmissionQueue::HasFullQueue(const AdmissionRequest& request) const {
-  return QueuedOf(request.request_class) >= request.queue_length;
+  return queued() >= most_queued_ ||
+         QueuedOf(request.request_class) >= request.queue_length;
 }
 
 Result<AdmissionTicket> AdmissionQueue::Enqueue(const AdmissionRequest& request,
@@ -68,7 +71,7 @@
 
 Error AdmissionQueue::Refusal(const AdmissionRequest& request,
                               TimePoint deadline, TimePoint start,
-                              TimePoint now) const {
+                              TimePoint now) {
   const Duration service = service_times_.Of(request.request_class);
   TimePoint come_back = now;
   std::string reason = "the expected wait exceeds the deadline";
@@ -78,6 +81,7 @@
     come_back = QueuedOf(request.request_class) == 0
                     ? start
                     : FirstStartOfClass(request, now);
+    come_back = PromisePlace(request, come_back, now);
     reason =
         "the queue of class '" + request.request_class.value() + "' is full";
   }
@@ -89,6 +93,26 @@
                UntilRoundedUp(come_back, now)};
 }
 
+TimePoint AdmissionQueue::PromisePlace(const AdmissionRequest& request,
+                                       TimePoint earliest, TimePoint now) {
+  std::erase_if(promised_,
+                [now](const auto& entry) { return entry.second < now; });
+  const std::uint32_t slots =
+      request.is_rollout ? capacity_.rollout_slots : capacity_.slots;
+  const Duration interval =
+      service_times_.Of(request.request_class) / std::max(slots, 1U);
+  // No later than a whole queue's drain: those told earlier may never return.
+  const TimePoint latest =
+      earliest + interval * std::max(request.queue_length, 1U);
+  const auto [it, is_first] =
+      promised_.try_emplace(request.request_class, earliest);
+  if (!is_first) {
+    const TimePoint next = std::max(it->second + interval, earliest);
+    it->second = std::min(next, latest);
+  }
+  return it->second;
+}
+
 TimePoint AdmissionQueue::FirstStartOfClass(const AdmissionRequest& request,
                                             TimePoint now) const {
   const auto first =
--- a/briarspread/admission/admission_queue.h
+++ b/briarspread/admission/admission_queue.h
@@ -18,6 +18,9 @@
 struct AdmissionQueueSettings {
   /// Service time assumed of a class of which no request has ended.
   Duration assumed_service_time = std::chrono::seconds(1);
+  /// Requests that may wait in all; callers name the classes, so bounds by
+  /// class do not bound the sum.
+  std::size_t most_queued = 4096;
 };
 
 /// A queued request that is refused because its deadline cannot be met.
@@ -32,7 +35,9 @@
 /// before rollouts, then the lower level, then the earlier deadline. A request
 /// waits only if it is expected to start soon enough to end by its deadline
 /// and its class has room; else it is refused at once, with the time after
-/// which the same request would be taken if nothing else arrived.
+/// which the same request would be taken if nothing else arrived. Requests
+/// refused for a full queue are told successive times, one for each place that
+/// frees, so that they do not all come back for the same one.
 ///
 /// Driven event by event: after each `Enqueue`, `Finish`, `Remove` or
 /// `SetCapacity`, and at `NextExpiry`, call `NextReady` until it is empty and
@@ -104,13 +109,20 @@
   TimePoint FirstStartOfClass(const AdmissionRequest& request,
                               TimePoint now) const;
   Error Refusal(const AdmissionRequest& request, TimePoint deadline,
-                TimePoint start, TimePoint now) const;
+                TimePoint start, TimePoint now);
+  TimePoint PromisePlace(const AdmissionRequest& request, TimePoint earliest,
+                         TimePoint now);
   void Take(std::unordered_map<std::uint64_t, Queued>::iterator it);
 
   /// How many may run.
   AdmissionCapacity capacity_;
+  /// Bound on all waiting requests.
+  const std::size_t most_queued_;
   /// Estimates.
   ServiceTimes service_times_;
+  /// The last time at which refused requests of a class were told to come back;
+  /// times that have passed are dropped.
+  std::map<RequestClass, TimePoint> promised_;
   /// The last ticket's number.
   std::uint64_t last_ticket_ = 0;
   /// Waiting requests by ticket.
--- a/briarspread/routing/routing_table.cc
+++ b/briarspread/routing/routing_table.cc
@@ -87,7 +87,7 @@
   const auto it = std::lower_bound(
       pools.begin(), pools.end(), key,
       [](const UpstreamPool& pool, const auto& wanted) {
-        return std::make_pair(pool.kind, std::string_view(pool.serves)) <
+        return std::make_pair(pool.kind, std::string_view{pool.serves}) <
                wanted;
       });
   if (it == pools.end() || it->kind != kind || it->serves != serves) {
