--- a/bench/admission_bench/main.cc
+++ b/bench/admission_bench/main.cc
@@ -14,7 +14,6 @@
 
 DEFINE_uint64(seed, 20261204, "seed of all random draws");
 DEFINE_bool(json, false, "print JSON");
-DEFINE_double(reserve, 0.2, "fraction of slots kept for live callers");
 
 namespace briarspread::bench {
 namespace {
@@ -45,10 +44,16 @@
   for (const double load : {0.7, 1.0, 1.5}) {
     FirstComePolicy first_come(slots);
     rows.push_back(RunOne("first come first served", load, first_come));
+  }
+  for (const double reserve : {0.2, 0.3, 0.4}) {
     const auto rollout_slots =
-        static_cast<std::uint32_t>((1.0 - FLAGS_reserve) * slots);
-    AdmissionPolicy admission({slots, rollout_slots});
-    rows.push_back(RunOne("admission queue", load, admission));
+        static_cast<std::uint32_t>((1.0 - reserve) * slots);
+    char name[32];
+    std::snprintf(name, sizeof(name), "admission, reserve %.1f", reserve);
+    for (const double load : {0.7, 1.0, 1.5}) {
+      AdmissionPolicy admission({slots, rollout_slots});
+      rows.push_back(RunOne(name, load, admission));
+    }
   }
   return rows;
 }
@@ -56,14 +61,13 @@
 int Main() {
   Json report = {{"seed", FLAGS_seed},
                  {"cores", std::thread::hardware_concurrency()},
-                 {"reserve", FLAGS_reserve},
                  {"rows", RunAll()}};
   if (FLAGS_json) {
     std::printf("%s\n", report.dump(2).c_str());
     return 0;
   }
-  std::printf("seed %s, cores %s, reserve %s\n", report["seed"].dump().c_str(),
-              report["cores"].dump().c_str(), report["reserve"].dump().c_str());
+  std::printf("seed %s, cores %s\n", report["seed"].dump().c_str(),
+              report["cores"].dump().c_str());
   for (const Json& row : report["rows"]) {
     std::printf(
         "%-24s load %.1f live n %llu p50 %.0f p99 %.0f max %.0f ms missed %llu "
@@ -84,7 +88,7 @@
 }  // namespace briarspread::bench
 
 int main(int argc, char** argv) {
-  gflags::SetUsageMessage("admission_bench [--json] [--seed=N] [--reserve=F]");
+  gflags::SetUsageMessage("admission_bench [--json] [--seed=N]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   return briarspread::bench::Main();
 }
--- a/briarspread/admission/admission_queue.cc
+++ b/briarspread/admission/admission_queue.cc
@@ -135,10 +135,16 @@
   const std::uint32_t slots =
       rollouts_only ? capacity_.rollout_slots : capacity_.slots;
   SlotTimes free_at;
+  int overdue = 0;
   for (const auto& [ticket, running] : running_) {
     if (rollouts_only && !running.request.is_rollout) continue;
     const Duration service = service_times_.Of(running.request.request_class);
-    free_at.push(std::max(running.started + service, now + Duration(1)));
+    const TimePoint end = running.started + service;
+    // Requests that run longer than expected are taken to end one after
+    // another at the pace of all slots. "At any moment" would tell refused
+    // callers to come back at once, again and again.
+    const Duration interval = service / std::max(slots, 1U);
+    free_at.push(end > now ? end : now + interval * ++overdue);
   }
   // A capacity lowered below what runs: the surplus must end first.
   while (slots > 0 && free_at.size() > slots) free_at.pop();
