--- a/bench/routing_bench/herd_model.cc
+++ b/bench/routing_bench/herd_model.cc
@@ -8,7 +8,8 @@
 namespace briarspread::bench {
 namespace {
 
-constexpr double kSamplePeriod_s = 0.1;
+/// In seconds.
+constexpr double kSamplePeriod = 0.1;
 constexpr double kWarmUpFraction = 0.2;
 
 }  // namespace
@@ -58,7 +59,7 @@
     events_.push({at, EventKind::kReport, i});
   }
   events_.push({0, EventKind::kArrival});
-  events_.push({kSamplePeriod_s, EventKind::kSample});
+  events_.push({kSamplePeriod, EventKind::kSample});
   while (!events_.empty() && events_.top().at < settings_.duration_s) {
     const Event event = events_.top();
     events_.pop();
@@ -177,7 +178,7 @@
 }
 
 void HerdModel::Sample() {
-  events_.push({now_ + kSamplePeriod_s, EventKind::kSample});
+  events_.push({now_ + kSamplePeriod, EventKind::kSample});
   if (now_ < kWarmUpFraction * settings_.duration_s) return;
   double total = 0;
   double most = 0;
--- a/briarspread/routing/load_view.cc
+++ b/briarspread/routing/load_view.cc
@@ -23,7 +23,12 @@
   const std::int64_t own = upstream_.counters->in_flight.load();
   const std::int64_t reported =
       std::int64_t{report.running} + std::int64_t{report.queued};
-  const std::int64_t corrected = reported + own - report.own_in_flight;
+  // The other instances see like reports and act alike, so the own change
+  // stands for that of each: with the own requests alone counted, all of them
+  // overfill the upstreams that the last report showed as idle.
+  const std::int64_t change =
+      (own - report.own_in_flight) * std::int64_t{upstream_.share.count};
+  const std::int64_t corrected = reported + change;
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
       std::max(corrected, own), 0, std::numeric_limits<std::uint32_t>::max()));
 }
--- a/briarspread/routing/load_view.h
+++ b/briarspread/routing/load_view.h
@@ -10,8 +10,9 @@
 struct UpstreamCounters;
 struct UpstreamView;
 
-/// An upstream's load as best known now: its lagging report, plus the own
-/// requests that started since, minus the own ones that ended. Thread-safe;
+/// An upstream's load as best known now: its lagging report, plus the change of
+/// the own requests in flight since, times the instances that use the upstream
+/// (`InstanceShare::count`), which are taken to act alike. Thread-safe;
 /// short-lived, as it refers to the view.
 class LoadView {
  public:
--- a/tests/routing/two_choices_router_test.cc
+++ b/tests/routing/two_choices_router_test.cc
@@ -37,7 +37,11 @@
   view.counters->in_flight = 5;
   REQUIRE(LoadView(view).InFlight() == 9);
   REQUIRE(LoadView(view).ExpectedWait() == Duration::zero());
+  view.share.count = 3;
+  REQUIRE(LoadView(view).InFlight() == 15);
   view.counters->in_flight = 0;
+  REQUIRE(LoadView(view).InFlight() == 0);
+  view.share.count = 1;
   REQUIRE(LoadView(view).InFlight() == 4);
   view.load = {};
   view.counters->in_flight = 3;
