Rollout library: cursor, step ledger, staleness, sharing, stragglers, scheduler

Cause: trainers were served by a naive handler: a plain-text cursor that anyone can forge, one FIFO queue, no staleness check, no second runs. Ruled out: a delivery record on the instances or in the store; the trainer's own cursor is the only one, so any instance can serve any pull. Change: decision classes without threads. The cursor carries the digest of the step's body besides the bitmap, so that an instance that gets the step posted again refuses another body. VersionSpan moves to core, as two libraries use it.

--- a/briarspread/gateway/completion_stream.cc
+++ b/briarspread/gateway/completion_stream.cc
@@ -1,7 +1,6 @@
 #include "briarspread/gateway/completion_stream.h"
 
 #include <nlohmann/json.hpp>
-#include <set>
 
 namespace briarspread {
 namespace {
@@ -14,16 +13,6 @@
 
 }  // namespace
 
-void AppendToken(std::vector<VersionSpan>& spans, WeightVersion version,
-                 std::uint32_t index) {
-  if (!spans.empty() && spans.back().version == version &&
-      spans.back().end == index) {
-    spans.back().end = index + 1;
-    return;
-  }
-  spans.push_back({version, index, index + 1});
-}
-
 std::string CompletionStream::Take(std::string_view data) {
   partial_.append(data);
   std::size_t begin = 0;
@@ -64,14 +53,4 @@
   next_token_ = index + 1;
 }
 
-std::string FormatVersions(const std::vector<VersionSpan>& spans) {
-  std::set<WeightVersion> versions;
-  for (const VersionSpan& span : spans) versions.insert(span.version);
-  std::string text;
-  for (const WeightVersion& version : versions) {
-    text += (text.empty() ? "" : ",") + std::to_string(version.value());
-  }
-  return text;
-}
-
 }  // namespace briarspread
--- a/briarspread/gateway/completion_stream.h
+++ b/briarspread/gateway/completion_stream.h
@@ -7,25 +7,10 @@
 #include <vector>
 
 #include "briarspread/core/ids.h"
+#include "briarspread/core/version_span.h"
 
 namespace briarspread {
 
-/// Consecutive tokens that one weight version produced: [begin, end).
-struct VersionSpan {
-  /// The version.
-  WeightVersion version;
-  /// The first token.
-  std::uint32_t begin = 0;
-  /// One past the last token.
-  std::uint32_t end = 0;
-
-  friend bool operator==(const VersionSpan&, const VersionSpan&) = default;
-};
-
-/// Appends one token to `spans`, joining it to the last span where it can.
-void AppendToken(std::vector<VersionSpan>& spans, WeightVersion version,
-                 std::uint32_t index);
-
 /// Splits a stream of server-sent events into completion chunks and keeps what
 /// a whole answer needs. Not thread-safe.
 class CompletionStream {
@@ -62,9 +47,6 @@
   bool has_all_versions_ = true;
 };
 
-/// The names of the versions in `spans`, ascending, as the header lists them.
-std::string FormatVersions(const std::vector<VersionSpan>& spans);
-
 }  // namespace briarspread
 
 #endif  // BRIARSPREAD_GATEWAY_COMPLETION_STREAM_H_
--- /dev/null
+++ b/briarspread/rollout/rollout_scheduler.cc
@@ -0,0 +1,315 @@
+#include "briarspread/rollout/rollout_scheduler.h"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+#include <utility>
+
+#include "briarspread/core/rendezvous.h"
+
+namespace briarspread {
+namespace {
+
+constexpr milliseconds kRetryAfterFull{5000};
+
+}  // namespace
+
+RolloutScheduler::RolloutScheduler(const RolloutSchedulerSettings& settings,
+                                   std::string_view cursor_key,
+                                   const TrainerRules& rules,
+                                   const Clock& clock)
+    : settings_(settings),
+      codec_(cursor_key),
+      rules_(rules),
+      clock_(clock),
+      share_(settings.share),
+      stragglers_(settings.stragglers) {}
+
+std::uint64_t RolloutScheduler::RuleBound(const TrainerId& trainer) const {
+  return rules_.RuleOf(trainer).staleness.value_or(
+      std::numeric_limits<std::uint64_t>::max());
+}
+
+double RolloutScheduler::TotalWeight() const {
+  double total = 0;
+  for (const auto& [id, entry] : trainers_) total += rules_.RuleOf(id).weight;
+  return total;
+}
+
+Result<std::string> RolloutScheduler::SubmitStep(const TrainerId& trainer,
+                                                 StepNumber step,
+                                                 StepSpec spec) {
+  const std::size_t name_bytes = trainer.value().size();
+  if (name_bytes == 0 || name_bytes > kMaxTrainerNameBytes) {
+    return Error{ErrorCode::kInvalidArgument, Verdict::kNotRun,
+                 "the trainer's name: allowed: 1 to " +
+                     std::to_string(kMaxTrainerNameBytes) + " bytes"};
+  }
+  auto it = trainers_.find(trainer);
+  if (it == trainers_.end()) {
+    if (trainers_.size() >= settings_.max_trainers) {
+      return Error{ErrorCode::kOverloaded, Verdict::kNotRun,
+                   "this instance serves " + std::to_string(trainers_.size()) +
+                       " trainers already",
+                   kRetryAfterFull};
+    }
+    it = trainers_
+             .emplace(trainer, TrainerEntry{TrainerRollout(settings_.trainer,
+                                                           trainer, clock_)})
+             .first;
+  }
+  const auto opened = it->second.rollout.Submit(step, std::move(spec));
+  if (!IsOk(opened)) return ErrorOf(opened);
+  return codec_.Encode(ValueOf(opened));
+}
+
+std::optional<SampleRun> RolloutScheduler::NextRun(const SlotOffer& offer) {
+  Review();
+  if (runs_.size() >= offer.slots) return std::nullopt;
+  auto hedge = StartHedge(offer);
+  return hedge.has_value() ? hedge : StartPending(offer);
+}
+
+std::optional<SampleRun> RolloutScheduler::StartHedge(const SlotOffer& offer) {
+  for (auto it = slow_runs_.begin(); it != slow_runs_.end(); ++it) {
+    const auto found = runs_.find(*it);
+    if (found == runs_.end() || found->second.is_cancelled) continue;
+    Run& slow = found->second;
+    const UpstreamId& where = slow.progress.upstream;
+    const bool is_same = !where.value().empty() && where == offer.upstream;
+    if (is_same) continue;
+    TrainerEntry& entry = trainers_.at(slow.trainer);
+    StepLedger* ledger = entry.rollout.Find(slow.step);
+    if (ledger == nullptr || ledger->IsFinished(slow.place)) continue;
+    slow_runs_.erase(it);
+    slow.is_hedged = true;
+    ledger->StartAgain(slow.place);
+    ++entry.rollout.stats().hedges;
+    SampleRun run = AddRun(
+        entry,
+        Run{slow.trainer, slow.step, slow.place, clock_.Now(), {}, true});
+    if (!where.value().empty()) run.avoid.push_back(where);
+    return run;
+  }
+  return std::nullopt;
+}
+
+std::optional<SampleRun> RolloutScheduler::StartPending(
+    const SlotOffer& offer) {
+  const double total_weight = TotalWeight();
+  std::vector<ShareClaim> claims;
+  std::vector<std::pair<TrainerId, StepNumber>> steps;
+  for (auto& [id, entry] : trainers_) {
+    const TrainerRule rule = rules_.RuleOf(id);
+    const double slots =
+        static_cast<double>(offer.slots) * rule.weight / total_weight;
+    const auto step =
+        entry.rollout.NextStep(slots, RuleBound(id), offer.served);
+    if (!step.has_value()) continue;
+    claims.push_back({rule.weight, entry.running, step->work, step->until_need,
+                      step->submitted, entry.last_served});
+    steps.emplace_back(id, step->step);
+  }
+  const auto chosen = share_.Choose(claims, offer.slots);
+  if (!chosen.has_value()) return std::nullopt;
+  const auto& [id, step] = steps[*chosen];
+  TrainerEntry& entry = trainers_.at(id);
+  const auto place = entry.rollout.Find(step)->StartNext();
+  assert(place.has_value());
+  entry.last_served = clock_.Now();
+  return AddRun(entry, Run{id, step, *place, clock_.Now(), {}});
+}
+
+SampleRun RolloutScheduler::AddRun(TrainerEntry& entry, const Run& run) {
+  const RunId id(++last_run_);
+  runs_.emplace(id, run);
+  ++entry.running;
+  const StepSpec& spec = entry.rollout.Find(run.step)->spec();
+  const GroupSpec& group = spec.groups[run.place.group];
+  const std::uint64_t bound =
+      TrainerRollout::BoundOf(spec, RuleBound(run.trainer));
+  const std::uint64_t newest = entry.rollout.pace().newest().value();
+  return {id,
+          run.trainer,
+          run.step,
+          group.id,
+          run.place.sample,
+          spec.model,
+          group.prompt,
+          spec.max_tokens,
+          WeightVersion(newest > bound ? newest - bound : 0),
+          {},
+          run.is_hedge};
+}
+
+void RolloutScheduler::OnProgress(RunId run, const RunProgress& progress) {
+  const auto it = runs_.find(run);
+  if (it != runs_.end()) it->second.progress = progress;
+}
+
+bool RolloutScheduler::OnFinished(RunId id, FinishedSample sample) {
+  const auto it = runs_.find(id);
+  if (it == runs_.end()) return false;
+  const Run run = it->second;
+  Forget(it);
+  TrainerRollout& rollout = trainers_.at(run.trainer).rollout;
+  StepLedger* ledger = rollout.Find(run.step);
+  if (ledger == nullptr) {
+    rollout.stats().wasted_tokens += sample.tokens;
+    return false;
+  }
+  sample.run = id;
+  const auto outcome =
+      rollout.Finish(run.step, run.place, std::move(sample),
+                     clock_.Now() - run.started, RuleBound(run.trainer));
+  if (outcome != FinishOutcome::kTaken) return false;
+  if (run.is_hedge) ++rollout.stats().hedges_won;
+  CancelOthers(run);
+  return ledger->IsComplete(run.place.group);
+}
+
+void RolloutScheduler::OnFailed(RunId id) {
+  const auto it = runs_.find(id);
+  if (it == runs_.end()) return;
+  const Run run = it->second;
+  Forget(it);
+  TrainerRollout& rollout = trainers_.at(run.trainer).rollout;
+  rollout.stats().wasted_tokens += run.progress.tokens;
+  if (!run.is_cancelled) ++rollout.stats().failed_runs;
+  if (StepLedger* ledger = rollout.Find(run.step)) ledger->Fail(run.place);
+}
+
+void RolloutScheduler::Forget(std::map<RunId, Run>::iterator it) {
+  --trainers_.at(it->second.trainer).running;
+  runs_.erase(it);
+}
+
+void RolloutScheduler::Cancel(RunId id, Run& run) {
+  if (run.is_cancelled) return;
+  run.is_cancelled = true;
+  to_cancel_.push_back(id);
+}
+
+void RolloutScheduler::CancelOthers(const Run& finished) {
+  for (auto& [id, run] : runs_) {
+    if (run.trainer == finished.trainer && run.step == finished.step &&
+        run.place == finished.place) {
+      Cancel(id, run);
+    }
+  }
+}
+
+std::vector<RunId> RolloutScheduler::RunsToCancel() {
+  Review();
+  return std::exchange(to_cancel_, {});
+}
+
+bool RolloutScheduler::IsToBeCut(Run& run) {
+  TrainerRollout& rollout = trainers_.at(run.trainer).rollout;
+  const StepLedger* ledger = rollout.Find(run.step);
+  if (ledger == nullptr || ledger->IsFinished(run.place) ||
+      ledger->IsDelivered(run.place.group)) {
+    return true;
+  }
+  if (!run.progress.oldest.has_value()) return false;
+  const bool is_stale = !rollout.IsWorthRunning(run.step, *run.progress.oldest,
+                                                clock_.Now() - run.started,
+                                                RuleBound(run.trainer));
+  if (is_stale) ++rollout.stats().cut_stale;
+  return is_stale;
+}
+
+void RolloutScheduler::Review() {
+  const TimePoint now = clock_.Now();
+  if (now < next_review_) return;
+  next_review_ = now + settings_.review_interval;
+  slow_runs_.clear();
+  std::map<TrainerId, Duration> slow_after;
+  for (auto& [id, entry] : trainers_) {
+    slow_after[id] = stragglers_.SlowAfter(entry.rollout.durations());
+  }
+  std::map<TrainerId, std::uint64_t> hedged_tokens;
+  for (auto& [id, run] : runs_) {
+    if (run.is_cancelled) continue;
+    if (IsToBeCut(run)) {
+      Cancel(id, run);
+      continue;
+    }
+    const Duration limit = slow_after[run.trainer];
+    const bool is_slow = limit > Duration::zero() && now - run.started > limit;
+    if (!is_slow || run.is_hedged) continue;
+    TrainerRollout& rollout = trainers_.at(run.trainer).rollout;
+    const std::uint64_t each = rollout.MeanTokens();
+    std::uint64_t& planned = hedged_tokens[run.trainer];
+    const std::uint64_t spent = rollout.stats().hedges * each + planned;
+    if (!stragglers_.IsWithinCap(spent, each, rollout.stats().tokens)) continue;
+    planned += each;
+    slow_runs_.push_back(id);
+  }
+  // Ids grow with the time of the start, so the slowest stand first.
+}
+
+std::optional<ScoringTask> RolloutScheduler::NextScoring() {
+  for (auto& [id, entry] : trainers_) {
+    const auto open = entry.rollout.NextScoring();
+    if (!open.has_value()) continue;
+    const auto& [step, place] = *open;
+    const StepLedger& ledger = *entry.rollout.Find(step);
+    const FinishedSample& sample = ledger.SampleAt(place);
+    const GroupSpec& group = ledger.spec().groups[place.group];
+    const std::string name =
+        id.value() + "/" + std::to_string(step.value()) + "/" +
+        std::to_string(group.id.value()) + "/" +
+        std::to_string(place.sample.value()) + "/" +
+        std::to_string(StableHash(sample.text, ledger.digest()));
+    return ScoringTask{name,  ledger.spec().scorer, id,           step,
+                       place, sample.run,           group.prompt, sample.text};
+  }
+  return std::nullopt;
+}
+
+bool RolloutScheduler::OnScored(const ScoringTask& task, std::string score) {
+  const auto it = trainers_.find(task.trainer);
+  if (it == trainers_.end()) return false;
+  StepLedger* ledger = it->second.rollout.Find(task.step);
+  if (ledger == nullptr) return false;
+  ledger->Score(task.place, task.run, std::move(score));
+  return ledger->IsComplete(task.place.group);
+}
+
+void RolloutScheduler::OnScoringFailed(const ScoringTask& task) {
+  const auto it = trainers_.find(task.trainer);
+  if (it == trainers_.end()) return;
+  StepLedger* ledger = it->second.rollout.Find(task.step);
+  if (ledger != nullptr) ledger->FailScoring(task.place);
+}
+
+Result<Batch> RolloutScheduler::NextBatch(const TrainerId& trainer,
+                                          std::string_view cursor,
+                                          WeightVersion newest) {
+  const auto decoded = codec_.Decode(cursor);
+  if (!IsOk(decoded)) return ErrorOf(decoded);
+  if (ValueOf(decoded).trainer != trainer) {
+    return Error{ErrorCode::kInvalidArgument, Verdict::kNotRun,
+                 "the cursor is of another trainer"};
+  }
+  const auto it = trainers_.find(trainer);
+  if (it == trainers_.end()) {
+    return Error{ErrorCode::kNotFound, Verdict::kNotRun,
+                 "this instance does not know the step; post it again"};
+  }
+  return it->second.rollout.Pull(ValueOf(decoded), newest, RuleBound(trainer));
+}
+
+std::vector<TrainerId> RolloutScheduler::Trainers() const {
+  std::vector<TrainerId> ids;
+  for (const auto& [id, entry] : trainers_) ids.push_back(id);
+  return ids;
+}
+
+const TrainerStats* RolloutScheduler::StatsOf(const TrainerId& trainer) const {
+  const auto it = trainers_.find(trainer);
+  return it == trainers_.end() ? nullptr : &it->second.rollout.stats();
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/briarspread/rollout/trainer_share.cc
@@ -0,0 +1,68 @@
+#include "briarspread/rollout/trainer_share.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace briarspread {
+namespace {
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+template <typename Less>
+std::size_t IndexOfLeast(std::span<const ShareClaim> claims, const Less& less) {
+  const auto it = std::min_element(claims.begin(), claims.end(), less);
+  return static_cast<std::size_t>(it - claims.begin());
+}
+
+}  // namespace
+
+std::optional<std::size_t> TrainerShare::Choose(
+    std::span<const ShareClaim> claims, std::size_t slots) const {
+  if (claims.empty()) return std::nullopt;
+  switch (settings_.mode) {
+    case ShareMode::kFirstCome:
+      return IndexOfLeast(claims, [](const auto& a, const auto& b) {
+        return a.submitted < b.submitted;
+      });
+    case ShareMode::kEqualTurns:
+      return IndexOfLeast(claims, [](const auto& a, const auto& b) {
+        return a.last_served < b.last_served;
+      });
+    case ShareMode::kByNeed:
+      break;
+  }
+  return ChooseByNeed(claims, slots);
+}
+
+std::size_t TrainerShare::ChooseByNeed(std::span<const ShareClaim> claims,
+                                       std::size_t slots) const {
+  double weights = 0;
+  for (const ShareClaim& claim : claims) weights += claim.weight;
+  assert(weights > 0);
+  const double floor = settings_.floor_share * static_cast<double>(slots);
+  std::optional<std::size_t> chosen;
+  double highest = 0;
+  bool chosen_is_below = false;
+  for (std::size_t i = 0; i < claims.size(); ++i) {
+    const ShareClaim& claim = claims[i];
+    // The slots that the step needs to be in time, against those it has.
+    const double left =
+        std::max(Seconds(claim.until_need), Seconds(settings_.shortest_need));
+    const double need = Seconds(claim.work) / left;
+    const double urgency =
+        claim.weight * need / static_cast<double>(claim.running + 1);
+    const bool is_below =
+        static_cast<double>(claim.running) < floor * claim.weight / weights;
+    const bool is_better =
+        is_below == chosen_is_below ? urgency > highest : is_below;
+    if (chosen.has_value() && !is_better) continue;
+    chosen = i;
+    highest = urgency;
+    chosen_is_below = is_below;
+  }
+  return *chosen;
+}
+
+}  // namespace briarspread
