Trainers are served by the rollout scheduler; trainer client keeps steps and cursor

Cause: the naive handler took any cursor, kept delivered groups by a plain list, and did not check staleness. Change: trainer_handler asks RolloutScheduler what to run, cancel and hand over; steps are checked field by field and refused with 400/409/429 JSON errors; a draining instance still hands over what is finished and sends trainers on. The client announces steps ahead, resumes from a saved cursor, and posts its steps again to an instance that answers 404.

--- a/briarspread/client/trainer_client.cc
+++ b/briarspread/client/trainer_client.cc
@@ -10,12 +10,38 @@
 using Json = nlohmann::json;
 
 constexpr milliseconds kCallTimeout{5000};
+constexpr milliseconds kRetryAfterNoInstance{200};
 constexpr int kHttpOk = 200;
+constexpr int kHttpBadRequest = 400;
 constexpr int kHttpNotFound = 404;
+constexpr int kHttpConflict = 409;
 
 Error NoInstance() {
   return Error{ErrorCode::kUnavailable, Verdict::kNotRun,
-               "no instance answered the trainer", milliseconds(200)};
+               "no instance answered the trainer", kRetryAfterNoInstance};
+}
+
+bool IsFinal(const Error& error) {
+  return error.code == ErrorCode::kInvalidArgument ||
+         error.code == ErrorCode::kConflict;
+}
+
+/// The error of an answer that is not 200.
+Error ErrorIn(const ExchangeOutcome& outcome) {
+  if (outcome.stage != ExchangeStage::kEnded) return NoInstance();
+  Error error = NoInstance();
+  if (outcome.status == kHttpBadRequest) {
+    error.code = ErrorCode::kInvalidArgument;
+  } else if (outcome.status == kHttpConflict) {
+    error.code = ErrorCode::kConflict;
+  } else if (outcome.status == kHttpNotFound) {
+    error.code = ErrorCode::kNotFound;
+  }
+  const Json json = Json::parse(outcome.body, nullptr, false);
+  if (json.is_object() && json.contains("error") && json["error"].is_object()) {
+    error.message = json["error"].value("message", error.message);
+  }
+  return error;
 }
 
 }  // namespace
@@ -28,36 +54,60 @@
   assert(!entries_.empty());
 }
 
-Status TrainerClient::PutStepAt(std::size_t entry) {
+Result<std::string> TrainerClient::PutStepAt(std::size_t entry,
+                                             StepNumber step) {
   UpstreamRequest request;
   request.endpoint = entries_[entry];
   request.method = "PUT";
   request.path = "/v1/trainers/" + trainer_.value() + "/steps/" +
-                 std::to_string(step_.value());
-  request.body = step_body_;
+                 std::to_string(step.value());
+  request.body = bodies_.at(step);
   request.timeout = kCallTimeout;
   const ExchangeOutcome outcome = client_.Exchange(request, nullptr);
-  if (outcome.stage == ExchangeStage::kEnded && outcome.status == kHttpOk) {
-    return OkStatus();
+  if (outcome.stage != ExchangeStage::kEnded || outcome.status != kHttpOk) {
+    return ErrorIn(outcome);
   }
-  return NoInstance();
+  const Json json = Json::parse(outcome.body, nullptr, false);
+  if (!json.is_object() || !json.contains("cursor")) return NoInstance();
+  return json.value("cursor", std::string());
 }
 
-Status TrainerClient::PutStep(StepNumber step, const std::string& body) {
-  step_ = step;
-  step_body_ = body;
-  cursor_ = std::to_string(step.value()) + ":";
+Result<std::string> TrainerClient::PutStepAnywhere(StepNumber step) {
   for (std::size_t i = 0; i < entries_.size(); ++i) {
     const std::size_t entry = (current_entry_ + i) % entries_.size();
-    if (!IsOk(PutStepAt(entry))) continue;
+    auto cursor = PutStepAt(entry, step);
+    if (!IsOk(cursor) && !IsFinal(ErrorOf(cursor))) continue;
     current_entry_ = entry;
-    return OkStatus();
+    return cursor;
   }
   return NoInstance();
 }
 
-Result<std::string> TrainerClient::PullFrom(std::size_t entry,
-                                            WeightVersion newest) {
+Status TrainerClient::Announce(StepNumber step, const std::string& body) {
+  bodies_[step] = body;
+  const auto cursor = PutStepAnywhere(step);
+  if (!IsOk(cursor)) return ErrorOf(cursor);
+  return OkStatus();
+}
+
+Status TrainerClient::PutStep(StepNumber step, const std::string& body) {
+  bodies_[step] = body;
+  auto cursor = PutStepAnywhere(step);
+  if (!IsOk(cursor)) return ErrorOf(cursor);
+  Resume(step, body, ValueOf(cursor));
+  return OkStatus();
+}
+
+void TrainerClient::Resume(StepNumber step, const std::string& body,
+                           const std::string& cursor) {
+  step_ = step;
+  bodies_[step] = body;
+  bodies_.erase(bodies_.begin(), bodies_.lower_bound(step));
+  cursor_ = cursor;
+}
+
+Result<TrainerBatch> TrainerClient::PullFrom(std::size_t entry,
+                                             WeightVersion newest) {
   UpstreamRequest request;
   request.endpoint = entries_[entry];
   request.method = "GET";
@@ -66,24 +116,39 @@
                  "&version=" + std::to_string(newest.value());
   request.timeout = kCallTimeout;
   const ExchangeOutcome outcome = client_.Exchange(request, nullptr);
-  if (outcome.stage != ExchangeStage::kEnded) return NoInstance();
-  if (outcome.status == kHttpNotFound) {
-    if (!IsOk(PutStepAt(entry))) return NoInstance();
-    return std::string();
+  if (outcome.stage != ExchangeStage::kEnded || outcome.status != kHttpOk) {
+    return ErrorIn(outcome);
   }
   const Json json = Json::parse(outcome.body, nullptr, false);
-  if (outcome.status != kHttpOk || !json.is_object()) return NoInstance();
-  cursor_ = json.value("cursor", cursor_);
-  if (json.value("groups", Json::array()).empty()) return std::string();
-  return outcome.body;
+  if (!json.is_object() || !json.contains("cursor") ||
+      !json.contains("groups")) {
+    return NoInstance();
+  }
+  TrainerBatch batch;
+  batch.cursor = json.value("cursor", cursor_);
+  batch.is_whole = json.value("whole", false);
+  if (!json["groups"].empty()) batch.body = outcome.body;
+  return batch;
 }
 
-Result<std::string> TrainerClient::NextBatch(WeightVersion newest) {
+Result<TrainerBatch> TrainerClient::NextBatch(WeightVersion newest) {
   for (std::size_t i = 0; i < entries_.size(); ++i) {
     const std::size_t entry = (current_entry_ + i) % entries_.size();
     auto pulled = PullFrom(entry, newest);
-    if (!IsOk(pulled)) continue;
+    if (!IsOk(pulled) && ErrorOf(pulled).code == ErrorCode::kNotFound) {
+      // The instance lost the steps or never had them; our cursor stays.
+      bool taken = true;
+      for (const auto& [step, body] : bodies_) {
+        taken = taken && IsOk(PutStepAt(entry, step));
+      }
+      if (taken) pulled = PullFrom(entry, newest);
+    }
+    if (!IsOk(pulled)) {
+      if (IsFinal(ErrorOf(pulled))) return pulled;
+      continue;
+    }
     current_entry_ = entry;
+    cursor_ = ValueOf(pulled).cursor;
     return pulled;
   }
   return NoInstance();
--- a/briarspread/gateway/entry.cc
+++ b/briarspread/gateway/entry.cc
@@ -9,7 +9,6 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t kTrainerWorkers = 64;
 /// How long the balancer may still send new work once readiness has dropped.
 constexpr milliseconds kBalancerLag{1000};
 constexpr milliseconds kDrainCheck{20};
@@ -44,7 +43,8 @@
       list_(PlatformSettings(settings), client_),
       caller_(state_, router_, client_, clock_),
       live_(settings.instance, state_, caller_, clock_),
-      trainers_(state_, caller_, clock_, kTrainerWorkers),
+      trainers_(TrainerHandlerSettings{}, settings.peer_key, state_, caller_,
+                clock_),
       poller_(PollerSettings(settings), store_, list_, client_, state_, clock_),
       server_(ServerSettings(settings)) {}
 
--- a/briarspread/gateway/trainer_handler.cc
+++ b/briarspread/gateway/trainer_handler.cc
@@ -1,8 +1,11 @@
 #include "briarspread/gateway/trainer_handler.h"
 
+#include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
+#include "briarspread/core/http_headers.h"
+#include "briarspread/gateway/trainer_json.h"
 #include "briarspread/transport/http_server.h"
 
 namespace briarspread {
@@ -10,52 +13,74 @@
 
 using Json = nlohmann::json;
 
-constexpr milliseconds kLongPoll{2000};
-constexpr seconds kSampleDeadline{120};
-
-/// The groups that a cursor names as delivered: `step:1,5,7`.
-struct Cursor {
-  std::uint64_t step = 0;
-  std::set<std::uint32_t> delivered;
-};
-
-Cursor ParseCursor(const std::string& text) {
-  Cursor cursor;
-  std::istringstream in(text);
-  char separator = 0;
-  in >> cursor.step >> separator;
-  std::uint32_t group = 0;
-  while (in >> group) {
-    cursor.delivered.insert(group);
-    in >> separator;
-  }
-  return cursor;
+constexpr char kRolloutClass[] = "rollout";
+constexpr milliseconds kRetryAfterDrain{100};
+constexpr int kHttpOk = 200;
+
+std::optional<std::uint64_t> ParseNumber(const std::string& text) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto [last, ec] = std::from_chars(text.data(), end, value);
+  if (ec != std::errc() || last != end) return std::nullopt;
+  return value;
 }
 
-std::string FormatCursor(const Cursor& cursor) {
-  std::string text = std::to_string(cursor.step) + ":";
-  for (const std::uint32_t group : cursor.delivered) {
-    text += std::to_string(group) + ",";
-  }
-  return text;
+void RespondError(httplib::Response& out, const Error& error) {
+  RespondError(out, HttpStatusOf(error.code), error);
 }
 
-Json SpansToJson(const std::vector<VersionSpan>& spans) {
-  Json json = Json::array();
-  for (const VersionSpan& span : spans) {
-    json.push_back({{"version", span.version.value()},
-                    {"begin", span.begin},
-                    {"end", span.end}});
-  }
-  return json;
+Error Draining() {
+  return Error{ErrorCode::kUnavailable, Verdict::kNotRun,
+               "this instance is shutting down; ask another one",
+               kRetryAfterDrain};
+}
+
+Json ToJson(const TrainerStats& stats) {
+  return {{"samples_handed_over", stats.staleness.count()},
+          {"staleness_mean", stats.staleness.Mean()},
+          {"staleness_p95", stats.staleness.Percentile95()},
+          {"finished", stats.finished},
+          {"tokens", stats.tokens},
+          {"failed_runs", stats.failed_runs},
+          {"unlabelled_runs", stats.unlabelled_runs},
+          {"hedges", stats.hedges},
+          {"hedges_won", stats.hedges_won},
+          {"not_started_stale", stats.not_started_stale},
+          {"cut_stale", stats.cut_stale},
+          {"dropped_stale_tokens", stats.dropped_stale_tokens},
+          {"wasted_tokens", stats.wasted_tokens}};
 }
 
 }  // namespace
 
-TrainerHandler::TrainerHandler(ControlState& state, UpstreamCaller& caller,
-                               const Clock& clock, std::size_t workers)
-    : state_(state), caller_(caller), clock_(clock) {
-  for (std::size_t i = 0; i < workers; ++i) {
+std::optional<WeightVersion> TrainerHandler::ReportedVersions::NewestServed(
+    const ModelName& model) const {
+  std::optional<WeightVersion> newest;
+  const auto table = state_.routing.Read();
+  for (const UpstreamView& upstream : table->upstreams) {
+    if (upstream.listed.kind != InstanceKind::kModelEngine ||
+        upstream.listed.serves != model.value() ||
+        upstream.load.version == WeightVersion(0)) {
+      continue;
+    }
+    newest =
+        std::max(newest.value_or(upstream.load.version), upstream.load.version);
+  }
+  return newest;
+}
+
+TrainerHandler::TrainerHandler(const TrainerHandlerSettings& settings,
+                               const std::string& cursor_key,
+                               ControlState& state, UpstreamCaller& caller,
+                               const Clock& clock)
+    : settings_(settings),
+      state_(state),
+      caller_(caller),
+      clock_(clock),
+      rules_(state),
+      versions_(state),
+      scheduler_(settings.scheduler, cursor_key, rules_, clock) {
+  for (std::size_t i = 0; i < settings.workers; ++i) {
     workers_.emplace_back([this] { RunTasks(); });
   }
 }
@@ -82,118 +107,176 @@
 
 void TrainerHandler::PutStep(const httplib::Request& in,
                              httplib::Response& out) {
-  const Json json = Json::parse(in.body, nullptr, false);
-  if (!json.is_object() || !json.contains("groups") ||
-      !json["groups"].is_array()) {
-    RespondError(out, 400,
-                 Error{ErrorCode::kInvalidArgument, Verdict::kNotRun,
-                       "the body must be a JSON object with groups"});
-    return;
+  if (IsDraining()) return RespondError(out, Draining());
+  const auto step = ParseNumber(in.matches[2]);
+  if (!step.has_value()) {
+    return RespondError(out, {ErrorCode::kInvalidArgument, Verdict::kNotRun,
+                              "the step is not a whole number"});
   }
-  const StepKey key(TrainerId(in.matches[1]),
-                    StepNumber(std::stoull(in.matches[2])));
+  const auto spec = ParseStepSpec(in.body);
+  if (!IsOk(spec)) return RespondError(out, ErrorOf(spec));
   std::lock_guard lock(mutex_);
-  if (!steps_.contains(key)) {
-    Step& step = steps_[key];
-    step.model = json.value("model", "rollout");
-    step.max_tokens = json.value("max_tokens", 16U);
-    const std::uint32_t samples = json.value("samples_per_group", 1U);
-    for (const Json& group : json["groups"]) {
-      const GroupId id(group.value("id", 0U));
-      step.groups[id] = Group{group.value("prompt", ""), {}, samples};
-      for (std::uint32_t i = 0; i < samples; ++i) {
-        tasks_.push_back({key, id, SampleIndex(i)});
-      }
-    }
-    changed_.notify_all();
-  }
-  RespondJson(out, 200, "{}");
+  const auto cursor = scheduler_.SubmitStep(TrainerId(in.matches[1]),
+                                            StepNumber(*step), ValueOf(spec));
+  if (!IsOk(cursor)) return RespondError(out, ErrorOf(cursor));
+  changed_.notify_all();
+  RespondJson(out, kHttpOk, Json{{"cursor", ValueOf(cursor)}}.dump());
 }
 
 void TrainerHandler::GetBatch(const httplib::Request& in,
                               httplib::Response& out) {
-  Cursor cursor = ParseCursor(in.get_param_value("cursor"));
-  const StepKey key(TrainerId(in.matches[1]), StepNumber(cursor.step));
+  const auto version = ParseNumber(in.get_param_value("version"));
+  if (!version.has_value()) {
+    return RespondError(
+        out, {ErrorCode::kInvalidArgument, Verdict::kNotRun,
+              "version: found '" + in.get_param_value("version") +
+                  "', allowed: the trainer's newest weight version"});
+  }
+  const TrainerId trainer(in.matches[1]);
+  const std::string cursor = in.get_param_value("cursor");
   std::unique_lock lock(mutex_);
-  Json groups = Json::array();
-  const auto collect = [&] {
-    const auto it = steps_.find(key);
-    if (it == steps_.end()) return true;
-    for (const auto& [id, group] : it->second.groups) {
-      if (cursor.delivered.contains(id.value())) continue;
-      if (group.samples.size() < group.wanted) continue;
-      Json samples = Json::array();
-      for (const auto& text : group.samples) {
-        samples.push_back(Json::parse(text));
-      }
-      groups.push_back({{"id", id.value()}, {"samples", samples}});
-      cursor.delivered.insert(id.value());
-    }
-    return !groups.empty() || stopping_;
+  Result<Batch> batch = Error{};
+  const auto has_answer = [&] {
+    batch = scheduler_.NextBatch(trainer, cursor, WeightVersion(*version));
+    return !IsOk(batch) || !ValueOf(batch).groups.empty() ||
+           ValueOf(batch).is_whole || IsDraining();
   };
-  changed_.wait_for(lock, kLongPoll, collect);
-  if (!steps_.contains(key)) {
-    RespondError(out, 404,
-                 Error{ErrorCode::kNotFound, Verdict::kNotRun,
-                       "this instance does not know the step; post it again"});
-    return;
+  changed_.wait_for(lock, settings_.long_poll, has_answer);
+  if (!IsOk(batch)) return RespondError(out, ErrorOf(batch));
+  const Batch& ready = ValueOf(batch);
+  if (ready.groups.empty() && !ready.is_whole && IsDraining()) {
+    return RespondError(out, Draining());
   }
-  RespondJson(
-      out, 200,
-      Json{{"groups", groups}, {"cursor", FormatCursor(cursor)}}.dump());
+  const std::string next = scheduler_.Format(ready.next);
+  lock.unlock();
+  RespondJson(out, kHttpOk, FormatBatch(ready, next));
 }
 
 void TrainerHandler::RunTasks() {
-  while (true) {
-    Task task;
-    {
-      std::unique_lock lock(mutex_);
-      changed_.wait(lock, [this] { return stopping_ || !tasks_.empty(); });
-      if (stopping_) return;
-      task = tasks_.front();
-      tasks_.pop_front();
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    CancelRuns();
+    if (const auto task = scheduler_.NextScoring()) {
+      lock.unlock();
+      RunScoring(*task);
+      lock.lock();
+      continue;
     }
-    RunTask(task);
+    const SlotOffer offer{settings_.workers, UpstreamId(), &versions_};
+    const auto run = IsDraining() ? std::nullopt : scheduler_.NextRun(offer);
+    if (!run.has_value()) {
+      changed_.wait_for(lock, settings_.idle_check);
+      continue;
+    }
+    const auto cancelled = std::make_shared<std::atomic<bool>>(false);
+    cancel_flags_[run->id] = cancelled;
+    lock.unlock();
+    RunSample(*run, cancelled);
+    lock.lock();
+    cancel_flags_.erase(run->id);
   }
 }
 
-void TrainerHandler::RunTask(const Task& task) {
-  CallSpec spec;
-  {
-    std::lock_guard lock(mutex_);
-    const Step& step = steps_[task.step];
-    spec.route.serves = step.model;
-    spec.body = Json{
-        {"model", step.model},
-        {"prompt", step.groups.at(task.group).prompt + "#" +
-                       std::to_string(task.sample.value())},
-        {"max_tokens", step.max_tokens},
-        {"priority", 9},
-        {"stream",
-         true}}.dump();
+void TrainerHandler::CancelRuns() {
+  for (const RunId run : scheduler_.RunsToCancel()) {
+    const auto it = cancel_flags_.find(run);
+    if (it != cancel_flags_.end()) *it->second = true;
   }
+}
+
+void TrainerHandler::Rest() {
+  std::unique_lock lock(mutex_);
+  changed_.wait_for(lock, settings_.failure_pause,
+                    [this] { return stopping_.load(); });
+}
+
+CallSpec TrainerHandler::SpecOf(const SampleRun& run) const {
+  CallSpec spec;
   spec.route.kind = InstanceKind::kModelEngine;
-  spec.route.request_class = RequestClass("rollout");
+  spec.route.serves = run.model.value();
+  spec.route.request_class = RequestClass(kRolloutClass);
   spec.route.is_rollout = true;
+  spec.route.excluded = run.avoid;
   spec.path = "/v1/completions";
+  spec.body = FormatCompletion(run);
   spec.idempotent = true;
   spec.stream = true;
-  spec.deadline = clock_.Now() + kSampleDeadline;
-  CompletionStream text;
-  const CallResult result = caller_.Run(spec, [&text](std::string_view data) {
-    text.Take(data);
-    return true;
-  });
+  spec.deadline = clock_.Now() + settings_.sample_deadline;
+  return spec;
+}
+
+void TrainerHandler::NoteProgress(RunId run, const CompletionStream& text) {
+  RunProgress progress;
+  progress.tokens = text.next_token();
+  if (!text.spans().empty()) progress.oldest = OldestVersion(text.spans());
   std::lock_guard lock(mutex_);
-  if (result.verdict == Verdict::kAnswered && result.has_all_versions) {
-    const Json sample = {{"sample", task.sample.value()},
-                         {"text", text.text()},
-                         {"versions", SpansToJson(result.versions)}};
-    steps_[task.step].groups[task.group].samples.push_back(sample.dump());
-  } else {
-    tasks_.push_back(task);
+  scheduler_.OnProgress(run, progress);
+  CancelRuns();
+}
+
+void TrainerHandler::RunSample(const SampleRun& run,
+                               const CancelFlag& cancelled) {
+  CompletionStream text;
+  TimePoint next_note = clock_.Now();
+  const CallResult result =
+      caller_.Run(SpecOf(run), [&](std::string_view events) {
+        text.Take(events);
+        if (clock_.Now() >= next_note) {
+          NoteProgress(run.id, text);
+          next_note = clock_.Now() + settings_.progress_interval;
+        }
+        return !cancelled->load() && !stopping_.load();
+      });
+  NoteProgress(run.id, text);
+  const bool is_whole = result.verdict == Verdict::kAnswered &&
+                        result.has_all_versions && text.is_whole() &&
+                        !text.is_malformed();
+  {
+    std::lock_guard lock(mutex_);
+    if (is_whole) {
+      scheduler_.OnFinished(run.id, {run.id, text.text(), text.next_token(),
+                                     result.versions, std::nullopt});
+    } else {
+      scheduler_.OnFailed(run.id);
+    }
+  }
+  changed_.notify_all();
+  if (!is_whole && !cancelled->load()) Rest();
+}
+
+void TrainerHandler::RunScoring(const ScoringTask& task) {
+  CallSpec spec;
+  spec.route.kind = InstanceKind::kPlainService;
+  spec.route.serves = task.scorer.value();
+  spec.route.request_class = RequestClass(kRolloutClass);
+  spec.route.is_rollout = true;
+  spec.path = "/v1/services/" + task.scorer.value() + "/score";
+  spec.headers = {{headers::kIdempotencyKey, task.id}};
+  spec.body = FormatScoring(task);
+  spec.idempotent = true;
+  spec.deadline = clock_.Now() + settings_.scoring_deadline;
+  const CallResult result = caller_.Run(spec, {});
+  const bool is_scored = result.verdict == Verdict::kAnswered &&
+                         result.status == kHttpOk && Json::accept(result.body);
+  {
+    std::lock_guard lock(mutex_);
+    if (is_scored) {
+      scheduler_.OnScored(task, result.body);
+    } else {
+      scheduler_.OnScoringFailed(task);
+    }
   }
   changed_.notify_all();
+  if (!is_scored) Rest();
+}
+
+std::string TrainerHandler::StatsJson() {
+  std::lock_guard lock(mutex_);
+  Json json = Json::object();
+  for (const TrainerId& trainer : scheduler_.Trainers()) {
+    json[trainer.value()] = ToJson(*scheduler_.StatsOf(trainer));
+  }
+  return json.dump();
 }
 
 }  // namespace briarspread
--- a/briarspread/gateway/trainer_handler.h
+++ b/briarspread/gateway/trainer_handler.h
@@ -3,74 +3,112 @@
 
 #include <httplib.h>
 
+#include <atomic>
 #include <condition_variable>
-#include <cstdint>
-#include <deque>
 #include <map>
+#include <memory>
 #include <mutex>
-#include <set>
+#include <string>
 #include <thread>
-#include <utility>
 #include <vector>
 
 #include "briarspread/gateway/upstream_call.h"
+#include "briarspread/rollout/rollout_scheduler.h"
 
 namespace briarspread {
 
+/// Settings of `TrainerHandler`.
+struct TrainerHandlerSettings {
+  /// Samples that this instance runs at once, one thread each.
+  std::size_t workers = 64;
+  /// How long a pull waits for a group.
+  milliseconds long_poll{2000};
+  /// How long one run of a sample may take.
+  seconds sample_deadline{600};
+  /// How long one scoring call may take.
+  seconds scoring_deadline{30};
+  /// How often an idle worker looks for work that has become due.
+  milliseconds idle_check{100};
+  /// How long a worker rests after a failed run.
+  milliseconds failure_pause{200};
+  /// How often a run's progress is noted.
+  milliseconds progress_interval{200};
+  RolloutSchedulerSettings scheduler;
+};
+
 /// Serves trainers: `PUT /v1/trainers/{trainer}/steps/{step}` and
-/// `GET /v1/trainers/{trainer}/batches`. Thread-safe.
+/// `GET /v1/trainers/{trainer}/batches`. Runs the samples of the steps that it
+/// was sent; `RolloutScheduler` decides which. Thread-safe.
 class TrainerHandler {
  public:
-  /// Precondition: all arguments outlive this object.
-  TrainerHandler(ControlState& state, UpstreamCaller& caller,
-                 const Clock& clock, std::size_t workers);
+  /// Preconditions: all arguments outlive this object; `cursor_key` is the same
+  /// on all instances.
+  TrainerHandler(const TrainerHandlerSettings& settings,
+                 const std::string& cursor_key, ControlState& state,
+                 UpstreamCaller& caller, const Clock& clock);
   ~TrainerHandler();
   TrainerHandler(const TrainerHandler&) = delete;
   TrainerHandler& operator=(const TrainerHandler&) = delete;
 
   /// Adds the routes. Call before the server starts.
   void AddRoutes(httplib::Server& routes);
-  /// Starts no further samples and ends the workers.
+  /// Cancels the samples in flight, which any instance can run again, and ends
+  /// the workers.
   void Stop();
+  /// Each trainer's counts, as JSON text.
+  std::string StatsJson();
 
  private:
-  using StepKey = std::pair<TrainerId, StepNumber>;
+  /// Reads the trainers' rules in force.
+  class RulesInForce final : public TrainerRules {
+   public:
+    explicit RulesInForce(const ControlState& state) : state_(state) {}
+    TrainerRule RuleOf(const TrainerId& trainer) const override {
+      return state_.rules.Read()->TrainerRuleOf(trainer);
+    }
 
-  /// One group of samples of a step.
-  struct Group {
-    std::string prompt;
-    /// Finished samples, as JSON text.
-    std::vector<std::string> samples;
-    std::uint32_t wanted = 0;
-  };
-  /// One step of a trainer.
-  struct Step {
-    std::string model;
-    std::uint32_t max_tokens = 0;
-    std::map<GroupId, Group> groups;
+   private:
+    const ControlState& state_;
   };
-  /// One sample to run.
-  struct Task {
-    StepKey step;
-    GroupId group;
-    SampleIndex sample;
+  /// Reads the versions that engines last reported.
+  class ReportedVersions final : public ServedVersions {
+   public:
+    explicit ReportedVersions(const ControlState& state) : state_(state) {}
+    std::optional<WeightVersion> NewestServed(
+        const ModelName& model) const override;
+
+   private:
+    const ControlState& state_;
   };
+  /// Tells the worker of a run to give it up.
+  using CancelFlag = std::shared_ptr<std::atomic<bool>>;
 
   void PutStep(const httplib::Request& in, httplib::Response& out);
   void GetBatch(const httplib::Request& in, httplib::Response& out);
+  bool IsDraining() const { return stopping_ || state_.draining.load(); }
+
   void RunTasks();
-  void RunTask(const Task& task);
+  void RunSample(const SampleRun& run, const CancelFlag& cancelled);
+  void RunScoring(const ScoringTask& task);
+  CallSpec SpecOf(const SampleRun& run) const;
+  void NoteProgress(RunId run, const CompletionStream& text);
+  void CancelRuns();
+  void Rest();
 
+  const TrainerHandlerSettings settings_;
   ControlState& state_;
   UpstreamCaller& caller_;
   const Clock& clock_;
-  /// Guards all below.
+  const RulesInForce rules_;
+  const ReportedVersions versions_;
+  /// Guards all below but `stopping_`.
   std::mutex mutex_;
   /// Wakes workers and long polls.
   std::condition_variable changed_;
-  std::map<StepKey, Step> steps_;
-  std::deque<Task> tasks_;
-  bool stopping_ = false;
+  RolloutScheduler scheduler_;
+  /// The runs that go on here.
+  std::map<RunId, CancelFlag> cancel_flags_;
+  std::atomic<bool> stopping_{false};
   /// Run samples.
   std::vector<std::thread> workers_;
 };
--- a/briarspread/rollout/rollout_scheduler.cc
+++ b/briarspread/rollout/rollout_scheduler.cc
@@ -38,7 +38,7 @@
 
 Result<std::string> RolloutScheduler::SubmitStep(const TrainerId& trainer,
                                                  StepNumber step,
-                                                 StepSpec spec) {
+                                                 const StepSpec& spec) {
   const std::size_t name_bytes = trainer.value().size();
   if (name_bytes == 0 || name_bytes > kMaxTrainerNameBytes) {
     return Error{ErrorCode::kInvalidArgument, Verdict::kNotRun,
@@ -58,7 +58,7 @@
                                                            trainer, clock_)})
              .first;
   }
-  const auto opened = it->second.rollout.Submit(step, std::move(spec));
+  const auto opened = it->second.rollout.Submit(step, spec);
   if (!IsOk(opened)) return ErrorOf(opened);
   return codec_.Encode(ValueOf(opened));
 }
--- a/briarspread/rollout/rollout_scheduler.h
+++ b/briarspread/rollout/rollout_scheduler.h
@@ -108,7 +108,7 @@
   /// where the step is known with another body, `kOverloaded` where too much
   /// is open, `kInvalidArgument` for a bad trainer name.
   Result<std::string> SubmitStep(const TrainerId& trainer, StepNumber step,
-                                 StepSpec spec);
+                                 const StepSpec& spec);
   /// The sample to run on the offered slot; nothing where none is to start now.
   std::optional<SampleRun> NextRun(const SlotOffer& offer);
   /// Notes how far a run is.
--- a/briarspread/rollout/trainer_rollout.cc
+++ b/briarspread/rollout/trainer_rollout.cc
@@ -31,7 +31,7 @@
   return std::min(spec.staleness_bound, rule_bound);
 }
 
-Result<Cursor> TrainerRollout::Submit(StepNumber step, StepSpec spec) {
+Result<Cursor> TrainerRollout::Submit(StepNumber step, const StepSpec& spec) {
   auto it = steps_.find(step);
   if (it == steps_.end()) {
     if (steps_.size() >= settings_.max_steps && pace_.open_step().has_value()) {
@@ -44,9 +44,7 @@
                        " steps open; pull one to its end first",
                    kRetryAfterFull};
     }
-    it = steps_
-             .try_emplace(step, settings_.ledger, std::move(spec), clock_.Now())
-             .first;
+    it = steps_.try_emplace(step, settings_.ledger, spec, clock_.Now()).first;
   } else if (DigestOf(spec) != it->second.digest()) {
     return Error{ErrorCode::kConflict, Verdict::kNotRun,
                  "step " + std::to_string(step.value()) +
--- a/briarspread/rollout/trainer_rollout.h
+++ b/briarspread/rollout/trainer_rollout.h
@@ -78,7 +78,7 @@
   /// Takes a step and returns its opening cursor. The same step again does
   /// nothing; `kConflict` where its body is another, `kOverloaded` where too
   /// many steps are open.
-  Result<Cursor> Submit(StepNumber step, StepSpec spec);
+  Result<Cursor> Submit(StepNumber step, const StepSpec& spec);
   /// The step's ledger, or null where it is not known.
   StepLedger* Find(StepNumber step);
 
--- a/programs/load/main.cc
+++ b/programs/load/main.cc
@@ -186,7 +186,7 @@
         std::this_thread::sleep_for(kPullPause);
         continue;
       }
-      TakeBatch(ValueOf(batch), newest, seen);
+      TakeBatch(ValueOf(batch).body, newest, seen);
     }
     result_.lost += (FLAGS_groups - seen.size()) * FLAGS_samples_per_group;
     ++result_.steps;
--- a/tests/rollout/cursor_test.cc
+++ b/tests/rollout/cursor_test.cc
@@ -20,17 +20,18 @@
 }
 
 TEST_CASE("A cursor survives its text") {
-  rc::prop("round trip", [](std::uint64_t step, std::uint32_t batch,
-                            std::uint64_t digest, std::vector<bool> groups) {
-    const auto name = *rc::gen::nonEmpty(rc::gen::string<std::string>());
-    RC_PRE(name.size() <= kMaxTrainerNameBytes);
-    const Cursor cursor{TrainerId(name), StepNumber(step), batch, digest,
-                        groups};
-    const CursorCodec codec(kKey);
-    const auto decoded = codec.Decode(codec.Encode(cursor));
-    RC_ASSERT(IsOk(decoded));
-    RC_ASSERT(ValueOf(decoded) == cursor);
-  });
+  rc::prop(
+      "round trip", [](std::uint64_t step, std::uint32_t batch,
+                       std::uint64_t digest, const std::vector<bool>& groups) {
+        const auto name = *rc::gen::nonEmpty(rc::gen::string<std::string>());
+        RC_PRE(name.size() <= kMaxTrainerNameBytes);
+        const Cursor cursor{TrainerId(name), StepNumber(step), batch, digest,
+                            groups};
+        const CursorCodec codec(kKey);
+        const auto decoded = codec.Decode(codec.Encode(cursor));
+        RC_ASSERT(IsOk(decoded));
+        RC_ASSERT(ValueOf(decoded) == cursor);
+      });
 }
 
 TEST_CASE("Any changed, cut or lengthened cursor is refused") {
--- /dev/null
+++ b/tests/rollout/policies_test.cc
@@ -0,0 +1,109 @@
+#include <catch2/catch.hpp>
+
+#include "briarspread/rollout/lead_policy.h"
+#include "briarspread/rollout/staleness_policy.h"
+#include "briarspread/rollout/straggler_policy.h"
+#include "briarspread/rollout/trainer_pace.h"
+#include "briarspread/rollout/trainer_share.h"
+#include "briarspread/rollout/trainer_stats.h"
+
+namespace briarspread {
+namespace {
+
+TEST_CASE("Work that would be too old by its end is not worth running") {
+  const StalenessPolicy policy{StalenessSettings{}};
+  const WeightVersion v5(5);
+  REQUIRE(policy.IsWorthRunning(v5, v5, 1, seconds(350), seconds(180)));
+  REQUIRE_FALSE(policy.IsWorthRunning(v5, v5, 1, seconds(370), seconds(180)));
+  REQUIRE(policy.IsWorthRunning(v5, v5, 0, seconds(370), Duration::zero()));
+  REQUIRE_FALSE(policy.MayDeliver(v5, WeightVersion(7), 1));
+  REQUIRE(policy.MayDeliver(WeightVersion(9), v5, 0));
+}
+
+TEST_CASE("The objective moves between early and late starts") {
+  const LeadPolicy idle({0.0, 1.0});
+  const LeadPolicy fresh({1.0, 1.0});
+  REQUIRE(idle.StartsNow(seconds(100000), seconds(1)));
+  REQUIRE_FALSE(fresh.StartsNow(seconds(11), seconds(10)));
+  REQUIRE(fresh.StartsNow(seconds(10), seconds(10)));
+}
+
+TEST_CASE("The trainer that starves first gets the slot") {
+  const TrainerShare share{TrainerShareSettings{}};
+  const TimePoint t0{};
+  const std::vector<ShareClaim> claims = {
+      {1, 50, seconds(9000), seconds(600), t0, t0},
+      {1, 50, seconds(9000), seconds(60), t0 + seconds(9), t0 + seconds(9)}};
+  REQUIRE(share.Choose(claims, 100) == 1U);
+  const TrainerShare first({ShareMode::kFirstCome, 0, milliseconds(1)});
+  REQUIRE(first.Choose(claims, 100) == 0U);
+  REQUIRE_FALSE(share.Choose({}, 100).has_value());
+}
+
+TEST_CASE("No trainer starves, however urgent another one is") {
+  const bool has_floor = GENERATE(true, false);
+  const TrainerShare share(
+      {ShareMode::kByNeed, has_floor ? 0.2 : 0.0, milliseconds(1000)});
+  std::vector<ShareClaim> claims = {{1, 0, seconds(900000), seconds(0), {}, {}},
+                                    {1, 0, seconds(10), seconds(3600), {}, {}}};
+  for (int i = 0; i < 100; ++i) ++claims[*share.Choose(claims, 100)].running;
+  REQUIRE((claims[1].running >= 10) == has_floor);
+}
+
+TEST_CASE("A rule's weight moves slots at equal need") {
+  const TrainerShare share{TrainerShareSettings{}};
+  std::vector<ShareClaim> claims = {{3, 0, seconds(900), seconds(60), {}, {}},
+                                    {1, 0, seconds(900), seconds(60), {}, {}}};
+  for (int i = 0; i < 100; ++i) ++claims[*share.Choose(claims, 100)].running;
+  REQUIRE(claims[0].running > 70);
+  REQUIRE(claims[1].running > 20);
+}
+
+TEST_CASE("Stragglers are told by recent durations, within the cost cap") {
+  const StragglerPolicy policy({true, 2.0, 0.9, 16, 0.1});
+  DurationWindow durations;
+  for (int i = 0; i < 15; ++i) durations.Add(seconds(10));
+  REQUIRE(policy.SlowAfter(durations) == Duration::zero());
+  durations.Add(seconds(10));
+  REQUIRE(policy.SlowAfter(durations) == seconds(20));
+  REQUIRE(policy.IsWithinCap(90, 10, 1000));
+  REQUIRE_FALSE(policy.IsWithinCap(91, 10, 1000));
+}
+
+TEST_CASE("A trainer's pace tells when it needs its next step") {
+  TrainerPace pace;
+  const TimePoint t0{};
+  pace.OnPull(StepNumber(1), true, t0);
+  pace.OnPull(StepNumber(2), false, t0 + seconds(100));
+  REQUIRE(pace.NeedTime(StepNumber(2), t0 + seconds(100), {}) ==
+          t0 + seconds(100));
+  REQUIRE(pace.NeedTime(StepNumber(4), t0 + seconds(110), seconds(30)) ==
+          t0 + seconds(340));
+  pace.OnPull(StepNumber(1), true, t0 + seconds(120));
+  REQUIRE(pace.open_step() == StepNumber(2));
+}
+
+TEST_CASE("The expected time to a version grows while none comes") {
+  TrainerPace pace;
+  const TimePoint t0{};
+  pace.OnVersion(WeightVersion(1), t0);
+  REQUIRE(pace.VersionInterval(t0 + seconds(5)) == Duration::zero());
+  pace.OnVersion(WeightVersion(3), t0 + seconds(20));
+  REQUIRE(pace.VersionInterval(t0 + seconds(20)) == seconds(10));
+  REQUIRE(pace.VersionInterval(t0 + seconds(120)) == seconds(100));
+  pace.OnVersion(WeightVersion(2), t0 + seconds(130));
+  REQUIRE(pace.newest() == WeightVersion(3));
+}
+
+TEST_CASE("Staleness is reported by mean and 95th percentile") {
+  StalenessStats stats;
+  REQUIRE(stats.Mean() == 0);
+  for (int i = 0; i < 95; ++i) stats.Add(1);
+  for (int i = 0; i < 5; ++i) stats.Add(300);
+  REQUIRE(stats.Percentile95() == 1);
+  stats.Add(3);
+  REQUIRE(stats.Percentile95() == 3);
+}
+
+}  // namespace
+}  // namespace briarspread
