--- a/briarspread/rollout/straggler_policy.h
+++ b/briarspread/rollout/straggler_policy.h
@@ -13,7 +13,7 @@
   /// Whether stragglers are run a second time.
   bool is_enabled = true;
   /// A run is a straggler once it took this many times the usual duration.
-  double slow_factor = 1.3;
+  double slow_factor = 1.1;
   /// The quantile of recent durations that counts as usual.
   double usual_quantile = 0.9;
   /// Durations to have seen before any run is called a straggler.
--- /dev/null
+++ b/tests/rollout_model/engine_model.cc
@@ -0,0 +1,86 @@
+#include "tests/rollout_model/engine_model.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarspread::testing {
+namespace {
+
+/// Room for rounding, so that a run's end makes its last token.
+constexpr double kTokenSlack = 1e-6;
+
+/// Notes that tokens up to the run's progress were made by `version`.
+void AddSpan(EngineRun& run, WeightVersion version) {
+  const auto end = static_cast<std::uint32_t>(run.made + kTokenSlack);
+  const std::uint32_t begin = run.spans.empty() ? 0 : run.spans.back().end;
+  if (end <= begin) return;
+  if (!run.spans.empty() && run.spans.back().version == version) {
+    run.spans.back().end = end;
+  } else {
+    run.spans.push_back({version, begin, end});
+  }
+}
+
+}  // namespace
+
+void EngineModel::Advance(TimePoint now) {
+  if (now <= made_until_) return;
+  const double seconds =
+      std::chrono::duration<double>(now - made_until_).count();
+  made_until_ = now;
+  if (!is_up_) return;
+  for (auto& [key, run] : runs_) {
+    run.made =
+        std::min(run.made + seconds * rate_, static_cast<double>(run.length));
+    AddSpan(run, version_);
+  }
+}
+
+void EngineModel::Swap(WeightVersion version, TimePoint now,
+                       TimePoint resumes) {
+  Advance(now);
+  version_ = version;
+  made_until_ = std::max(made_until_, resumes);
+}
+
+std::uint64_t EngineModel::Start(EngineRun run, TimePoint now) {
+  Advance(now);
+  runs_.emplace(++last_key_, std::move(run));
+  return last_key_;
+}
+
+TimePoint EngineModel::EndOf(const EngineRun& run) const {
+  const double left = static_cast<double>(run.length) - run.made;
+  // Rounded up, so that the last token is made by then.
+  return made_until_ +
+         std::chrono::duration_cast<Duration>(
+             std::chrono::duration<double>(left / rate_)) +
+         milliseconds(1);
+}
+
+std::vector<EngineRun> EngineModel::Lose(TimePoint now) {
+  Advance(now);
+  is_up_ = false;
+  std::vector<EngineRun> lost;
+  for (auto& [key, run] : runs_) lost.push_back(std::move(run));
+  runs_.clear();
+  return lost;
+}
+
+void EngineModel::Recover(WeightVersion version, TimePoint now) {
+  is_up_ = true;
+  version_ = version;
+  reported_ = version;
+  made_until_ = now;
+}
+
+std::string FormatTruth(const std::vector<VersionSpan>& spans) {
+  std::string text;
+  for (const VersionSpan& span : spans) {
+    text += std::to_string(span.version.value()) + "@" +
+            std::to_string(span.begin) + "-" + std::to_string(span.end) + ",";
+  }
+  return text;
+}
+
+}  // namespace briarspread::testing
--- /dev/null
+++ b/tests/rollout_model/event_clock.h
@@ -0,0 +1,46 @@
+#ifndef TESTS_ROLLOUT_MODEL_EVENT_CLOCK_H_
+#define TESTS_ROLLOUT_MODEL_EVENT_CLOCK_H_
+
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "briarspread/core/clock.h"
+
+namespace briarspread::testing {
+
+/// A clock that moves from event to event. Not thread-safe.
+class EventClock final : public Clock {
+ public:
+  TimePoint Now() const override { return now_; }
+  WallTime WallNow() const override {
+    return WallTime(std::chrono::duration_cast<WallTime::duration>(
+        now_.time_since_epoch()));
+  }
+
+  /// Runs `action` at `time`, after those already due then.
+  void At(TimePoint time, std::function<void()> action) {
+    events_.emplace(std::max(time, now_), std::move(action));
+  }
+  /// Runs `action` after `delay`.
+  void After(Duration delay, std::function<void()> action) {
+    At(now_ + delay, std::move(action));
+  }
+  /// Moves to the next event and runs it; false where there is none.
+  bool Step() {
+    if (events_.empty()) return false;
+    auto node = events_.extract(events_.begin());
+    now_ = node.key();
+    node.mapped()();
+    return true;
+  }
+
+ private:
+  /// Not zero, so that times before the start can be named.
+  TimePoint now_{std::chrono::hours(1)};
+  std::multimap<TimePoint, std::function<void()>> events_;
+};
+
+}  // namespace briarspread::testing
+
+#endif  // TESTS_ROLLOUT_MODEL_EVENT_CLOCK_H_
--- /dev/null
+++ b/tests/rollout_model/rollout_world.h
@@ -0,0 +1,125 @@
+#ifndef TESTS_ROLLOUT_MODEL_ROLLOUT_WORLD_H_
+#define TESTS_ROLLOUT_MODEL_ROLLOUT_WORLD_H_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "briarspread/core/random_source.h"
+#include "briarspread/rollout/rollout_scheduler.h"
+#include "tests/rollout_model/engine_model.h"
+#include "tests/rollout_model/event_clock.h"
+
+namespace briarspread::testing {
+
+/// One time that engines are lost.
+struct EngineOutage {
+  /// The engines, from the first to one past the last.
+  std::size_t first = 0;
+  std::size_t end = 0;
+  Duration begins{};
+  Duration lasts{};
+};
+
+/// What the world is like.
+struct WorldSettings {
+  std::size_t instances = 1;
+  std::size_t engines = 9;
+  std::size_t slots_per_engine = 32;
+  /// Slots that live callers reserve, over all engines.
+  std::size_t live_reserve = 0;
+  double tokens_per_second = 25;
+  /// Samples have this many tokens, give or take half.
+  std::uint32_t mean_tokens = 500;
+  /// Share of runs that take `straggler_factor` times the length.
+  double straggler_share = 0.02;
+  std::uint32_t straggler_factor = 10;
+  /// Time between versions; zero for no swaps.
+  Duration swap_interval = std::chrono::minutes(3);
+  /// Time from one engine's swap to the next one's.
+  Duration swap_stagger = seconds(3);
+  Duration swap_pause = seconds(4);
+  /// Share of swaps that fail; the next version tries again.
+  double failed_swaps = 0;
+  /// How long load reports lag behind.
+  Duration report_lag = seconds(1);
+  /// Share of runs whose engine omits the version of the last tokens.
+  double unlabelled_runs = 0;
+  /// Share of a lost engine's runs that go on elsewhere from their tokens.
+  double resumed_runs = 0;
+  std::vector<EngineOutage> outages;
+  std::uint64_t seed = 20261204;
+};
+
+/// Engines, instances and weights, moved by one event clock. Deterministic.
+/// Not thread-safe.
+class RolloutWorld {
+ public:
+  RolloutWorld(const WorldSettings& settings,
+               const RolloutSchedulerSettings& scheduler);
+
+  /// Runs events until `done` or until `limit` has passed.
+  void RunUntil(const std::function<bool()>& done, Duration limit);
+
+  EventClock& clock() { return clock_; }
+  RandomSource& random() { return random_; }
+  /// The newest weight version.
+  WeightVersion newest() const { return newest_; }
+  std::size_t instance_count() const { return instances_.size(); }
+  RolloutScheduler& instance(std::size_t i) { return *instances_[i].scheduler; }
+  /// Kills an instance with all that it holds; a new one starts in its place.
+  void Kill(std::size_t i);
+  /// Called after a group became complete.
+  void OnGroupComplete(std::function<void()> action) {
+    group_complete_ = std::move(action);
+  }
+  /// Offers free slots on all engines; call after new work came.
+  void OfferSlots();
+
+ private:
+  /// One start of an instance.
+  struct Instance {
+    std::unique_ptr<RolloutScheduler> scheduler;
+    std::uint64_t incarnation = 0;
+  };
+  /// The default rule for each trainer.
+  class DefaultRules final : public TrainerRules {
+   public:
+    TrainerRule RuleOf(const TrainerId& trainer) const override {
+      TrainerRule rule;
+      rule.trainer = trainer;
+      return rule;
+    }
+  };
+
+  void Tick();
+  void ReleaseVersion();
+  void SwapEngine(std::size_t i, WeightVersion version);
+  void BeginOutage(const EngineOutage& outage);
+  void OfferSlotsOf(EngineModel& engine);
+  void StartRun(EngineModel& engine, std::size_t instance,
+                const SampleRun& run);
+  void Place(EngineModel& engine, EngineRun run);
+  void SetTimer(EngineModel& engine, std::uint64_t key);
+  void EndRun(EngineModel& engine, std::uint64_t key, std::uint64_t timer);
+  void NoteProgress();
+  void CancelRuns();
+  bool TryResume(const EngineRun& run);
+  RolloutScheduler* OwnerOf(const EngineRun& run);
+  std::uint32_t DrawLength();
+
+  const WorldSettings settings_;
+  const RolloutSchedulerSettings scheduler_settings_;
+  EventClock clock_;
+  const TimePoint start_;
+  SeededRandom random_;
+  DefaultRules rules_;
+  std::vector<std::unique_ptr<EngineModel>> engines_;
+  std::vector<Instance> instances_;
+  WeightVersion newest_{1};
+  std::function<void()> group_complete_ = [] {};
+};
+
+}  // namespace briarspread::testing
+
+#endif  // TESTS_ROLLOUT_MODEL_ROLLOUT_WORLD_H_
--- /dev/null
+++ b/tests/rollout_model/trainer_model.cc
@@ -0,0 +1,182 @@
+#include "tests/rollout_model/trainer_model.h"
+
+#include <algorithm>
+
+namespace briarspread::testing {
+namespace {
+
+constexpr seconds kPullInterval{1};
+
+}  // namespace
+
+TrainerModel::TrainerModel(const TrainerModelSettings& settings,
+                           RolloutWorld& world)
+    : settings_(settings), world_(world) {}
+
+StepSpec TrainerModel::Spec() const {
+  StepSpec spec;
+  spec.model = ModelName("rollout");
+  spec.samples_per_group = settings_.samples_per_group;
+  spec.staleness_bound = settings_.staleness_bound;
+  for (std::uint32_t i = 0; i < settings_.groups; ++i) {
+    spec.groups.push_back({GroupId(i), "prompt " + std::to_string(i)});
+  }
+  return spec;
+}
+
+void TrainerModel::Start() { OpenStep(); }
+
+void TrainerModel::Announce(std::size_t instance, std::uint64_t step) {
+  const auto cursor = world_.instance(instance).SubmitStep(
+      settings_.id, StepNumber(step), Spec());
+  if (IsOk(cursor) && step == step_) opening_cursor_ = ValueOf(cursor);
+}
+
+void TrainerModel::OpenStep() {
+  ++step_;
+  if (step_ == settings_.warm_up_steps + 1) {
+    measured_since_ = world_.clock().Now();
+  }
+  for (std::uint64_t i = 0; i <= settings_.steps_ahead; ++i) {
+    Announce(current_, step_ + i);
+  }
+  cursor_ = opening_cursor_;
+  came_.assign(settings_.groups, 0);
+  Save();
+  opened_ = world_.clock().Now();
+  is_waiting_ = true;
+  world_.OfferSlots();
+  Pull();
+  PollLater(step_);
+}
+
+void TrainerModel::PollLater(std::uint64_t step) {
+  world_.clock().After(kPullInterval, [this, step] {
+    if (step != step_ || !is_waiting_) return;
+    Pull();
+    PollLater(step);
+  });
+}
+
+void TrainerModel::PullIfWaiting() {
+  if (is_waiting_) Pull();
+}
+
+bool TrainerModel::MeetsFault(double share) {
+  return share > 0 && world_.random().Fraction() < share;
+}
+
+void TrainerModel::KillCurrent() {
+  world_.Kill(current_);
+  current_ = (current_ + 1) % world_.instance_count();
+  ++report_.kills;
+}
+
+void TrainerModel::Save() {
+  saved_cursor_ = cursor_;
+  saved_came_ = came_;
+}
+
+void TrainerModel::Restore() {
+  cursor_ = saved_cursor_;
+  came_ = saved_came_;
+}
+
+Result<Batch> TrainerModel::Ask(std::size_t instance) {
+  const std::string& cursor =
+      settings_.protections.sends_cursor ? cursor_ : opening_cursor_;
+  RolloutScheduler& scheduler = world_.instance(instance);
+  auto batch = scheduler.NextBatch(settings_.id, cursor, world_.newest());
+  if (IsOk(batch) || ErrorOf(batch).code != ErrorCode::kNotFound ||
+      !settings_.protections.posts_step_again) {
+    return batch;
+  }
+  for (std::uint64_t i = 0; i <= settings_.steps_ahead; ++i) {
+    Announce(instance, step_ + i);
+  }
+  return scheduler.NextBatch(settings_.id, cursor, world_.newest());
+}
+
+void TrainerModel::Pull() {
+  const PullFaults& faults = settings_.faults;
+  auto asked = Ask(current_);
+  if (!IsOk(asked)) return;
+  if (MeetsFault(faults.asked_twice)) {
+    const std::size_t other = (current_ + 1) % world_.instance_count();
+    auto second = Ask(other);
+    if (IsOk(second)) asked = std::move(second);
+  }
+  const Batch& batch = ValueOf(asked);
+  if (batch.groups.empty() && !batch.is_whole) return;
+  if (MeetsFault(faults.killed_before_reply)) return KillCurrent();
+  const std::string next = world_.instance(current_).Format(batch.next);
+  const bool dies = MeetsFault(faults.killed_in_reply);
+  if (dies || MeetsFault(faults.reply_lost)) {
+    ++report_.lost_replies;
+    if (!settings_.protections.keeps_cursor_with_batch) cursor_ = next;
+    if (dies) KillCurrent();
+    return;
+  }
+  Save();
+  cursor_ = next;
+  Take(batch);
+  if (MeetsFault(faults.killed_after_reply)) KillCurrent();
+  if (MeetsFault(faults.trainer_restored)) return Restore();
+  const bool is_whole =
+      settings_.protections.sends_cursor
+          ? batch.is_whole
+          : std::find(came_.begin(), came_.end(), 0U) == came_.end();
+  if (is_whole) EndStep();
+}
+
+void TrainerModel::Take(const Batch& batch) {
+  for (const DeliveredGroup& group : batch.groups) {
+    ++came_[group.id.value()];
+    for (const FinishedSample& sample : group.samples) TakeSample(sample);
+  }
+}
+
+void TrainerModel::TakeSample(const FinishedSample& sample) {
+  ++report_.samples;
+  if (sample.text != FormatTruth(sample.versions)) ++report_.mislabelled;
+  if (sample.versions.empty()) return;
+  const std::uint64_t staleness =
+      StalenessOf(OldestVersion(sample.versions), world_.newest());
+  if (staleness > settings_.staleness_bound) ++report_.over_age;
+  if (step_ > settings_.warm_up_steps) report_.staleness.Add(staleness);
+}
+
+void TrainerModel::EndStep() {
+  is_waiting_ = false;
+  const Duration waited = world_.clock().Now() - opened_;
+  for (const std::uint32_t times : came_) {
+    const std::uint64_t samples = settings_.samples_per_group;
+    if (times == 0) report_.lost += samples;
+    if (times > 1) report_.doubled += (times - 1) * samples;
+  }
+  ++report_.steps;
+  if (step_ > settings_.warm_up_steps) {
+    report_.idle += waited;
+    report_.step_times.push_back(waited);
+  }
+  const double spread = 0.9 + 0.2 * world_.random().Fraction();
+  const auto compute = Duration(static_cast<Duration::rep>(
+      spread * static_cast<double>(settings_.compute.count())));
+  world_.clock().After(compute, [this] { OpenStep(); });
+}
+
+TrainerModelReport TrainerModel::Report(bool open_step_is_lost) const {
+  TrainerModelReport report = report_;
+  if (step_ > settings_.warm_up_steps) {
+    report.measured = world_.clock().Now() - measured_since_;
+    if (is_waiting_) report.idle += world_.clock().Now() - opened_;
+  }
+  if (open_step_is_lost && is_waiting_) {
+    report.lost +=
+        static_cast<std::uint64_t>(std::count(came_.begin(), came_.end(), 0U)) *
+        settings_.samples_per_group;
+  }
+  return report;
+}
+
+}  // namespace briarspread::testing
