Rollout: due work by deadline over all trainers, groups handed over count as arrived

(1) Groups handed over in a step's last batch were run again at each version while the trainer computed, since it does not pull then. (2) Each trainer's lead was reckoned on a third of the slots. Change: a reply's groups count as arrived until a cursor says otherwise; work is due where all work needed by a time fills the time left, over all trainers.

--- a/briarspread/rollout/rollout_scheduler.cc
+++ b/briarspread/rollout/rollout_scheduler.cc
@@ -23,7 +23,8 @@
       rules_(rules),
       clock_(clock),
       share_(settings.share),
-      stragglers_(settings.stragglers) {}
+      stragglers_(settings.stragglers),
+      lead_(settings.lead) {}
 
 std::uint64_t RolloutScheduler::RuleBound(const TrainerId& trainer) const {
   return rules_.RuleOf(trainer).staleness.value_or(
@@ -94,30 +95,65 @@
   return std::nullopt;
 }
 
+std::vector<StepDemand> RolloutScheduler::DueDemands(std::size_t slots) const {
+  const double total_weight = TotalWeight();
+  const auto all_slots = static_cast<double>(slots);
+  std::vector<StepDemand> demands;
+  for (const auto& [id, entry] : trainers_) {
+    const double share = rules_.RuleOf(id).weight / total_weight;
+    entry.rollout.AppendDemands(all_slots * share, demands);
+  }
+  std::stable_sort(demands.begin(), demands.end(),
+                   [](const StepDemand& a, const StepDemand& b) {
+                     return a.until_need < b.until_need;
+                   });
+  // All work that is needed by a time must fit before it. Where it fills that
+  // time, with the policy's margin, every part of it is due.
+  std::size_t due = 0;
+  double work = 0;
+  for (std::size_t i = 0; i < demands.size(); ++i) {
+    work += static_cast<double>(demands[i].work.count());
+    const Duration takes(static_cast<Duration::rep>(work / all_slots));
+    if (lead_.StartsNow(demands[i].until_need, takes + demands[i].tail)) {
+      due = i + 1;
+    }
+  }
+  demands.resize(due);
+  return demands;
+}
+
 std::optional<SampleRun> RolloutScheduler::StartPending(
     const SlotOffer& offer) {
-  const double total_weight = TotalWeight();
   std::vector<ShareClaim> claims;
-  std::vector<std::pair<TrainerId, StepNumber>> steps;
-  for (auto& [id, entry] : trainers_) {
-    const TrainerRule rule = rules_.RuleOf(id);
-    const double slots =
-        static_cast<double>(offer.slots) * rule.weight / total_weight;
-    const auto step =
-        entry.rollout.NextStep(slots, RuleBound(id), offer.served);
-    if (!step.has_value()) continue;
-    claims.push_back({rule.weight, entry.running, step->work, step->until_need,
-                      step->submitted, entry.last_served});
-    steps.emplace_back(id, step->step);
+  std::vector<StepDemand> claimed;
+  std::map<TrainerId, Duration> work;
+  for (const StepDemand& demand : DueDemands(offer.slots)) {
+    Duration& trainer_work = work[demand.trainer];
+    trainer_work += demand.work;
+    const bool has_claim = std::any_of(claimed.begin(), claimed.end(),
+                                       [&demand](const StepDemand& other) {
+                                         return other.trainer == demand.trainer;
+                                       });
+    if (!demand.has_pending || has_claim) continue;
+    TrainerEntry& entry = trainers_.at(demand.trainer);
+    if (!entry.rollout.IsWorthStarting(demand, RuleBound(demand.trainer),
+                                       offer.served)) {
+      continue;
+    }
+    claims.push_back({rules_.RuleOf(demand.trainer).weight, entry.running,
+                      trainer_work, demand.until_need, demand.submitted,
+                      entry.last_served});
+    claimed.push_back(demand);
   }
   const auto chosen = share_.Choose(claims, offer.slots);
   if (!chosen.has_value()) return std::nullopt;
-  const auto& [id, step] = steps[*chosen];
-  TrainerEntry& entry = trainers_.at(id);
-  const auto place = entry.rollout.Find(step)->StartNext();
+  const StepDemand& demand = claimed[*chosen];
+  TrainerEntry& entry = trainers_.at(demand.trainer);
+  const auto place = entry.rollout.Find(demand.step)->StartNext();
   assert(place.has_value());
   entry.last_served = clock_.Now();
-  return AddRun(entry, Run{id, step, *place, clock_.Now(), {}});
+  return AddRun(entry,
+                Run{demand.trainer, demand.step, *place, clock_.Now(), {}});
 }
 
 SampleRun RolloutScheduler::AddRun(TrainerEntry& entry, const Run& run) {
--- a/briarspread/rollout/rollout_scheduler.h
+++ b/briarspread/rollout/rollout_scheduler.h
@@ -12,6 +12,7 @@
 #include "briarspread/core/ids.h"
 #include "briarspread/core/result.h"
 #include "briarspread/rollout/cursor.h"
+#include "briarspread/rollout/lead_policy.h"
 #include "briarspread/rollout/sample.h"
 #include "briarspread/rollout/straggler_policy.h"
 #include "briarspread/rollout/trainer_rollout.h"
@@ -25,6 +26,7 @@
   TrainerRolloutSettings trainer;
   TrainerShareSettings share;
   StragglerSettings stragglers;
+  LeadSettings lead;
   /// Trainers known at once; bounds memory.
   std::size_t max_trainers = 64;
   /// How often runs are looked through for stragglers and stale work.
@@ -174,6 +176,8 @@
   void CancelOthers(const Run& finished);
   std::optional<SampleRun> StartHedge(const SlotOffer& offer);
   std::optional<SampleRun> StartPending(const SlotOffer& offer);
+  /// The demands that are to be worked on now, in the order of need.
+  std::vector<StepDemand> DueDemands(std::size_t slots) const;
   SampleRun AddRun(TrainerEntry& entry, const Run& run);
   void Forget(std::map<RunId, Run>::iterator it);
 
@@ -183,6 +187,7 @@
   const Clock& clock_;
   const TrainerShare share_;
   const StragglerPolicy stragglers_;
+  const LeadPolicy lead_;
   std::map<TrainerId, TrainerEntry> trainers_;
   std::map<RunId, Run> runs_;
   std::uint64_t last_run_ = 0;
--- a/briarspread/rollout/staleness_policy.h
+++ b/briarspread/rollout/staleness_policy.h
@@ -35,11 +35,10 @@
   bool MayDeliver(WeightVersion oldest, WeightVersion newest,
                   std::uint64_t bound) const;
 
-  /// Whether work with `oldest` so far is worth `left` more time, while
-  /// versions change every `version_interval` (zero: not known to change).
+  /// Whether work with `oldest` so far is worth going on with, where `changes`
+  /// further versions are expected before its hand-over.
   bool IsWorthRunning(WeightVersion oldest, WeightVersion newest,
-                      std::uint64_t bound, Duration left,
-                      Duration version_interval) const;
+                      std::uint64_t bound, std::uint64_t changes) const;
 
  private:
   const StalenessSettings settings_;
--- a/briarspread/rollout/trainer_pace.cc
+++ b/briarspread/rollout/trainer_pace.cc
@@ -27,10 +27,13 @@
   version_since_ = now;
 }
 
-Duration TrainerPace::VersionInterval(TimePoint now) const {
-  const Duration mean = version_intervals_.Mean();
-  if (mean == Duration::zero()) return mean;
-  return std::max(mean, now - *version_since_);
+std::uint64_t TrainerPace::ChangesWithin(Duration time, TimePoint now) const {
+  const Duration interval = version_intervals_.Mean();
+  if (interval == Duration::zero()) return 0;
+  const Duration since = now - *version_since_;
+  const Duration next = since < interval ? interval - since : since - interval;
+  if (time <= next) return 0;
+  return 1 + static_cast<std::uint64_t>((time - next) / interval);
 }
 
 TimePoint TrainerPace::NeedTime(StepNumber step, TimePoint now,
--- a/briarspread/rollout/trainer_pace.h
+++ b/briarspread/rollout/trainer_pace.h
@@ -21,10 +21,10 @@
 
   /// The newest version told.
   WeightVersion newest() const { return newest_; }
-  /// Expected time between versions; zero where not known. It grows while no
-  /// version comes, so that work held back for the next one does start when
-  /// versions have stopped.
-  Duration VersionInterval(TimePoint now) const;
+  /// How many versions are expected to come within `time` from `now`. A version
+  /// that is overdue is expected after as long again, so that work held back
+  /// for it does start when versions have stopped.
+  std::uint64_t ChangesWithin(Duration time, TimePoint now) const;
   /// The step that the trainer last pulled from; empty before the first pull.
   std::optional<StepNumber> open_step() const { return open_step_; }
   /// When the trainer is expected to pull from `step`, at the earliest `now`.
--- a/briarspread/rollout/trainer_rollout.cc
+++ b/briarspread/rollout/trainer_rollout.cc
@@ -23,8 +23,7 @@
     : settings_(settings),
       trainer_(std::move(trainer)),
       clock_(clock),
-      staleness_(settings.staleness),
-      lead_(settings.lead) {}
+      staleness_(settings.staleness) {}
 
 std::uint64_t TrainerRollout::BoundOf(const StepSpec& spec,
                                       std::uint64_t rule_bound) {
@@ -67,40 +66,36 @@
   return durations_.Mean() * static_cast<Duration::rep>(ledger.RemainingRuns());
 }
 
-Duration TrainerRollout::UntilNeed(StepNumber step, Duration open_left) const {
+void TrainerRollout::AppendDemands(double slots,
+                                   std::vector<StepDemand>& demands) const {
   const TimePoint now = clock_.Now();
-  return pace_.NeedTime(step, now, open_left) - now;
-}
-
-std::optional<StartableStep> TrainerRollout::NextStep(
-    double slots, std::uint64_t rule_bound, const ServedVersions* served) {
   const Duration tail = durations_.Quantile(kTailQuantile);
-  Duration work{};
   Duration open_left{};
   for (const auto& [step, ledger] : steps_) {
-    work += WorkOf(ledger);
+    if (ledger.RemainingRuns() == 0) continue;
+    const Duration work = WorkOf(ledger);
     if (step <= pace_.open_step().value_or(step)) {
-      open_left = DividedBy(work, slots);
-    }
-    if (!ledger.HasPending()) continue;
-    const Duration until_need = UntilNeed(step, open_left);
-    if (!lead_.StartsNow(until_need, DividedBy(work, slots) + tail)) {
-      return std::nullopt;
-    }
-    const Duration until_delivered = std::max(durations_.Mean(), until_need);
-    const auto version = served == nullptr
-                             ? std::nullopt
-                             : served->NewestServed(ledger.spec().model);
-    if (version.has_value() &&
-        !staleness_.IsWorthRunning(
-            *version, pace_.newest(), BoundOf(ledger.spec(), rule_bound),
-            until_delivered, pace_.VersionInterval(clock_.Now()))) {
-      ++stats_.not_started_stale;
-      return std::nullopt;
+      open_left += DividedBy(work, slots);
     }
-    return StartableStep{step, work, until_need, ledger.submitted()};
+    demands.push_back({trainer_, step, work,
+                       pace_.NeedTime(step, now, open_left) - now, tail,
+                       ledger.submitted(), ledger.HasPending()});
   }
-  return std::nullopt;
+}
+
+bool TrainerRollout::IsWorthStarting(const StepDemand& demand,
+                                     std::uint64_t rule_bound,
+                                     const ServedVersions* served) {
+  if (served == nullptr) return true;
+  const StepSpec& spec = steps_.at(demand.step).spec();
+  const auto version = served->NewestServed(spec.model);
+  if (!version.has_value()) return true;
+  const Duration wait = std::max(durations_.Mean(), demand.until_need);
+  const bool is_worth = staleness_.IsWorthRunning(
+      *version, pace_.newest(), BoundOf(spec, rule_bound),
+      pace_.ChangesWithin(wait, clock_.Now()));
+  if (!is_worth) ++stats_.not_started_stale;
+  return is_worth;
 }
 
 bool TrainerRollout::IsWorthRunning(StepNumber step, WeightVersion oldest,
@@ -110,8 +105,8 @@
   if (it == steps_.end()) return false;
   const Duration left = std::max(durations_.Mean() - elapsed, Duration::zero());
   return staleness_.IsWorthRunning(oldest, pace_.newest(),
-                                   BoundOf(it->second.spec(), rule_bound), left,
-                                   pace_.VersionInterval(clock_.Now()));
+                                   BoundOf(it->second.spec(), rule_bound),
+                                   pace_.ChangesWithin(left, clock_.Now()));
 }
 
 std::optional<Error> TrainerRollout::Check(const Cursor& cursor) const {
@@ -152,6 +147,9 @@
     AddToBatch(group, ledger, batch);
   }
   if (!batch.groups.empty()) ++batch.next.batch;
+  // Taken as arrived until a cursor says otherwise, so that a trainer that
+  // computes on its step is not given fresh samples of it for nothing.
+  ledger.NoteDelivered(batch.next.delivered);
   const auto& arrived = batch.next.delivered;
   batch.is_whole =
       std::find(arrived.begin(), arrived.end(), false) == arrived.end();
--- a/briarspread/rollout/trainer_rollout.h
+++ b/briarspread/rollout/trainer_rollout.h
@@ -10,7 +10,6 @@
 #include "briarspread/core/result.h"
 #include "briarspread/rollout/cursor.h"
 #include "briarspread/rollout/duration_window.h"
-#include "briarspread/rollout/lead_policy.h"
 #include "briarspread/rollout/staleness_policy.h"
 #include "briarspread/rollout/step_ledger.h"
 #include "briarspread/rollout/trainer_pace.h"
@@ -22,7 +21,6 @@
 struct TrainerRolloutSettings {
   StepLedgerSettings ledger;
   StalenessSettings staleness;
-  LeadSettings lead;
   /// Steps kept at once; bounds memory.
   std::size_t max_steps = 8;
   /// The most samples in one batch; a group is never split.
@@ -47,15 +45,20 @@
   bool is_whole = false;
 };
 
-/// A step of a trainer whose work may start.
-struct StartableStep {
+/// What one step of a trainer still asks of the engines.
+struct StepDemand {
+  TrainerId trainer;
   StepNumber step;
-  /// Engine time that the steps up to this one still take, over all samples.
+  /// Engine time that it still takes, over all samples.
   Duration work{};
   /// Time until the trainer needs it.
   Duration until_need{};
+  /// Time that the last of its samples take.
+  Duration tail{};
   /// When it was submitted.
   TimePoint submitted{};
+  /// Whether some sample waits to be run.
+  bool has_pending = false;
 };
 
 /// Tells which weights an offered slot would sample with.
@@ -82,10 +85,13 @@
   /// The step's ledger, or null where it is not known.
   StepLedger* Find(StepNumber step);
 
-  /// The first step whose work may start now, where the trainer can count on
-  /// `slots` slots and engines serve `served`, which may be null.
-  std::optional<StartableStep> NextStep(double slots, std::uint64_t rule_bound,
-                                        const ServedVersions* served);
+  /// Appends what the steps still ask for, in the order of need, where the
+  /// trainer can count on `slots` slots.
+  void AppendDemands(double slots, std::vector<StepDemand>& demands) const;
+  /// Whether work on `demand` that starts now on engines that serve `served`
+  /// (may be null) would be fresh enough when the trainer needs it.
+  bool IsWorthStarting(const StepDemand& demand, std::uint64_t rule_bound,
+                       const ServedVersions* served);
   /// Whether a run with `oldest` so far is still worth its time.
   bool IsWorthRunning(StepNumber step, WeightVersion oldest, Duration elapsed,
                       std::uint64_t rule_bound) const;
@@ -116,7 +122,6 @@
 
  private:
   Duration WorkOf(const StepLedger& ledger) const;
-  Duration UntilNeed(StepNumber step, Duration open_left) const;
   std::optional<Error> Check(const Cursor& cursor) const;
   void DropStepsBefore(StepNumber step);
   void AddToBatch(std::size_t group, const StepLedger& ledger, Batch& batch);
@@ -125,7 +130,6 @@
   const TrainerId trainer_;
   const Clock& clock_;
   const StalenessPolicy staleness_;
-  const LeadPolicy lead_;
   std::map<StepNumber, StepLedger> steps_;
   TrainerPace pace_;
   /// Durations of finished runs.
