Rollout: samples that will be too old at the trainer's need are run again ahead of it

Cause: steps that were complete waited 30 to 110 s at their opening, since a trainer that computes tells no version and its samples turned out too old only at hand-over. Change: versions that engines report count as told; at each new version samples that are expected to be too old at the need are run again. Lead without a factor.

--- a/bench/rollout_bench/scenarios.cc
+++ b/bench/rollout_bench/scenarios.cc
@@ -106,7 +106,7 @@
 
 Policy Ours(double staleness_weight) {
   Policy policy{"briarspread", {}};
-  policy.settings.trainer.lead.staleness_weight = staleness_weight;
+  policy.settings.lead.staleness_weight = staleness_weight;
   return policy;
 }
 
--- a/briarspread/rollout/lead_policy.h
+++ b/briarspread/rollout/lead_policy.h
@@ -12,7 +12,7 @@
   /// last moment that its estimates allow.
   double staleness_weight = 0.5;
   /// Factor on the expected work time, for errors of the estimate.
-  double safety = 1.25;
+  double safety = 1.0;
 };
 
 /// Decides how far ahead of a trainer's need the work on a step starts.
--- a/briarspread/rollout/rollout_scheduler.cc
+++ b/briarspread/rollout/rollout_scheduler.cc
@@ -66,11 +66,20 @@
 
 std::optional<SampleRun> RolloutScheduler::NextRun(const SlotOffer& offer) {
   Review();
+  NoteServed(offer);
   if (runs_.size() >= offer.slots) return std::nullopt;
   auto hedge = StartHedge(offer);
   return hedge.has_value() ? hedge : StartPending(offer);
 }
 
+void RolloutScheduler::NoteServed(const SlotOffer& offer) {
+  if (offer.served == nullptr || clock_.Now() < next_served_check_) return;
+  next_served_check_ = clock_.Now() + settings_.review_interval;
+  for (auto& [id, entry] : trainers_) {
+    entry.rollout.OnServed(*offer.served, RuleBound(id));
+  }
+}
+
 std::optional<SampleRun> RolloutScheduler::StartHedge(const SlotOffer& offer) {
   for (auto it = slow_runs_.begin(); it != slow_runs_.end(); ++it) {
     const auto found = runs_.find(*it);
--- a/briarspread/rollout/rollout_scheduler.h
+++ b/briarspread/rollout/rollout_scheduler.h
@@ -170,7 +170,9 @@
 
   std::uint64_t RuleBound(const TrainerId& trainer) const;
   double TotalWeight() const;
+  /// Looks through all runs, once in each interval.
   void Review();
+  void NoteServed(const SlotOffer& offer);
   bool IsToBeCut(Run& run);
   void Cancel(RunId id, Run& run);
   void CancelOthers(const Run& finished);
@@ -195,6 +197,7 @@
   std::vector<RunId> slow_runs_;
   std::vector<RunId> to_cancel_;
   TimePoint next_review_{};
+  TimePoint next_served_check_{};
 };
 
 }  // namespace briarspread
--- a/briarspread/rollout/trainer_rollout.cc
+++ b/briarspread/rollout/trainer_rollout.cc
@@ -10,6 +10,8 @@
 /// A slow run's usual duration, for the end of a step.
 constexpr double kTailQuantile = 0.9;
 constexpr milliseconds kRetryAfterFull{1000};
+/// A need is expected late by at most this part of the time until it.
+constexpr int kNeedMargin = 10;
 
 Duration DividedBy(Duration work, double slots) {
   return Duration(static_cast<Duration::rep>(static_cast<double>(work.count()) /
@@ -170,15 +172,36 @@
   batch.next.delivered[group] = true;
 }
 
+void TrainerRollout::OnServed(const ServedVersions& served,
+                              std::uint64_t rule_bound) {
+  for (const auto& [step, ledger] : steps_) {
+    const auto version = served.NewestServed(ledger.spec().model);
+    if (version.has_value()) OnVersion(*version, rule_bound);
+  }
+}
+
+WeightVersion TrainerRollout::NewestAtNeed(StepNumber step,
+                                           std::uint64_t bound) const {
+  if (!settings_.staleness.cuts_early) return pace_.newest();
+  const TimePoint now = clock_.Now();
+  const Duration until_need = pace_.NeedTime(step, now, {}) - now;
+  const std::uint64_t changes =
+      pace_.ChangesWithin(until_need + until_need / kNeedMargin, now);
+  // Where even a sample made now would be too old, nothing is gained by it.
+  if (changes > bound) return pace_.newest();
+  return WeightVersion(pace_.newest().value() + changes);
+}
+
 void TrainerRollout::OnVersion(WeightVersion newest, std::uint64_t rule_bound) {
   if (newest <= pace_.newest()) return;
   pace_.OnVersion(newest, clock_.Now());
   for (auto& [step, ledger] : steps_) {
     const std::uint64_t bound = BoundOf(ledger.spec(), rule_bound);
+    const WeightVersion at_need = NewestAtNeed(step, bound);
     for (std::size_t group = 0; group < ledger.spec().groups.size(); ++group) {
       if (ledger.IsDelivered(group)) continue;
       stats_.dropped_stale_tokens +=
-          ledger.DropStale(group, staleness_, pace_.newest(), bound);
+          ledger.DropStale(group, staleness_, at_need, bound);
     }
   }
 }
--- a/briarspread/rollout/trainer_rollout.h
+++ b/briarspread/rollout/trainer_rollout.h
@@ -100,9 +100,12 @@
   /// step is not known here, `kConflict` where its body is another.
   Result<Batch> Pull(const Cursor& cursor, WeightVersion newest,
                      std::uint64_t rule_bound);
-  /// The trainer told its newest version. Samples that are now too old are
-  /// dropped and run again.
+  /// Learns of a version. Samples that are too old now, or are expected to be
+  /// when the trainer needs them, are dropped and run again.
   void OnVersion(WeightVersion newest, std::uint64_t rule_bound);
+  /// Learns of versions that engines report: a trainer that computes tells
+  /// nothing, yet its samples age.
+  void OnServed(const ServedVersions& served, std::uint64_t rule_bound);
   /// Takes a finished run's sample.
   FinishOutcome Finish(StepNumber step, const SamplePlace& place,
                        FinishedSample sample, Duration duration,
@@ -122,6 +125,7 @@
 
  private:
   Duration WorkOf(const StepLedger& ledger) const;
+  WeightVersion NewestAtNeed(StepNumber step, std::uint64_t bound) const;
   std::optional<Error> Check(const Cursor& cursor) const;
   void DropStepsBefore(StepNumber step);
   void AddToBatch(std::size_t group, const StepLedger& ledger, Batch& batch);
