Rollout proof run, decision cost, trainer client tests

Change: rollout_bench modes table, curve, proof and cost; the proof run and each protection switched off are test cases too; the step tables count batches. Without the cursor, the cursor kept with its batch, posting again, the staleness check or the label check it fails in the matching count.

--- a/bench/rollout_bench/main.cc
+++ b/bench/rollout_bench/main.cc
@@ -7,11 +7,14 @@
 #include <iostream>
 #include <thread>
 
+#include "bench/rollout_bench/cost.h"
 #include "bench/rollout_bench/report.h"
+#include "tests/rollout_model/proof.h"
 
-DEFINE_string(mode, "table", "table, curve or proof");
+DEFINE_string(mode, "table", "table, curve, proof or cost");
 DEFINE_uint64(seed, 20261204, "seed of the random numbers");
 DEFINE_uint64(samples, 100000, "samples of the proof run");
+DEFINE_string(without, "", "protection to switch off in the proof run");
 DEFINE_string(json, "", "file for the report as JSON (table, proof)");
 DEFINE_string(csv, "", "file for the curve as CSV");
 DEFINE_string(svg, "", "file for the curve's plot");
@@ -36,6 +39,8 @@
     Deployment faulty = deployment;
     AddFaults(faulty);
     std::vector<Policy> policies = {Ours(LeadSettings{}.staleness_weight)};
+    policies.push_back(Ours(1));
+    policies.back().name = "ours, fresh";
     for (Policy& policy : Baselines()) policies.push_back(std::move(policy));
     for (const Policy& policy : policies) {
       outcomes.push_back(Run(deployment, policy, "swaps"));
@@ -65,19 +70,48 @@
   return 0;
 }
 
-bool IsBroken(const testing::TrainerModelReport& report) {
-  return report.lost + report.doubled + report.mislabelled + report.over_age >
-         0;
+/// Switches the named protection off; false where there is none.
+bool SwitchOff(const std::string& name, testing::ProofSettings& settings) {
+  if (name.empty()) return true;
+  if (name == "cursor") settings.protections.sends_cursor = false;
+  if (name == "cursor-with-batch") {
+    settings.protections.keeps_cursor_with_batch = false;
+  }
+  if (name == "post-again") settings.protections.posts_step_again = false;
+  if (name == "staleness") settings.enforces_staleness = false;
+  if (name == "versions") settings.requires_versions = false;
+  return name == "cursor" || name == "cursor-with-batch" ||
+         name == "post-again" || name == "staleness" || name == "versions";
 }
 
 int PrintProof() {
-  ProofSettings settings;
+  testing::ProofSettings settings;
   settings.samples = FLAGS_samples;
   settings.seed = FLAGS_seed;
-  const auto report = RunProof(settings);
+  if (!SwitchOff(FLAGS_without, settings)) {
+    std::cerr << "rollout_bench: --without: found '" << FLAGS_without
+              << "', allowed: cursor, cursor-with-batch, post-again, "
+                 "staleness, versions\n";
+    return 2;
+  }
+  const auto report = testing::RunProof(settings);
   std::cout << ToText(report);
   Write(FLAGS_json, ToJson(report, FLAGS_seed));
-  return IsBroken(report) ? 1 : 0;
+  return testing::IsBroken(report) ? 1 : 0;
+}
+
+int PrintCost() {
+  for (const std::uint32_t trainers : {1U, 3U, 9U}) {
+    for (const std::uint32_t groups : {128U, 1024U}) {
+      const DecisionCost cost = MeasureCost(trainers, groups, 8);
+      std::cout << "trainers " << cost.trainers << ", samples a step "
+                << cost.samples_per_step << ": us a run " << cost.run_us
+                << ", us a pull " << cost.pull_us << ", us a cursor "
+                << cost.cursor_us << ", bytes of a cursor " << cost.cursor_bytes
+                << "\n";
+    }
+  }
+  return 0;
 }
 
 int RunMode() {
@@ -86,8 +120,9 @@
   if (FLAGS_mode == "table") return PrintTable();
   if (FLAGS_mode == "curve") return PrintCurve();
   if (FLAGS_mode == "proof") return PrintProof();
+  if (FLAGS_mode == "cost") return PrintCost();
   std::cerr << "rollout_bench: --mode: found '" << FLAGS_mode
-            << "', allowed: table, curve, proof\n";
+            << "', allowed: table, curve, proof, cost\n";
   return 2;
 }
 
--- a/bench/rollout_bench/report.cc
+++ b/bench/rollout_bench/report.cc
@@ -30,6 +30,7 @@
           {"step_seconds_mean", outcome.step_seconds_mean},
           {"wasted_token_share", outcome.wasted_share},
           {"steps", outcome.steps},
+          {"batches_per_step", outcome.batches_per_step},
           {"broken_promises", outcome.broken_promises}};
 }
 
@@ -51,12 +52,12 @@
 };
 
 const std::vector<Series>& AllSeries() {
-  static const std::vector<Series> kSeries = {
+  static const std::vector<Series> all = {
       {"worst idle share", "#c0392b", "%",
        [](const Outcome& o) { return o.worst_idle_share * kPercent; }},
       {"mean staleness", "#2060a0", "versions",
        [](const Outcome& o) { return o.staleness_mean; }}};
-  return kSeries;
+  return all;
 }
 
 void DrawSeries(std::ostringstream& svg, const std::vector<CurvePoint>& curve,
@@ -99,7 +100,7 @@
   std::ostringstream out;
   out << std::fixed
       << "deployment  faults  policy          idle %  worst %  stale mean  "
-         "p95  step s  wasted %  steps  broken\n";
+         "p95  step s  wasted %  steps  batches  broken\n";
   for (const Outcome& o : outcomes) {
     out << std::left << std::setw(12) << o.deployment << std::setw(8)
         << o.faults << std::setw(14) << o.policy << std::right
--- a/bench/rollout_bench/scenarios.cc
+++ b/bench/rollout_bench/scenarios.cc
@@ -1,16 +1,16 @@
 #include "bench/rollout_bench/scenarios.h"
 
 #include <algorithm>
-#include <memory>
 #include <numeric>
 
+#include "tests/rollout_model/experiment.h"
+
 namespace briarspread::bench {
 namespace {
 
 using std::chrono::hours;
 using std::chrono::minutes;
-using testing::RolloutWorld;
-using testing::TrainerModel;
+using testing::Experiment;
 using testing::TrainerModelReport;
 using testing::TrainerModelSettings;
 
@@ -28,36 +28,6 @@
   return trainer;
 }
 
-/// One world with its trainers, started.
-class Experiment {
- public:
-  Experiment(const testing::WorldSettings& world,
-             const RolloutSchedulerSettings& scheduler,
-             const std::vector<TrainerModelSettings>& trainers)
-      : world_(world, scheduler) {
-    for (const TrainerModelSettings& trainer : trainers) {
-      trainers_.push_back(std::make_unique<TrainerModel>(trainer, world_));
-    }
-    world_.OnGroupComplete([this] {
-      for (const auto& trainer : trainers_) trainer->PullIfWaiting();
-    });
-    for (const auto& trainer : trainers_) trainer->Start();
-  }
-
-  RolloutWorld& world() { return world_; }
-  std::vector<TrainerModelReport> Reports(bool open_step_is_lost) const {
-    std::vector<TrainerModelReport> reports;
-    for (const auto& trainer : trainers_) {
-      reports.push_back(trainer->Report(open_step_is_lost));
-    }
-    return reports;
-  }
-
- private:
-  RolloutWorld world_;
-  std::vector<std::unique_ptr<TrainerModel>> trainers_;
-};
-
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -105,7 +75,7 @@
 }
 
 Policy Ours(double staleness_weight) {
-  Policy policy{"briarspread", {}};
+  Policy policy{"ours", {}};
   policy.settings.lead.staleness_weight = staleness_weight;
   return policy;
 }
@@ -140,6 +110,7 @@
   double staleness = 0;
   std::uint64_t samples = 0;
   std::uint64_t measured_steps = 0;
+  std::uint64_t batches = 0;
   const auto reports = experiment.Reports(false);
   for (const TrainerModelReport& report : reports) {
     const double idle = report.measured > Duration::zero()
@@ -148,6 +119,7 @@
     outcome.worst_idle_share = std::max(outcome.worst_idle_share, idle);
     outcome.idle_share += idle / static_cast<double>(reports.size());
     outcome.steps += report.steps;
+    batches += report.batches;
     outcome.broken_promises +=
         report.lost + report.doubled + report.mislabelled + report.over_age;
     // The highest of the trainers: each has its own promise.
@@ -159,6 +131,10 @@
     for (const Duration time : report.step_times) step_seconds += Seconds(time);
     measured_steps += report.step_times.size();
   }
+  if (outcome.steps > 0) {
+    outcome.batches_per_step =
+        static_cast<double>(batches) / static_cast<double>(outcome.steps);
+  }
   if (samples > 0) {
     outcome.staleness_mean = staleness / static_cast<double>(samples);
   }
@@ -212,65 +188,4 @@
   return result;
 }
 
-testing::TrainerModelReport RunProof(const ProofSettings& settings) {
-  testing::WorldSettings world;
-  world.instances = 3;
-  world.engines = 9;
-  world.slots_per_engine = 16;
-  world.tokens_per_second = 100;
-  world.mean_tokens = 400;
-  world.swap_interval = seconds(20);
-  world.swap_stagger = milliseconds(700);
-  world.swap_pause = seconds(1);
-  world.failed_swaps = 0.1;
-  world.report_lag = seconds(5);
-  world.unlabelled_runs = 0.02;
-  world.resumed_runs = 0.5;
-  world.seed = settings.seed;
-  for (int i = 0; i < 500; ++i) {
-    const auto engine = static_cast<std::size_t>(i) % world.engines;
-    world.outages.push_back(
-        {engine, engine + 1, seconds(37 * (i + 1)), seconds(30)});
-  }
-  RolloutSchedulerSettings scheduler;
-  scheduler.trainer.staleness.is_enforced = settings.enforces_staleness;
-  scheduler.trainer.ledger.requires_versions = settings.requires_versions;
-  std::vector<TrainerModelSettings> trainers;
-  for (const char* name : {"a", "b", "c"}) {
-    TrainerModelSettings trainer = MakeTrainer(name, 64, seconds(5));
-    trainer.samples_per_group = 8;
-    trainer.staleness_bound = 1;
-    trainer.faults = {0.03, 0.01, 0.01, 0.01, 0.05, 0.01};
-    trainer.protections = settings.protections;
-    trainers.push_back(trainer);
-  }
-  Experiment experiment(world, scheduler, trainers);
-  const auto total = [&experiment] {
-    TrainerModelReport sum;
-    for (const auto& report : experiment.Reports(true)) {
-      sum.steps += report.steps;
-      sum.samples += report.samples;
-      sum.lost += report.lost;
-      sum.doubled += report.doubled;
-      sum.mislabelled += report.mislabelled;
-      sum.over_age += report.over_age;
-      sum.kills += report.kills;
-      sum.lost_replies += report.lost_replies;
-    }
-    return sum;
-  };
-  const std::uint64_t step_samples = 64ULL * 8;
-  const auto is_done = [&] {
-    return total().steps * step_samples >= settings.samples;
-  };
-  experiment.world().RunUntil(is_done, hours(10));
-  TrainerModelReport report = total();
-  if (is_done()) {
-    // Groups still to come are not lost; a run that ran out of time lost them.
-    report.lost = 0;
-    for (const auto& each : experiment.Reports(false)) report.lost += each.lost;
-  }
-  return report;
-}
-
 }  // namespace briarspread::bench
--- a/bench/rollout_bench/scenarios.h
+++ b/bench/rollout_bench/scenarios.h
@@ -36,6 +36,9 @@
   /// Tokens that reached no trainer, as a share of all.
   double wasted_share = 0;
   std::uint64_t steps = 0;
+  /// Batches in which a step reaches its trainer, on average. A ledger in the
+  /// store would take a write for each.
+  double batches_per_step = 0;
   std::uint64_t broken_promises = 0;
 };
 
@@ -67,16 +70,6 @@
 };
 StepTime MeasureStepTime(const Deployment& deployment, std::uint32_t groups);
 
-/// Samples under all faults, checked from the trainers' side.
-struct ProofSettings {
-  std::uint64_t samples = 100'000;
-  std::uint64_t seed = 20261204;
-  testing::TrainerProtections protections;
-  bool enforces_staleness = true;
-  bool requires_versions = true;
-};
-testing::TrainerModelReport RunProof(const ProofSettings& settings);
-
 }  // namespace briarspread::bench
 
 #endif  // BENCH_ROLLOUT_BENCH_SCENARIOS_H_
--- /dev/null
+++ b/tests/client/trainer_client_test.cc
@@ -0,0 +1,99 @@
+#include "briarspread/client/trainer_client.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+
+namespace briarspread {
+namespace {
+
+constexpr char kBody[] = R"({"groups":[{"id":0}]})";
+
+/// Answers calls in the order of a script and keeps what was asked.
+class ScriptedClient final : public UpstreamClient {
+ public:
+  ExchangeOutcome Exchange(const UpstreamRequest& request,
+                           ResponseReceiver* /*receiver*/) override {
+    asked.push_back(std::to_string(request.endpoint.port) + " " +
+                    request.method + " " + request.path);
+    REQUIRE_FALSE(script.empty());
+    ExchangeOutcome outcome = script.front();
+    script.pop_front();
+    return outcome;
+  }
+  void Answer(int status, const std::string& body) {
+    ExchangeOutcome outcome;
+    outcome.stage = ExchangeStage::kEnded;
+    outcome.status = status;
+    outcome.body = body;
+    script.push_back(outcome);
+  }
+  void Break(ExchangeStage stage) {
+    ExchangeOutcome outcome;
+    outcome.stage = stage;
+    outcome.status = 200;
+    outcome.body = R"({"cursor":"cut","groups":[{}]})";
+    script.push_back(outcome);
+  }
+
+  std::deque<ExchangeOutcome> script;
+  std::vector<std::string> asked;
+};
+
+struct Fixture {
+  ScriptedClient http;
+  TrainerClient trainer{
+      TrainerId("lima"), {{"127.0.0.1", 1}, {"127.0.0.1", 2}}, http};
+};
+
+TEST_CASE("The cursor moves only with a whole answer") {
+  Fixture f;
+  f.http.Answer(200, R"({"cursor":"c0"})");
+  REQUIRE(IsOk(f.trainer.PutStep(StepNumber(3), kBody)));
+  f.http.Break(ExchangeStage::kAnswering);
+  f.http.Break(ExchangeStage::kConnecting);
+  REQUIRE_FALSE(IsOk(f.trainer.NextBatch(WeightVersion(5))));
+  REQUIRE(f.trainer.cursor() == "c0");
+  f.http.Answer(200, R"({"cursor":"c1","groups":[{"id":0}],"whole":true})");
+  const auto batch = f.trainer.NextBatch(WeightVersion(5));
+  REQUIRE(f.http.asked.back() ==
+          "1 GET /v1/trainers/lima/batches?cursor=c0&version=5");
+  REQUIRE(ValueOf(batch).is_whole);
+  REQUIRE(ValueOf(batch).cursor == "c1");
+  REQUIRE(f.trainer.cursor() == "c1");
+}
+
+TEST_CASE("Steps are posted again to an instance that does not know them") {
+  Fixture f;
+  f.trainer.Resume(StepNumber(3), kBody, "saved");
+  f.http.Answer(200, R"({"cursor":"c0"})");
+  REQUIRE(IsOk(f.trainer.Announce(StepNumber(4), kBody)));
+  f.http.Break(ExchangeStage::kConnecting);
+  f.http.Answer(404, "{}");
+  f.http.Answer(200, R"({"cursor":"c0"})");
+  f.http.Answer(200, R"({"cursor":"c0"})");
+  f.http.Answer(200, R"({"cursor":"next","groups":[]})");
+  REQUIRE(ValueOf(f.trainer.NextBatch(WeightVersion(5))).empty());
+  REQUIRE(f.http.asked ==
+          std::vector<std::string>{
+              "1 PUT /v1/trainers/lima/steps/4",
+              "1 GET /v1/trainers/lima/batches?cursor=saved&version=5",
+              "2 GET /v1/trainers/lima/batches?cursor=saved&version=5",
+              "2 PUT /v1/trainers/lima/steps/3",
+              "2 PUT /v1/trainers/lima/steps/4",
+              "2 GET /v1/trainers/lima/batches?cursor=saved&version=5"});
+}
+
+TEST_CASE("A refused step or cursor is final and names its reason") {
+  Fixture f;
+  f.http.Answer(400, R"({"error":{"message":"groups: allowed"}})");
+  const Status refused = f.trainer.PutStep(StepNumber(3), kBody);
+  REQUIRE(ErrorOf(refused).code == ErrorCode::kInvalidArgument);
+  REQUIRE(ErrorOf(refused).message == "groups: allowed");
+  f.http.Answer(409, "{}");
+  const auto batch = f.trainer.NextBatch(WeightVersion(5));
+  REQUIRE(ErrorOf(batch).code == ErrorCode::kConflict);
+  REQUIRE(f.http.asked.size() == 2);
+}
+
+}  // namespace
+}  // namespace briarspread
--- /dev/null
+++ b/tests/rollout/proof_test.cc
@@ -0,0 +1,56 @@
+#include "tests/rollout_model/proof.h"
+
+#include <catch2/catch.hpp>
+
+namespace briarspread::testing {
+namespace {
+
+ProofSettings SmallProof() {
+  ProofSettings settings;
+  settings.samples = 20'000;
+  return settings;
+}
+
+TEST_CASE("Trainers get each sample once, truly labelled and fresh") {
+  const TrainerModelReport report = RunProof(SmallProof());
+  REQUIRE(report.samples >= 20'000);
+  REQUIRE(report.kills > 0);
+  REQUIRE(report.lost_replies > 0);
+  REQUIRE(report.lost == 0);
+  REQUIRE(report.doubled == 0);
+  REQUIRE(report.mislabelled == 0);
+  REQUIRE(report.over_age == 0);
+}
+
+TEST_CASE("Without the cursor, groups are doubled") {
+  ProofSettings settings = SmallProof();
+  settings.protections.sends_cursor = false;
+  REQUIRE(RunProof(settings).doubled > 0);
+}
+
+TEST_CASE("With a cursor that moves without its batch, groups are lost") {
+  ProofSettings settings = SmallProof();
+  settings.protections.keeps_cursor_with_batch = false;
+  REQUIRE(RunProof(settings).lost > 0);
+}
+
+TEST_CASE("Where steps are not posted again, a kill loses their rest") {
+  ProofSettings settings = SmallProof();
+  settings.protections.posts_step_again = false;
+  REQUIRE(RunProof(settings).lost > 0);
+}
+
+TEST_CASE("Without the staleness check, samples are over-age") {
+  ProofSettings settings = SmallProof();
+  settings.enforces_staleness = false;
+  REQUIRE(RunProof(settings).over_age > 0);
+}
+
+TEST_CASE("Without the label check, samples are mislabelled") {
+  ProofSettings settings = SmallProof();
+  settings.requires_versions = false;
+  REQUIRE(RunProof(settings).mislabelled > 0);
+}
+
+}  // namespace
+}  // namespace briarspread::testing
--- /dev/null
+++ b/tests/rollout_model/experiment.h
@@ -0,0 +1,47 @@
+#ifndef TESTS_ROLLOUT_MODEL_EXPERIMENT_H_
+#define TESTS_ROLLOUT_MODEL_EXPERIMENT_H_
+
+#include <memory>
+#include <vector>
+
+#include "tests/rollout_model/rollout_world.h"
+#include "tests/rollout_model/trainer_model.h"
+
+namespace briarspread::testing {
+
+/// One world with its trainers, started. Not thread-safe.
+class Experiment {
+ public:
+  /// Starts all trainers.
+  Experiment(const WorldSettings& world,
+             const RolloutSchedulerSettings& scheduler,
+             const std::vector<TrainerModelSettings>& trainers)
+      : world_(world, scheduler) {
+    for (const TrainerModelSettings& trainer : trainers) {
+      trainers_.push_back(std::make_unique<TrainerModel>(trainer, world_));
+    }
+    world_.OnGroupComplete([this] {
+      for (const auto& trainer : trainers_) trainer->PullIfWaiting();
+    });
+    for (const auto& trainer : trainers_) trainer->Start();
+  }
+
+  /// The world, for running and looking at it.
+  RolloutWorld& world() { return world_; }
+  /// Each trainer's report as of now.
+  std::vector<TrainerModelReport> Reports(bool open_step_is_lost) const {
+    std::vector<TrainerModelReport> reports;
+    for (const auto& trainer : trainers_) {
+      reports.push_back(trainer->Report(open_step_is_lost));
+    }
+    return reports;
+  }
+
+ private:
+  RolloutWorld world_;
+  std::vector<std::unique_ptr<TrainerModel>> trainers_;
+};
+
+}  // namespace briarspread::testing
+
+#endif  // TESTS_ROLLOUT_MODEL_EXPERIMENT_H_
--- /dev/null
+++ b/tests/rollout_model/proof.cc
@@ -0,0 +1,102 @@
+#include "tests/rollout_model/proof.h"
+
+#include "tests/rollout_model/experiment.h"
+
+namespace briarspread::testing {
+namespace {
+
+constexpr std::uint32_t kGroups = 64;
+constexpr std::uint32_t kSamplesPerGroup = 8;
+constexpr int kOutages = 500;
+constexpr seconds kOutageInterval{37};
+constexpr seconds kOutageLength{30};
+/// Ends a run whose trainers wait for ever.
+constexpr std::chrono::hours kLimit{10};
+
+WorldSettings MakeWorld(std::uint64_t seed) {
+  WorldSettings world;
+  world.instances = 3;
+  world.slots_per_engine = 16;
+  world.tokens_per_second = 100;
+  world.mean_tokens = 400;
+  world.swap_interval = seconds(20);
+  world.swap_stagger = milliseconds(700);
+  world.swap_pause = seconds(1);
+  world.failed_swaps = 0.1;
+  world.report_lag = seconds(5);
+  world.unlabelled_runs = 0.02;
+  world.resumed_runs = 0.5;
+  world.seed = seed;
+  for (int i = 0; i < kOutages; ++i) {
+    const auto engine = static_cast<std::size_t>(i) % world.engines;
+    world.outages.push_back(
+        {engine, engine + 1, kOutageInterval * (i + 1), kOutageLength});
+  }
+  return world;
+}
+
+std::vector<TrainerModelSettings> MakeTrainers(
+    const TrainerProtections& protections) {
+  std::vector<TrainerModelSettings> trainers;
+  for (const char* name : {"a", "b", "c"}) {
+    TrainerModelSettings trainer;
+    trainer.id = TrainerId(name);
+    trainer.groups = kGroups;
+    trainer.samples_per_group = kSamplesPerGroup;
+    trainer.staleness_bound = 1;
+    trainer.compute = seconds(5);
+    trainer.faults.reply_lost = 0.03;
+    trainer.faults.killed_before_reply = 0.01;
+    trainer.faults.killed_in_reply = 0.01;
+    trainer.faults.killed_after_reply = 0.01;
+    trainer.faults.asked_twice = 0.05;
+    trainer.faults.trainer_restored = 0.01;
+    trainer.protections = protections;
+    trainers.push_back(trainer);
+  }
+  return trainers;
+}
+
+TrainerModelReport Sum(const std::vector<TrainerModelReport>& reports) {
+  TrainerModelReport sum;
+  for (const TrainerModelReport& report : reports) {
+    sum.steps += report.steps;
+    sum.samples += report.samples;
+    sum.lost += report.lost;
+    sum.doubled += report.doubled;
+    sum.mislabelled += report.mislabelled;
+    sum.over_age += report.over_age;
+    sum.kills += report.kills;
+    sum.lost_replies += report.lost_replies;
+  }
+  return sum;
+}
+
+}  // namespace
+
+TrainerModelReport RunProof(const ProofSettings& settings) {
+  RolloutSchedulerSettings scheduler;
+  scheduler.trainer.staleness.is_enforced = settings.enforces_staleness;
+  scheduler.trainer.ledger.requires_versions = settings.requires_versions;
+  Experiment experiment(MakeWorld(settings.seed), scheduler,
+                        MakeTrainers(settings.protections));
+  constexpr std::uint64_t kStepSamples =
+      std::uint64_t{kGroups} * kSamplesPerGroup;
+  const auto is_done = [&] {
+    return Sum(experiment.Reports(false)).steps * kStepSamples >=
+           settings.samples;
+  };
+  const auto is_over = [&] {
+    return is_done() || IsBroken(Sum(experiment.Reports(false)));
+  };
+  experiment.world().RunUntil(is_over, kLimit);
+  // Groups still to come are lost only where the run never ended.
+  return Sum(experiment.Reports(!is_over()));
+}
+
+bool IsBroken(const TrainerModelReport& report) {
+  return report.lost + report.doubled + report.mislabelled + report.over_age >
+         0;
+}
+
+}  // namespace briarspread::testing
--- a/tests/rollout_model/trainer_model.cc
+++ b/tests/rollout_model/trainer_model.cc
@@ -130,8 +130,10 @@
 }
 
 void TrainerModel::Take(const Batch& batch) {
+  ++report_.batches;
   for (const DeliveredGroup& group : batch.groups) {
-    ++came_[group.id.value()];
+    const bool is_new = came_[group.id.value()]++ == 0;
+    if (!is_new) report_.doubled += group.samples.size();
     for (const FinishedSample& sample : group.samples) TakeSample(sample);
   }
 }
@@ -150,9 +152,7 @@
   is_waiting_ = false;
   const Duration waited = world_.clock().Now() - opened_;
   for (const std::uint32_t times : came_) {
-    const std::uint64_t samples = settings_.samples_per_group;
-    if (times == 0) report_.lost += samples;
-    if (times > 1) report_.doubled += (times - 1) * samples;
+    if (times == 0) report_.lost += settings_.samples_per_group;
   }
   ++report_.steps;
   if (step_ > settings_.warm_up_steps) {
--- a/tests/rollout_model/trainer_model.h
+++ b/tests/rollout_model/trainer_model.h
@@ -52,6 +52,7 @@
 /// What reached a trainer, checked against the truth that samples carry.
 struct TrainerModelReport {
   std::uint64_t steps = 0;
+  std::uint64_t batches = 0;
   std::uint64_t samples = 0;
   std::uint64_t lost = 0;
   std::uint64_t doubled = 0;
