--- /dev/null
+++ b/tests/membership/member_table_test.cc
@@ -0,0 +1,161 @@
+#include "briarspread/membership/member_table.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+
+#include "tests/support/manual_clock.h"
+
+namespace briarspread {
+namespace {
+
+using testing::ManualClock;
+
+MemberRecord Record(const std::string& id, std::uint64_t incarnation,
+                    std::uint32_t refutations, Liveness liveness) {
+  MemberRecord record;
+  record.id = InstanceId(id);
+  record.version = {Incarnation(incarnation), refutations};
+  record.liveness = liveness;
+  return record;
+}
+
+ListedInstance Listed(const std::string& name, ListedState state) {
+  ListedInstance listed;
+  listed.name = name;
+  listed.state = state;
+  return listed;
+}
+
+MemberTable Table(const Clock& clock) {
+  return {MemberTableSettings{}, Record("self", 7, 0, Liveness::kAlive), clock};
+}
+
+MemberRecord AnyRecord() {
+  MemberRecord record = Record("peer", *rc::gen::inRange(0, 3),
+                               *rc::gen::inRange<std::uint32_t>(0, 3),
+                               static_cast<Liveness>(*rc::gen::inRange(0, 3)));
+  record.leaving = *rc::gen::arbitrary<bool>();
+  record.rules_revision = Revision(*rc::gen::inRange(0, 4));
+  // One incarnation has one address and one place.
+  record.endpoint.port =
+      static_cast<std::uint16_t>(record.version.incarnation.value());
+  return record;
+}
+
+MemberRecord Merged(MemberRecord a, const MemberRecord& b) {
+  MergeRecord(a, b);
+  return a;
+}
+
+/// A merge without incarnations: the worst statement wins.
+Liveness WorstOf(const std::vector<MemberRecord>& statements) {
+  Liveness worst = Liveness::kAlive;
+  for (const auto& it : statements) worst = std::max(worst, it.liveness);
+  return worst;
+}
+
+const InstanceId kPeer("peer");
+
+}  // namespace
+
+TEST_CASE("records merge alike in any order") {
+  rc::prop("commutative, associative, idempotent", [] {
+    const MemberRecord a = AnyRecord();
+    const MemberRecord b = AnyRecord();
+    const MemberRecord c = AnyRecord();
+    RC_ASSERT(Merged(a, b) == Merged(b, a));
+    RC_ASSERT(Merged(Merged(a, b), c) == Merged(a, Merged(b, c)));
+    RC_ASSERT(Merged(a, a) == a);
+  });
+}
+
+TEST_CASE("a stale 'dead' does not win over a restart") {
+  const MemberRecord stale = Record("peer", 1, 3, Liveness::kDead);
+  const MemberRecord restarted = Record("peer", 2, 0, Liveness::kAlive);
+  // Without incarnations the restarted process stays dead.
+  CHECK(WorstOf({restarted, stale}) == Liveness::kDead);
+
+  ManualClock clock;
+  MemberTable table = Table(clock);
+  table.Merge(restarted);
+  table.Merge(stale);
+  CHECK(table.State(kPeer) == MemberState::kAlive);
+}
+
+TEST_CASE("leaving ends with a restart, and only with one") {
+  ManualClock clock;
+  MemberTable table = Table(clock);
+  MemberRecord peer = Record("peer", 1, 0, Liveness::kAlive);
+  peer.leaving = true;
+  table.Merge(peer);
+  CHECK(table.State(kPeer) == MemberState::kLeaving);
+  table.Merge(Record("peer", 1, 5, Liveness::kAlive));
+  CHECK(table.State(kPeer) == MemberState::kLeaving);
+  table.Merge(Record("peer", 2, 0, Liveness::kAlive));
+  CHECK(table.State(kPeer) == MemberState::kAlive);
+}
+
+TEST_CASE("a member's own leaving counts while the list still shows it live") {
+  ManualClock clock;
+  MemberTable table = Table(clock);
+  table.TakeList({Listed("peer", ListedState::kLive)});
+  CHECK(table.State(kPeer) == MemberState::kAlive);
+  MemberRecord peer = Record("peer", 1, 0, Liveness::kAlive);
+  peer.leaving = true;
+  table.Merge(peer);
+  table.TakeList({Listed("peer", ListedState::kLive)});
+  CHECK(table.State(kPeer) == MemberState::kLeaving);
+}
+
+TEST_CASE("the list's leaving counts until a later start is seen") {
+  ManualClock clock;
+  MemberTable table = Table(clock);
+  table.TakeList({Listed("peer", ListedState::kLeaving)});
+  table.Merge(Record("peer", 1, 0, Liveness::kAlive));
+  CHECK(table.State(kPeer) == MemberState::kLeaving);
+  table.Merge(Record("peer", 2, 0, Liveness::kAlive));
+  CHECK(table.State(kPeer) == MemberState::kAlive);
+}
+
+TEST_CASE("a suspicion is refuted, and the incarnation stays") {
+  ManualClock clock;
+  MemberTable table = Table(clock);
+  CHECK(table.Merge(Record("self", 7, 0, Liveness::kSuspect)));
+  CHECK(table.self().version == MemberVersion{Incarnation(7), 1});
+  // Already refuted, and of an earlier start: both need nothing.
+  CHECK_FALSE(table.Merge(Record("self", 7, 0, Liveness::kDead)));
+  CHECK_FALSE(table.Merge(Record("self", 6, 9, Liveness::kDead)));
+  CHECK_FALSE(table.is_superseded());
+  table.Merge(Record("self", 8, 0, Liveness::kAlive));
+  CHECK(table.is_superseded());
+}
+
+TEST_CASE("a suspect that does not refute is dead, and forgotten later") {
+  ManualClock clock;
+  MemberTable table = Table(clock);
+  table.Merge(Record("peer", 1, 0, Liveness::kAlive));
+  CHECK(table.Suspect(kPeer));
+  clock.Advance(seconds(7));
+  CHECK(table.Expire().empty());
+  CHECK(table.State(kPeer) == MemberState::kSuspect);
+  clock.Advance(seconds(2));
+  CHECK(table.Expire() == std::vector<InstanceId>{kPeer});
+  CHECK(table.State(kPeer) == MemberState::kDead);
+  clock.Advance(seconds(601));
+  table.Expire();
+  CHECK_FALSE(table.State(kPeer).has_value());
+}
+
+TEST_CASE("the table is bounded") {
+  ManualClock clock;
+  MemberTableSettings settings;
+  settings.max_members = 2;
+  MemberTable table(settings, Record("self", 7, 0, Liveness::kAlive), clock);
+  for (int i = 0; i < 5; ++i) {
+    table.Merge(Record("m" + std::to_string(i), 1, 0, Liveness::kAlive));
+  }
+  CHECK(table.size() == 2);
+}
+
+}  // namespace briarspread
