Weights: lease by compare-and-swap, and rollouts driven under it

Cause: a holder paused past its lease must not order engines that ignore fencing numbers, and the store's rate, the paid link and the floor of serving replicas must hold whoever drives. Change: a lease that compares no two clocks; a record of the rollout; waves within each zone's floor; one pull per region, stored before it is ordered; a wait after each takeover. Before: with the wait off, engines took orders of two holders and pulls exceeded budgets.

--- /dev/null
+++ b/briarspread/weights/weight_rollout.cc
@@ -0,0 +1,368 @@
+#include "briarspread/weights/weight_rollout.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarspread {
+
+WeightRollout::WeightRollout(const WeightRolloutSettings& settings,
+                             const InstanceId& self, const WeightSource& source,
+                             RandomSource& random)
+    : settings_(settings),
+      self_(self),
+      source_(source),
+      random_(random),
+      planner_(settings.plan) {}
+
+void WeightRollout::SetReplicas(const std::vector<Replica>& replicas) {
+  planner_.SetReplicas(replicas);
+  for (auto it = progress_.begin(); it != progress_.end();) {
+    if (planner_.Find(it->first) != nullptr) {
+      ++it;
+      continue;
+    }
+    due_.erase({it->second.due, it->first});
+    it = progress_.erase(it);
+  }
+  for (const Replica& replica : replicas) {
+    // A new one is asked at once which version it has loaded.
+    if (!progress_.contains(replica.id)) Schedule(replica.id, TimePoint::min());
+  }
+}
+
+std::vector<RolloutAction> WeightRollout::NextActions(TimePoint now,
+                                                      const LeaseView& lease) {
+  std::vector<RolloutAction> actions;
+  if (!lease.held) {
+    fencing_ = FencingNumber(0);
+    return actions;
+  }
+  if (lease.fencing != fencing_) Begin(now, lease);
+  Checkpoint(now, actions);
+  if (!has_record_ || target_ == WeightVersion(0)) return actions;
+  if (!waited_) {
+    if (MustWait(now, lease)) return actions;
+    waited_ = true;
+    pulls_.clear();
+  }
+  TakeDue(now, actions);
+  Assign(now, lease);
+  EmitOrders(now, lease, actions);
+  return actions;
+}
+
+void WeightRollout::Begin(TimePoint now, const LeaseView& lease) {
+  fencing_ = lease.fencing;
+  target_ = WeightVersion(0);
+  waited_ = false;
+  index_.reset();
+  store_busy_ = false;
+  has_record_ = false;
+  dirty_ = false;
+  store_due_ = now;
+  pulls_.clear();
+  unsaved_pulls_.clear();
+  saving_pulls_.clear();
+  ready_.clear();
+  due_.clear();
+  for (auto& [id, progress] : progress_) {
+    progress = Progress{};
+    planner_.SetState(id, SwapState::kOut);
+    Schedule(id, TimePoint::min());
+  }
+}
+
+bool WeightRollout::MustWait(TimePoint now, const LeaseView& lease) const {
+  if (lease.after_release) return false;
+  if (now >= lease.acquired_at + settings_.longest_order) return false;
+  // The store and the links must not carry two holders' pulls at once.
+  if (!pulls_.empty()) return true;
+  return std::any_of(progress_.begin(), progress_.end(),
+                     [this](const auto& it) {
+                       const Replica* replica = planner_.Find(it.first);
+                       return replica != nullptr && !replica->checks_fencing;
+                     });
+}
+
+void WeightRollout::Schedule(const UpstreamId& id, TimePoint due) {
+  Progress& progress = progress_[id];
+  due_.erase({progress.due, id});
+  progress.due = due;
+  due_.insert({due, id});
+}
+
+void WeightRollout::TakeDue(TimePoint now,
+                            std::vector<RolloutAction>& actions) {
+  while (!due_.empty() && due_.begin()->first <= now) {
+    const UpstreamId id = due_.begin()->second;
+    due_.erase(due_.begin());
+    Progress& progress = progress_[id];
+    const SwapState state = planner_.State(id);
+    if (state == SwapState::kOut && progress.failed) {
+      planner_.SetState(id, SwapState::kRetry);
+      continue;
+    }
+    if (progress.asked || state == SwapState::kPending) continue;
+    progress.asked = true;
+    actions.push_back(ReadVersion{id, planner_.Find(id)->endpoint});
+  }
+}
+
+void WeightRollout::Assign(TimePoint now, const LeaseView& lease) {
+  // An order must end before the lease could be another's.
+  if (now + settings_.longest_order >= lease.held_until) return;
+  const std::vector<SwapAssignment> swaps = planner_.Next();
+  if (swaps.empty()) return;
+  ++wave_;
+  for (const SwapAssignment& swap : swaps) {
+    Progress& progress = progress_[swap.id];
+    due_.erase({progress.due, swap.id});
+    // An answer on its way is from before the order.
+    progress.asked = false;
+    if (swap.source.has_value()) {
+      ready_.push_back(swap);
+      continue;
+    }
+    unsaved_pulls_.push_back(swap);
+    pulls_[planner_.Find(swap.id)->locality.region] = swap.id;
+    dirty_ = true;
+    store_due_ = std::min(store_due_, now);
+  }
+}
+
+void WeightRollout::EmitOrders(TimePoint now, const LeaseView& lease,
+                               std::vector<RolloutAction>& actions) {
+  if (now + settings_.longest_order >= lease.held_until) return;
+  for (const SwapAssignment& swap : std::exchange(ready_, {})) {
+    if (planner_.State(swap.id) != SwapState::kLoading) continue;
+    ++counts_.orders;
+    if (!swap.source.has_value()) ++counts_.store_pulls;
+    LoadOrder order = MakeOrder(swap, lease);
+    // Should no result be reported, the replica is asked once the order has
+    // ended even if it was sent at the last moment, after a pause.
+    Schedule(swap.id, order.send_before + settings_.longest_order);
+    actions.emplace_back(std::in_place_type<LoadOrder>, std::move(order));
+  }
+}
+
+std::uint64_t WeightRollout::PullRate(const RegionId& region) const {
+  const std::uint64_t share = source_.StoreBytesPerSecond() /
+                              std::max<std::uint64_t>(1, planner_.regions());
+  if (region == source_.Region()) return share;
+  return std::min(share, source_.LinkBytesPerSecond(region));
+}
+
+LoadOrder WeightRollout::MakeOrder(const SwapAssignment& swap,
+                                   const LeaseView& lease) const {
+  const Replica& replica = *planner_.Find(swap.id);
+  LoadOrder order;
+  order.id = swap.id;
+  order.endpoint = replica.endpoint;
+  order.version = target_;
+  order.fencing = lease.fencing;
+  if (swap.source.has_value()) {
+    const Replica* source = planner_.Find(*swap.source);
+    if (source != nullptr) order.source = source->endpoint;
+  }
+  if (!order.source.has_value()) {
+    order.bytes_per_second = PullRate(replica.locality.region);
+  }
+  order.send_before = lease.held_until - settings_.longest_order;
+  return order;
+}
+
+void WeightRollout::OnOrder(TimePoint now, const LoadOrder& order,
+                            OrderOutcome outcome) {
+  if (order.fencing != fencing_) return;
+  if (planner_.State(order.id) != SwapState::kLoading) return;
+  if (outcome == OrderOutcome::kUnknown) {
+    // It may still load, and pull: its place stays taken for as long.
+    Schedule(order.id, now + settings_.longest_order);
+    return;
+  }
+  const RegionId& region = planner_.Find(order.id)->locality.region;
+  const auto pull = pulls_.find(region);
+  if (pull != pulls_.end() && pull->second == order.id) pulls_.erase(pull);
+  dirty_ = true;
+  if (outcome == OrderOutcome::kFailed) {
+    TakeFailure(now, order.id);
+  } else if (order.version == target_) {
+    TakeLoaded(now, order.id);
+  } else {
+    planner_.SetState(order.id, SwapState::kPending);
+  }
+}
+
+void WeightRollout::TakeFailure(TimePoint now, const UpstreamId& id) {
+  ++counts_.failed_swaps;
+  Progress& progress = progress_[id];
+  progress.failed = true;
+  ++progress.failures;
+  planner_.SetState(id, SwapState::kOut);
+  Schedule(id, now + Backoff(progress.failures));
+  dirty_ = true;
+}
+
+void WeightRollout::TakeLoaded(TimePoint now, const UpstreamId& id) {
+  Progress& progress = progress_[id];
+  progress.failed = false;
+  progress.failures = 0;
+  planner_.SetState(id, SwapState::kLoaded);
+  Schedule(id, now + settings_.verify_interval);
+}
+
+milliseconds WeightRollout::Backoff(std::uint32_t failures) const {
+  milliseconds pause = settings_.retry_base;
+  for (std::uint32_t i = 1; i < failures && pause < settings_.retry_limit;
+       ++i) {
+    pause *= 2;
+  }
+  return std::min(pause, settings_.retry_limit);
+}
+
+void WeightRollout::OnVersion(TimePoint now, const UpstreamId& id,
+                              const Result<WeightVersion>& version) {
+  const auto it = progress_.find(id);
+  if (it == progress_.end() || !it->second.asked) return;
+  it->second.asked = false;
+  const SwapState state = planner_.State(id);
+  if (state == SwapState::kPending || state == SwapState::kRetry) return;
+  if (state == SwapState::kLoading) {
+    const auto pull = pulls_.find(planner_.Find(id)->locality.region);
+    if (pull != pulls_.end() && pull->second == id) pulls_.erase(pull);
+  }
+  if (!IsOk(version)) {
+    planner_.SetState(id, SwapState::kOut);
+    Schedule(id, now + settings_.retry_base);
+    return;
+  }
+  if (ValueOf(version) >= target_) {
+    TakeLoaded(now, id);
+    return;
+  }
+  if (state == SwapState::kLoading) {
+    TakeFailure(now, id);
+    return;
+  }
+  planner_.SetState(id, SwapState::kPending);
+}
+
+RolloutRecord WeightRollout::MakeRecord() const {
+  RolloutRecord record;
+  record.model = settings_.model;
+  record.version = target_;
+  record.wave = wave_;
+  record.fencing = fencing_;
+  for (const auto& [region, seed] : pulls_) {
+    record.pulls.push_back({region, seed});
+  }
+  for (const auto& [id, progress] : progress_) {
+    ReplicaRecord replica;
+    replica.id = id;
+    replica.failures = progress.failures;
+    const bool loaded = planner_.State(id) == SwapState::kLoaded;
+    if (!loaded && !progress.failed) continue;
+    replica.progress =
+        loaded ? ReplicaProgress::kLoaded : ReplicaProgress::kFailed;
+    record.replicas.push_back(std::move(replica));
+  }
+  return record;
+}
+
+void WeightRollout::Checkpoint(TimePoint now,
+                               std::vector<RolloutAction>& actions) {
+  if (store_busy_ || now < store_due_) return;
+  store_busy_ = true;
+  store_due_ = now + settings_.checkpoint_interval;
+  const bool may_write = index_.has_value() && dirty_ && waited_;
+  if (!may_write) {
+    actions.emplace_back(std::in_place_type<ReadRecord>);
+    return;
+  }
+  RolloutRecord record = MakeRecord();
+  saving_ = OperationId(self_.value() + "-" + std::to_string(random_.Next()));
+  record.operation = saving_;
+  saving_pulls_ = std::exchange(unsaved_pulls_, {});
+  dirty_ = false;
+  auto& save = std::get<SaveRecord>(
+      actions.emplace_back(std::in_place_type<SaveRecord>));
+  save = SaveRecord{EncodeRollout(record), *index_, saving_};
+  index_.reset();
+}
+
+void WeightRollout::OnSaved(const OperationId& operation,
+                            const Result<SwapOutcome>& saved) {
+  if (operation != saving_) return;
+  store_busy_ = false;
+  if (IsOk(saved) && ValueOf(saved) == SwapOutcome::kSwapped) {
+    ready_.insert(ready_.end(), saving_pulls_.begin(), saving_pulls_.end());
+    saving_pulls_.clear();
+    return;
+  }
+  // Conflict or lost answer: the next read tells. Until then pulls wait.
+  store_due_ = TimePoint::min();
+}
+
+void WeightRollout::OnRecord(TimePoint now,
+                             const Result<std::optional<KeyValue>>& read) {
+  store_busy_ = false;
+  if (!IsOk(read)) return;
+  const auto& stored = ValueOf(read);
+  if (!stored.has_value()) return;
+  const auto record = DecodeRollout(stored->value);
+  if (!IsOk(record)) return;
+  // A later holder wrote it: the lease is lost, though this clock is behind.
+  if (ValueOf(record).fencing > fencing_) return;
+  index_ = stored->index;
+  if (!saving_pulls_.empty()) {
+    const bool stands = ValueOf(record).operation == saving_;
+    auto& queue = stands ? ready_ : unsaved_pulls_;
+    queue.insert(queue.end(), saving_pulls_.begin(), saving_pulls_.end());
+    saving_pulls_.clear();
+    dirty_ = dirty_ || !stands;
+  }
+  if (!unsaved_pulls_.empty()) store_due_ = now;
+  TakeTarget(now, ValueOf(record));
+}
+
+void WeightRollout::TakeTarget(TimePoint now, const RolloutRecord& record) {
+  const bool first = !has_record_;
+  has_record_ = true;
+  if (first) {
+    wave_ = record.wave;
+    for (const RegionPull& it : record.pulls) pulls_[it.region] = it.seed;
+    for (const ReplicaRecord& it : record.replicas) {
+      const auto known = progress_.find(it.id);
+      if (known == progress_.end()) continue;
+      known->second.failures = it.failures;
+    }
+  }
+  if (record.version <= target_) return;
+  target_ = record.version;
+  if (first) return;
+  for (auto& [id, progress] : progress_) {
+    const SwapState state = planner_.State(id);
+    progress.failures = 0;
+    if (state == SwapState::kLoaded) {
+      planner_.SetState(id, SwapState::kPending);
+    } else if (progress.failed && state == SwapState::kOut) {
+      Schedule(id, now);
+    }
+  }
+  dirty_ = true;
+}
+
+bool WeightRollout::is_complete() const {
+  return fencing_ != FencingNumber(0) && target_ != WeightVersion(0) &&
+         planner_.size() > 0 && planner_.loaded() == planner_.size();
+}
+
+std::vector<UpstreamId> WeightRollout::OutOfRotation() const {
+  std::vector<UpstreamId> out;
+  for (const auto& [id, progress] : progress_) {
+    if (progress.failed) out.push_back(id);
+  }
+  return out;
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/tests/weights/rollout_world.cc
@@ -0,0 +1,239 @@
+#include "tests/weights/rollout_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarspread::testing {
+namespace {
+
+constexpr milliseconds kStep{100};
+constexpr milliseconds kMaxSendDelay{200};
+constexpr milliseconds kMaxLoadTime{9500};
+/// A pull at 200 bytes a second takes 5 s.
+constexpr std::uint64_t kVersionBytes = 1000;
+const ModelName kModel("rollout");
+
+}  // namespace
+
+RolloutWorld::RolloutWorld(const WorldOptions& options)
+    : options_(options), random_(options.seed) {
+  std::vector<Replica> replicas;
+  for (std::size_t r = 0; r < options_.regions; ++r) {
+    for (std::size_t i = 0; i < options_.replicas_per_region; ++i) {
+      const std::string region = "r" + std::to_string(r);
+      Engine engine;
+      engine.replica.id = UpstreamId(region + "-" + std::to_string(i));
+      engine.replica.endpoint.host = engine.replica.id.value();
+      engine.replica.locality = {RegionId(region),
+                                 ZoneId(region + (i % 2 == 0 ? "a" : "b"))};
+      engine.replica.checks_fencing = options_.engines_check_fencing;
+      engine.failures_left = options_.failed_swaps;
+      replicas.push_back(engine.replica);
+      engines_[engine.replica.id] = engine;
+    }
+  }
+  WeightRolloutSettings settings;
+  settings.model = kModel;
+  settings.longest_order = options_.longest_order;
+  LeaseSettings lease;
+  lease.key = "lease";
+  for (std::size_t i = 0; i < options_.drivers; ++i) {
+    const InstanceId self("entry-" + std::to_string(i));
+    Driver driver;
+    driver.lease = std::make_unique<Lease>(lease, self, Incarnation(1), store,
+                                           clock, random_);
+    driver.rollout =
+        std::make_unique<WeightRollout>(settings, self, source_, random_);
+    driver.rollout->SetReplicas(replicas);
+    drivers_.push_back(std::move(driver));
+  }
+}
+
+bool RolloutWorld::IsRunning(const Driver& driver) const {
+  return !driver.dead && clock.Now() >= driver.paused_until;
+}
+
+void RolloutWorld::Run(Duration span) {
+  const TimePoint end = clock.Now() + span;
+  while (clock.Now() < end) Step();
+}
+
+void RolloutWorld::Step() {
+  while (!events_.empty() && events_.begin()->first <= clock.Now()) {
+    const auto run = events_.begin()->second;
+    events_.erase(events_.begin());
+    run();
+  }
+  for (std::size_t i = 0; i < drivers_.size(); ++i) Drive(i);
+  CheckFloor();
+  clock.Advance(kStep);
+}
+
+bool RolloutWorld::RunUntilLoaded(WeightVersion version, Duration limit) {
+  const TimePoint end = clock.Now() + limit;
+  while (clock.Now() < end) {
+    Step();
+    const bool loaded = std::all_of(
+        engines_.begin(), engines_.end(),
+        [&](const auto& it) { return it.second.version == version.value(); });
+    const std::size_t holder = Holder();
+    if (loaded && holder < drivers_.size() &&
+        drivers_[holder].rollout->is_complete()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void RolloutWorld::Pause(std::size_t driver, Duration span) {
+  drivers_[driver].paused_until = clock.Now() + span;
+}
+
+void RolloutWorld::Kill(std::size_t driver) { drivers_[driver].dead = true; }
+
+std::size_t RolloutWorld::Holder() const {
+  for (std::size_t i = 0; i < drivers_.size(); ++i) {
+    if (!drivers_[i].dead && drivers_[i].lease->View().held) return i;
+  }
+  return drivers_.size();
+}
+
+void RolloutWorld::Request(std::uint64_t version) {
+  RequestRollout(store, kModel, WeightVersion(version),
+                 OperationId("request-" + std::to_string(version)));
+}
+
+void RolloutWorld::Drive(std::size_t index) {
+  Driver& driver = drivers_[index];
+  if (!IsRunning(driver)) return;
+  for (auto& run : std::exchange(driver.inbox, {})) run();
+  // Sending an order may have paused it.
+  if (!IsRunning(driver)) return;
+  driver.lease->Step();
+  const auto actions =
+      driver.rollout->NextActions(clock.Now(), driver.lease->View());
+  for (const RolloutAction& action : actions) {
+    if (on_action) on_action(index, action);
+    if (driver.dead) return;
+    Carry(index, action);
+  }
+}
+
+void RolloutWorld::Carry(std::size_t index, const RolloutAction& action) {
+  if (std::holds_alternative<ReadRecord>(action)) {
+    const auto read = store.Get(RolloutKey(kModel));
+    ToDriver(index, kStep, [this, read](Driver& driver) {
+      driver.rollout->OnRecord(clock.Now(), read);
+    });
+  } else if (const auto* save = std::get_if<SaveRecord>(&action)) {
+    const auto saved =
+        store.CompareAndSwap(RolloutKey(kModel), save->value, save->expected);
+    ToDriver(index, kStep, [saved, id = save->operation](Driver& driver) {
+      driver.rollout->OnSaved(id, saved);
+    });
+  } else if (const auto* ask = std::get_if<ReadVersion>(&action)) {
+    const Result<WeightVersion> version =
+        WeightVersion(engines_[ask->id].version);
+    ToDriver(index, kStep, [this, version, id = ask->id](Driver& driver) {
+      driver.rollout->OnVersion(clock.Now(), id, version);
+    });
+  } else if (const auto* order = std::get_if<LoadOrder>(&action)) {
+    ToDriver(index, Random(kMaxSendDelay),
+             [this, index, sent = *order](Driver&) { Send(index, sent); });
+  }
+}
+
+void RolloutWorld::Send(std::size_t index, const LoadOrder& order) {
+  if (clock.Now() >= order.send_before) {
+    drivers_[index].rollout->OnOrder(clock.Now(), order, OrderOutcome::kFailed);
+    return;
+  }
+  if (on_sent) on_sent(index);
+  Later(Random(kMaxSendDelay), [this, index, order] { Arrive(index, order); });
+}
+
+void RolloutWorld::Arrive(std::size_t index, const LoadOrder& order) {
+  Engine& engine = engines_[order.id];
+  const bool old = order.fencing < engine.fencing;
+  if ((engine.replica.checks_fencing && old) || engine.failures_left > 0) {
+    if (!old) --engine.failures_left;
+    ToDriver(index, kStep, [this, order](Driver& driver) {
+      driver.rollout->OnOrder(clock.Now(), order, OrderOutcome::kFailed);
+    });
+    return;
+  }
+  engine.fencing = std::max(engine.fencing, order.fencing);
+  ++engine.loading;
+  ++orders_taken;
+  CheckTwoHolders(engine, order);
+  Duration time = Random(kMaxLoadTime);
+  if (order.bytes_per_second > 0) {
+    const RegionId region = engine.replica.locality.region;
+    time = milliseconds(1000 * kVersionBytes / order.bytes_per_second);
+    pulled_bytes[region] += kVersionBytes;
+    flowing_[region] += order.bytes_per_second;
+    std::uint64_t total = 0;
+    for (const auto& [id, rate] : flowing_) {
+      total += rate;
+      if (id != source_.Region() && rate > source_.LinkBytesPerSecond(id)) {
+        ++over_budget;
+      }
+    }
+    if (total > source_.StoreBytesPerSecond()) ++over_budget;
+  }
+  Later(time, [this, index, order] { Finish(index, order); });
+}
+
+void RolloutWorld::Finish(std::size_t index, const LoadOrder& order) {
+  Engine& engine = engines_[order.id];
+  --engine.loading;
+  flowing_[engine.replica.locality.region] -= order.bytes_per_second;
+  engine.version = order.version.value();
+  CheckTwoHolders(engine, order);
+  ToDriver(index, kStep, [this, order](Driver& driver) {
+    driver.rollout->OnOrder(clock.Now(), order, OrderOutcome::kLoaded);
+  });
+}
+
+void RolloutWorld::CheckTwoHolders(const Engine& engine,
+                                   const LoadOrder& order) {
+  if (engine.replica.checks_fencing) return;
+  for (const Driver& driver : drivers_) {
+    const LeaseView view = driver.lease->View();
+    if (!driver.dead && view.held && view.fencing > order.fencing) {
+      ++orders_of_two_holders;
+    }
+  }
+}
+
+void RolloutWorld::CheckFloor() {
+  std::map<ZoneId, int> total;
+  std::map<ZoneId, int> loading;
+  for (const auto& [id, engine] : engines_) {
+    ++total[engine.replica.locality.zone];
+    if (engine.loading > 0) ++loading[engine.replica.locality.zone];
+  }
+  for (const auto& [zone, n] : total) {
+    if (2 * (n - loading[zone]) < n) ++below_floor;
+  }
+}
+
+void RolloutWorld::Later(Duration delay, std::function<void()> run) {
+  events_.emplace(clock.Now() + delay, std::move(run));
+}
+
+void RolloutWorld::ToDriver(std::size_t index, Duration delay,
+                            std::function<void(Driver&)> run) {
+  Later(delay, [this, index, run = std::move(run)] {
+    Driver& driver = drivers_[index];
+    if (driver.dead) return;
+    driver.inbox.emplace_back([&driver, run] { run(driver); });
+  });
+}
+
+Duration RolloutWorld::Random(milliseconds below) {
+  return milliseconds(random_.Below(static_cast<std::uint64_t>(below.count())) +
+                      1);
+}
+
+}  // namespace briarspread::testing
--- /dev/null
+++ b/tests/weights/rollout_world.h
@@ -0,0 +1,119 @@
+#ifndef TESTS_WEIGHTS_ROLLOUT_WORLD_H_
+#define TESTS_WEIGHTS_ROLLOUT_WORLD_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "briarspread/weights/weight_rollout.h"
+#include "tests/support/manual_clock.h"
+#include "tests/support/memory_store.h"
+
+namespace briarspread::testing {
+
+/// A weight store in region `r0` with fixed rates.
+class FixedWeightSource final : public WeightSource {
+ public:
+  RegionId Region() const override { return RegionId("r0"); }
+  std::uint64_t StoreBytesPerSecond() const override { return 900; }
+  std::uint64_t LinkBytesPerSecond(const RegionId&) const override {
+    return 200;
+  }
+};
+
+/// What a `RolloutWorld` is made of.
+struct WorldOptions {
+  std::uint64_t seed = 1;
+  std::size_t drivers = 2;
+  std::size_t regions = 2;
+  std::size_t replicas_per_region = 6;
+  bool engines_check_fencing = false;
+  /// What the rollouts take for the longest order. Orders do take up to 10 s.
+  milliseconds longest_order{10000};
+  /// Swaps of each replica that fail first.
+  std::uint32_t failed_swaps = 0;
+};
+
+/// Rollout drivers, engines and a store under one clock. Orders take random
+/// times; drivers can be paused and killed at any event.
+class RolloutWorld {
+ public:
+  explicit RolloutWorld(const WorldOptions& options);
+
+  /// Runs for `span`, in steps of 100 ms.
+  void Run(Duration span);
+  /// Runs until a live driver reports the rollout complete and every engine
+  /// has `version`; returns whether that came within `limit`.
+  bool RunUntilLoaded(WeightVersion version, Duration limit);
+  /// The driver's process stands still for `span`.
+  void Pause(std::size_t driver, Duration span);
+  void Kill(std::size_t driver);
+  /// The index of the holder, or `drivers` where there is none.
+  std::size_t Holder() const;
+  void Request(std::uint64_t version);
+  const WeightRollout& rollout(std::size_t driver) const {
+    return *drivers_[driver].rollout;
+  }
+
+  /// Called before each action of a driver is carried out.
+  std::function<void(std::size_t driver, const RolloutAction&)> on_action;
+  /// Called after a driver sent an order.
+  std::function<void(std::size_t driver)> on_sent;
+  MemoryStore store;
+  ManualClock clock;
+
+  /// Orders that an engine without fencing took while a later holder held.
+  int orders_of_two_holders = 0;
+  /// Moments at which a budget was exceeded.
+  int over_budget = 0;
+  /// Moments at which a zone's loads went below its floor.
+  int below_floor = 0;
+  /// Bytes pulled from the store, by region.
+  std::map<RegionId, std::uint64_t> pulled_bytes;
+  int orders_taken = 0;
+
+ private:
+  struct Engine {
+    Replica replica;
+    std::uint64_t version = 1;
+    FencingNumber fencing;
+    std::uint32_t failures_left = 0;
+    int loading = 0;
+  };
+  struct Driver {
+    std::unique_ptr<Lease> lease;
+    std::unique_ptr<WeightRollout> rollout;
+    TimePoint paused_until;
+    bool dead = false;
+    /// Results and sends that wait for the process to run again.
+    std::vector<std::function<void()>> inbox;
+  };
+  bool IsRunning(const Driver& driver) const;
+  void Step();
+  void Drive(std::size_t index);
+  void Carry(std::size_t index, const RolloutAction& action);
+  void Send(std::size_t index, const LoadOrder& order);
+  void Arrive(std::size_t index, const LoadOrder& order);
+  void Finish(std::size_t index, const LoadOrder& order);
+  void Later(Duration delay, std::function<void()> run);
+  void ToDriver(std::size_t index, Duration delay,
+                std::function<void(Driver&)> run);
+  void CheckTwoHolders(const Engine& engine, const LoadOrder& order);
+  void CheckFloor();
+  Duration Random(milliseconds below);
+
+  const WorldOptions options_;
+  SeededRandom random_;
+  FixedWeightSource source_;
+  std::map<UpstreamId, Engine> engines_;
+  std::vector<Driver> drivers_;
+  std::multimap<TimePoint, std::function<void()>> events_;
+  /// Bytes a second that flow now, by region.
+  std::map<RegionId, std::uint64_t> flowing_;
+};
+
+}  // namespace briarspread::testing
+
+#endif  // TESTS_WEIGHTS_ROLLOUT_WORLD_H_
--- /dev/null
+++ b/tests/weights/weight_rollout_test.cc
@@ -0,0 +1,224 @@
+#include "briarspread/weights/weight_rollout.h"
+
+#include <catch2/catch.hpp>
+
+#include "tests/weights/rollout_world.h"
+
+namespace briarspread {
+namespace {
+
+using testing::RolloutWorld;
+using testing::WorldOptions;
+
+constexpr std::chrono::minutes kLimit{20};
+
+void CheckPromises(const RolloutWorld& world) {
+  CHECK(world.orders_of_two_holders == 0);
+  CHECK(world.over_budget == 0);
+  CHECK(world.below_floor == 0);
+}
+
+/// Counts of what must never happen.
+struct Violations {
+  int orders_of_two_holders = 0;
+  int over_budget = 0;
+};
+
+/// Pauses the holder again and again, between deciding on an order and sending
+/// it, and past its lease once it is sent.
+void RunPausedHolders(std::uint64_t seed, bool engines_check_fencing,
+                      milliseconds longest_order, Violations& violations) {
+  WorldOptions options;
+  options.seed = seed;
+  options.engines_check_fencing = engines_check_fencing;
+  options.longest_order = longest_order;
+  RolloutWorld world(options);
+  SeededRandom random(seed);
+  world.on_action = [&](std::size_t driver, const RolloutAction& action) {
+    if (!std::holds_alternative<LoadOrder>(action)) return;
+    if (random.Below(3) == 0) {
+      world.Pause(driver, seconds(15 + random.Below(30)));
+    }
+  };
+  world.on_sent = [&](std::size_t driver) {
+    if (random.Below(3) == 0) world.Pause(driver, seconds(45));
+  };
+  for (std::uint64_t version = 2; version < 6; ++version) {
+    world.Request(version);
+    world.Run(seconds(200));
+  }
+  CHECK(world.orders_taken > 0);
+  violations.orders_of_two_holders += world.orders_of_two_holders;
+  violations.over_budget += world.over_budget;
+}
+
+}  // namespace
+
+TEST_CASE("all replicas get the version, pulled once per region") {
+  RolloutWorld world(WorldOptions{});
+  world.Request(2);
+  CHECK(world.RunUntilLoaded(WeightVersion(2), kLimit));
+  CheckPromises(world);
+  CHECK(world.pulled_bytes[RegionId("r0")] == 1000);
+  CHECK(world.pulled_bytes[RegionId("r1")] == 1000);
+}
+
+TEST_CASE("engines without fencing never take orders of two holders") {
+  Violations without_wait;
+  Violations with_wait;
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    RunPausedHolders(seed, false, milliseconds(0), without_wait);
+    RunPausedHolders(seed, false, seconds(10), with_wait);
+  }
+  CHECK(without_wait.orders_of_two_holders > 0);
+  CHECK(with_wait.orders_of_two_holders == 0);
+  CHECK(with_wait.over_budget == 0);
+}
+
+TEST_CASE("pulls of two holders never exceed a budget") {
+  Violations without_wait;
+  Violations with_wait;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    RunPausedHolders(seed, true, milliseconds(0), without_wait);
+    RunPausedHolders(seed, true, seconds(10), with_wait);
+  }
+  CHECK(without_wait.over_budget > 0);
+  CHECK(with_wait.over_budget == 0);
+}
+
+TEST_CASE("a holder dies at each step of a rollout and another carries on") {
+  const bool checks = GENERATE(false, true);
+  for (int step = 0; step < 60; ++step) {
+    WorldOptions options;
+    options.seed = static_cast<std::uint64_t>(step) + 1;
+    options.engines_check_fencing = checks;
+    RolloutWorld world(options);
+    int actions = 0;
+    bool killed = false;
+    world.on_action = [&](std::size_t driver, const RolloutAction&) {
+      if (killed || actions++ < step) return;
+      killed = true;
+      world.Kill(driver);
+    };
+    world.Request(2);
+    INFO("killed before action " << step << ", engines check " << checks);
+    REQUIRE(world.RunUntilLoaded(WeightVersion(2), kLimit));
+    CheckPromises(world);
+    // The killed holder's pull may have been cut, so one more per region.
+    CHECK(world.pulled_bytes[RegionId("r1")] <= 2000);
+  }
+}
+
+TEST_CASE("failed swaps are retried, counted, and out of rotation until then") {
+  WorldOptions options;
+  options.failed_swaps = 2;
+  options.drivers = 1;
+  RolloutWorld world(options);
+  world.Request(2);
+  world.Run(seconds(3));
+  CHECK_FALSE(world.rollout(0).OutOfRotation().empty());
+  CHECK(world.RunUntilLoaded(WeightVersion(2), kLimit));
+  CheckPromises(world);
+  CHECK(world.rollout(0).OutOfRotation().empty());
+  CHECK(world.rollout(0).counts().failed_swaps == 24);
+}
+
+TEST_CASE("a rollout goes on after an outage of the store") {
+  RolloutWorld world(WorldOptions{});
+  world.Request(2);
+  world.Run(seconds(3));
+  world.store.SetOutage(true);
+  world.Run(std::chrono::minutes(10));
+  world.store.SetOutage(false);
+  CHECK(world.RunUntilLoaded(WeightVersion(2), kLimit));
+  CheckPromises(world);
+}
+
+TEST_CASE("lost answers of the store neither stop nor double a pull") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    WorldOptions options;
+    options.seed = seed;
+    RolloutWorld world(options);
+    world.Request(2);
+    world.on_action = [&](std::size_t, const RolloutAction& action) {
+      if (std::holds_alternative<SaveRecord>(action)) {
+        world.store.LoseWriteAnswers(1);
+      }
+    };
+    REQUIRE(world.RunUntilLoaded(WeightVersion(2), kLimit));
+    CheckPromises(world);
+    CHECK(world.pulled_bytes[RegionId("r1")] == 1000);
+  }
+}
+
+TEST_CASE("kills, pauses, outages and new versions in any order") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    WorldOptions options;
+    options.seed = seed;
+    options.drivers = 5;
+    options.engines_check_fencing = seed % 2 == 0;
+    options.failed_swaps = static_cast<std::uint32_t>(seed % 3);
+    RolloutWorld world(options);
+    SeededRandom random(seed);
+    std::size_t killed = 0;
+    std::uint64_t version = 2;
+    world.on_action = [&](std::size_t driver, const RolloutAction&) {
+      const std::uint64_t fault = random.Below(100);
+      if (fault == 0 && killed < 3) {
+        ++killed;
+        world.Kill(driver);
+      }
+      if (fault == 1) world.Pause(driver, seconds(random.Below(60)));
+      if (fault == 2) world.store.LoseWriteAnswers(1);
+    };
+    for (int i = 0; i < 6; ++i) {
+      world.Request(version);
+      world.Run(seconds(random.Below(60)));
+      if (random.Below(3) == 0) {
+        world.store.SetOutage(true);
+        world.Run(seconds(random.Below(90)));
+        world.store.SetOutage(false);
+      }
+      ++version;
+    }
+    world.on_action = nullptr;
+    world.Request(version);
+    INFO("seed " << seed);
+    REQUIRE(world.RunUntilLoaded(WeightVersion(version), kLimit));
+    CheckPromises(world);
+  }
+}
+
+TEST_CASE("a request for an older version is refused, a repeated one is not") {
+  testing::MemoryStore store;
+  const ModelName model("desk");
+  const auto request = [&](std::uint64_t version) {
+    return RequestRollout(store, model, WeightVersion(version),
+                          OperationId("op"));
+  };
+  CHECK(IsOk(request(3)));
+  CHECK(IsOk(request(3)));
+  CHECK(ErrorOf(request(2)).code == ErrorCode::kStale);
+  store.LoseWriteAnswers(1);
+  CHECK(IsOk(request(4)));
+  store.SetOutage(true);
+  CHECK(ErrorOf(request(5)).code == ErrorCode::kUnavailable);
+}
+
+TEST_CASE("a stored record is read as written, other text is refused") {
+  RolloutRecord record;
+  record.model = ModelName("desk");
+  record.version = WeightVersion(7);
+  record.pulls = {{RegionId("r1"), UpstreamId("e1")}};
+  record.replicas = {{UpstreamId("e2"), ReplicaProgress::kFailed, 3}};
+  const auto read = DecodeRollout(EncodeRollout(record));
+  REQUIRE(IsOk(read));
+  CHECK(ValueOf(read) == record);
+  CHECK_FALSE(IsOk(DecodeRollout("")));
+  CHECK_FALSE(IsOk(DecodeRollout("{}")));
+  CHECK_FALSE(IsOk(DecodeRollout(
+      R"({"model":"m","version":1,"wave":0,"fencing":0,"operation":"",)"
+      R"("pulls":[],"replicas":[["a",9,0]]})")));
+}
+
+}  // namespace briarspread
