Membership: gossip nodes that probe, suspect, refute and pass on notices

Cause: state of peers, rules revisions and convictions must reach all instances within seconds at a cost that does not grow with the fleet. Change: a node, with no socket, that probes by turns, gossips within its region and at a lower rate to others, forgets its probes after its own pause and keeps notices by origin. Ruled out: heartbeat counters of all members (a table of 410 takes tens of digests); indirect probes, since a refutation by any path does the same; raising counts without an origin, since two instances' losses would count once. Before: nothing.

--- /dev/null
+++ b/briarspread/membership/dissemination_queue.h
@@ -0,0 +1,52 @@
+#ifndef BRIARSPREAD_MEMBERSHIP_DISSEMINATION_QUEUE_H_
+#define BRIARSPREAD_MEMBERSHIP_DISSEMINATION_QUEUE_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace briarspread {
+
+/// Changes that are still to be sent, each a bounded number of times, the least
+/// sent first. A few rounds more than the logarithm of the fleet reach all of
+/// it with high probability (Demers et al., "Epidemic Algorithms", 1987).
+/// Not thread-safe.
+template <typename Key>
+class DisseminationQueue {
+ public:
+  /// Has `key` sent `times` times from now on.
+  void Push(const Key& key, std::uint32_t times) { left_[key] = times; }
+  /// Counts one sending of `key`.
+  void MarkSent(const Key& key) {
+    const auto it = left_.find(key);
+    if (it != left_.end() && --it->second == 0) left_.erase(it);
+  }
+  /// Forgets `key`.
+  void Erase(const Key& key) { left_.erase(key); }
+  /// The keys to send, those with most sendings left first.
+  std::vector<Key> Next(std::size_t limit) const {
+    std::vector<std::pair<std::uint32_t, const Key*>> order;
+    order.reserve(left_.size());
+    for (const auto& [key, times] : left_) order.emplace_back(times, &key);
+    const std::size_t n = std::min(limit, order.size());
+    std::partial_sort(
+        order.begin(), order.begin() + static_cast<std::ptrdiff_t>(n),
+        order.end(), [](const auto& a, const auto& b) {
+          return a.first != b.first ? a.first > b.first : *a.second < *b.second;
+        });
+    std::vector<Key> keys;
+    for (std::size_t i = 0; i < n; ++i) keys.push_back(*order[i].second);
+    return keys;
+  }
+  bool empty() const { return left_.empty(); }
+
+ private:
+  /// Sendings left, by key.
+  std::map<Key, std::uint32_t> left_;
+};
+
+}  // namespace briarspread
+
+#endif  // BRIARSPREAD_MEMBERSHIP_DISSEMINATION_QUEUE_H_
--- /dev/null
+++ b/briarspread/membership/gossip_plan.cc
@@ -0,0 +1,70 @@
+#include "briarspread/membership/gossip_plan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarspread {
+
+GossipPlan::GossipPlan(const GossipPlanSettings& settings,
+                       const RegionId& region, RandomSource& random)
+    : settings_(settings), region_(region), random_(random) {}
+
+GossipTargets GossipPlan::Next(const std::vector<MemberRecord>& members) {
+  std::vector<const MemberRecord*> local;
+  std::vector<const MemberRecord*> remote;
+  std::vector<const MemberRecord*> dead;
+  for (const MemberRecord& member : members) {
+    if (member.liveness == Liveness::kDead) {
+      dead.push_back(&member);
+    } else if (member.locality.region == region_) {
+      local.push_back(&member);
+    } else {
+      remote.push_back(&member);
+    }
+  }
+  GossipTargets targets;
+  // Starts at random, or instances started together would probe together.
+  if (round_ == 0) round_ = random_.Below(1 << 16);
+  ++round_;
+  if (const InstanceId* id = PickTurn(local)) targets.probe.push_back(*id);
+  for (std::uint32_t i = 0; i < settings_.fan_out && !local.empty(); ++i) {
+    targets.gossip.push_back(Pick(local)->id);
+  }
+  const bool remote_due = local.empty() || round_ % settings_.remote_every == 0;
+  if (remote_due && !remote.empty()) {
+    targets.probe.push_back(Pick(remote)->id);
+  }
+  if (round_ % settings_.dead_every == 0 && !dead.empty()) {
+    targets.probe.push_back(Pick(dead)->id);
+  }
+  return targets;
+}
+
+const MemberRecord* GossipPlan::Pick(
+    const std::vector<const MemberRecord*>& members) {
+  return members[random_.Below(members.size())];
+}
+
+const InstanceId* GossipPlan::PickTurn(
+    const std::vector<const MemberRecord*>& members) {
+  if (members.empty()) return nullptr;
+  const auto find = [&members](const InstanceId& id) {
+    return std::find_if(members.begin(), members.end(),
+                        [&id](const auto* it) { return it->id == id; });
+  };
+  // Members that left since the turn began are passed over.
+  while (!turn_.empty() && find(turn_.back()) == members.end()) {
+    turn_.pop_back();
+  }
+  if (turn_.empty()) {
+    for (const MemberRecord* it : members) turn_.push_back(it->id);
+    for (std::size_t i = turn_.size(); i > 1; --i) {
+      std::swap(turn_[i - 1], turn_[random_.Below(i)]);
+    }
+  }
+  const InstanceId& id = (*find(turn_.back()))->id;
+  turn_.pop_back();
+  return &id;
+}
+
+}  // namespace briarspread
--- a/briarspread/membership/member_table.cc
+++ b/briarspread/membership/member_table.cc
@@ -148,6 +148,13 @@
   return StateOfRow(it->second);
 }
 
+std::optional<MemberRecord> MemberTable::After(const InstanceId& id) const {
+  if (rows_.empty()) return std::nullopt;
+  auto it = rows_.upper_bound(id);
+  if (it == rows_.end()) it = rows_.begin();
+  return it->second.record;
+}
+
 std::vector<MemberRecord> MemberTable::Others() const {
   std::vector<MemberRecord> others;
   others.reserve(rows_.size());
--- a/briarspread/membership/member_table.h
+++ b/briarspread/membership/member_table.h
@@ -68,6 +68,9 @@
   /// The state of `id`, with what the platform's list says of leaving; nothing
   /// where it is unknown.
   std::optional<MemberState> State(const InstanceId& id) const;
+  /// The other member whose name follows `id`, from the start again after the
+  /// last; nothing where there is none.
+  std::optional<MemberRecord> After(const InstanceId& id) const;
   /// All other members, by name.
   std::vector<MemberRecord> Others() const;
   /// Members in `state`, this instance included, by name.
--- /dev/null
+++ b/briarspread/membership/notice_board.cc
@@ -0,0 +1,87 @@
+#include "briarspread/membership/notice_board.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace briarspread {
+
+NoticeBoard::NoticeBoard(std::size_t capacity, const Clock& clock)
+    : capacity_(capacity), clock_(clock) {
+  assert(capacity > 0);
+}
+
+bool NoticeBoard::Merge(const Notice& notice, std::uint32_t times) {
+  if (notice.remaining <= seconds(0) || notice.count == 0) return false;
+  const TimePoint ends_at = clock_.Now() + notice.remaining;
+  const auto [it, is_new] = entries_.try_emplace(notice.key);
+  Entry& entry = it->second;
+  const bool grew = notice.count > entry.count;
+  if (is_new) entry.ends_at = TimePoint::min();
+  if (ends_at > entry.ends_at) {
+    ends_.erase({entry.ends_at, notice.key});
+    entry.ends_at = ends_at;
+    ends_.insert({ends_at, notice.key});
+  }
+  if (!grew) return false;
+  entry.count = notice.count;
+  queue_.Push(notice.key, times);
+  if (entries_.size() > capacity_) {
+    const NoticeKey first_to_end = ends_.begin()->second;
+    Remove(first_to_end);
+  }
+  return true;
+}
+
+void NoticeBoard::Expire() {
+  const TimePoint now = clock_.Now();
+  while (!ends_.empty() && ends_.begin()->first <= now) {
+    const NoticeKey key = ends_.begin()->second;
+    Remove(key);
+  }
+}
+
+void NoticeBoard::Remove(const NoticeKey& key) {
+  const auto it = entries_.find(key);
+  ends_.erase({it->second.ends_at, key});
+  entries_.erase(it);
+  queue_.Erase(key);
+}
+
+std::uint32_t NoticeBoard::Total(Fingerprint fingerprint,
+                                 NoticeKind kind) const {
+  std::uint32_t total = 0;
+  for (auto it = entries_.lower_bound({fingerprint, kind, InstanceId()});
+       it != entries_.end(); ++it) {
+    if (it->first.fingerprint != fingerprint || it->first.kind != kind) break;
+    total += it->second.count;
+  }
+  return total;
+}
+
+Notice NoticeBoard::MakeNotice(const NoticeKey& key, const Entry& entry) const {
+  Notice notice;
+  notice.key = key;
+  notice.count = entry.count;
+  // Rounded down, so that passing a notice on never lengthens it.
+  notice.remaining =
+      std::chrono::duration_cast<seconds>(entry.ends_at - clock_.Now());
+  return notice;
+}
+
+std::vector<Notice> NoticeBoard::Next(std::size_t limit) {
+  std::vector<Notice> notices;
+  for (const NoticeKey& key : queue_.Next(limit)) {
+    notices.push_back(MakeNotice(key, entries_.at(key)));
+  }
+  const std::size_t turns =
+      std::min(limit - notices.size(), entries_.size() - notices.size());
+  for (std::size_t i = 0; i < turns; ++i) {
+    auto it = entries_.upper_bound(cursor_);
+    if (it == entries_.end()) it = entries_.begin();
+    cursor_ = it->first;
+    notices.push_back(MakeNotice(it->first, it->second));
+  }
+  return notices;
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/tests/membership/gossip_node_test.cc
@@ -0,0 +1,243 @@
+#include "briarspread/membership/gossip_node.h"
+
+#include <catch2/catch.hpp>
+
+#include "tests/membership/gossip_network.h"
+
+namespace briarspread {
+namespace {
+
+using testing::GossipNetwork;
+using testing::ManualClock;
+using testing::NetworkOptions;
+
+/// How long any change may take to be known to all, at these sizes.
+constexpr seconds kSpread{10};
+/// As `kSpread`, with the time to suspect and to refute before it.
+constexpr seconds kDetect{60};
+
+NetworkOptions Options(std::size_t nodes) {
+  NetworkOptions options;
+  options.nodes = nodes;
+  options.node.peer_key = "shared";
+  return options;
+}
+
+bool AllAlive(GossipNetwork& network) {
+  for (std::size_t i = 0; i < network.size(); ++i) {
+    if (!network.AllSee(i, MemberState::kAlive)) return false;
+  }
+  return true;
+}
+
+Notice Conviction(std::uint64_t fingerprint, const std::string& origin,
+                  std::uint32_t count) {
+  return {
+      {Fingerprint(fingerprint), NoticeKind::kConviction, InstanceId(origin)},
+      count,
+      seconds(600)};
+}
+
+/// Times at which a node that just slept took a living one for dead. Datagrams
+/// are lost too, so that it holds suspicions as it falls asleep.
+std::uint64_t DeathsUnderPauses(milliseconds pause_limit) {
+  NetworkOptions options = Options(7);
+  options.loss = 0.2;
+  options.node.pause_limit = pause_limit;
+  GossipNetwork network(options);
+  network.Run(seconds(10));
+  std::uint64_t deaths = 0;
+  for (std::size_t round = 0; round < 40; ++round) {
+    const std::size_t sleeper = round % 7;
+    const std::uint64_t before = network.node(sleeper).counts().deaths;
+    network.Pause(sleeper, seconds(12));
+    network.Run(milliseconds(12600));
+    deaths += network.node(sleeper).counts().deaths - before;
+    network.Run(seconds(10));
+  }
+  return deaths;
+}
+
+}  // namespace
+
+TEST_CASE("nobody is suspected where nothing fails") {
+  GossipNetwork network(Options(20));
+  network.Run(std::chrono::minutes(1));
+  CHECK(AllAlive(network));
+  CHECK(network.Counts().suspicions == 0);
+  CHECK(network.Counts().refused == 0);
+}
+
+TEST_CASE("a member that no list names is known to all") {
+  GossipNetwork network(Options(20));
+  network.Run(seconds(5));
+  const std::size_t joined = network.Join();
+  CHECK(network.RunUntil(
+      [&] { return network.AllSee(joined, MemberState::kAlive); }, kSpread));
+}
+
+TEST_CASE("a leaving member is known to all although the list lags") {
+  GossipNetwork network(Options(20));
+  network.Run(seconds(5));
+  network.Leave(3);
+  CHECK(network.RunUntil(
+      [&] { return network.AllSee(3, MemberState::kLeaving); }, seconds(5)));
+}
+
+TEST_CASE("a killed member is dead to all, and alive after its restart") {
+  GossipNetwork network(Options(20));
+  network.Run(seconds(5));
+  network.Leave(4);
+  network.Run(seconds(5));
+  network.Kill(4);
+  CHECK(network.RunUntil([&] { return network.AllSee(4, MemberState::kDead); },
+                         kDetect));
+  SECTION("with a higher incarnation") {
+    network.Restart(4, 2);
+    CHECK(network.RunUntil(
+        [&] { return network.AllSee(4, MemberState::kAlive); }, kDetect));
+  }
+  SECTION("with the same incarnation what its last start said stays") {
+    network.Restart(4, 1);
+    network.Run(kDetect);
+    CHECK_FALSE(network.AllSee(4, MemberState::kAlive));
+  }
+}
+
+TEST_CASE("a paused member comes back, and suspects nobody for its own pause") {
+  GossipNetwork network(Options(12));
+  network.Run(seconds(5));
+  network.Pause(2, std::chrono::minutes(1));
+  CHECK(network.RunUntil([&] { return network.AllSee(2, MemberState::kDead); },
+                         kDetect));
+  CHECK(network.RunUntil([&] { return AllAlive(network); }, kDetect * 2));
+}
+
+TEST_CASE("a paused member takes no other for dead when it wakes") {
+  CHECK(DeathsUnderPauses(std::chrono::hours(10)) > 0);
+  CHECK(DeathsUnderPauses(milliseconds(1500)) == 0);
+}
+
+TEST_CASE("two regions cut apart for an hour find each other again") {
+  GossipNetwork network(Options(7));
+  network.Run(seconds(10));
+  network.SetCut(true);
+  network.Run(std::chrono::hours(1));
+  for (std::size_t i = 0; i < network.size(); ++i) {
+    for (std::size_t j = 0; j < network.size(); ++j) {
+      if (i == j) continue;
+      const bool together = network.RegionOf(i) == network.RegionOf(j);
+      REQUIRE(network.View(i, j) ==
+              (together ? MemberState::kAlive : MemberState::kDead));
+    }
+  }
+  network.node(0).SetRulesRevision(Revision(8));
+  network.SetCut(false);
+  CHECK(network.RunUntil([&] { return AllAlive(network); }, kDetect));
+  CHECK(
+      network.RunUntil([&] { return network.AllHave(Revision(8)); }, kSpread));
+}
+
+TEST_CASE("a tenth of datagrams lost kills no member") {
+  NetworkOptions options = Options(20);
+  options.loss = 0.1;
+  GossipNetwork network(options);
+  for (int i = 0; i < 120; ++i) {
+    network.Run(seconds(1));
+    for (std::size_t n = 0; n < network.size(); ++n) {
+      REQUIRE(network.node(n).table().InState(MemberState::kDead).empty());
+    }
+  }
+  CHECK(network.Counts().suspicions > 0);
+  CHECK(network.Counts().refutations > 0);
+}
+
+TEST_CASE("without time to refute, lost datagrams kill living members") {
+  NetworkOptions options = Options(20);
+  options.loss = 0.1;
+  options.node.table.suspicion_timeout = milliseconds(0);
+  GossipNetwork network(options);
+  std::size_t dead = 0;
+  for (int i = 0; i < 120; ++i) {
+    network.Run(seconds(1));
+    for (std::size_t n = 0; n < network.size(); ++n) {
+      dead += network.node(n).table().InState(MemberState::kDead).size();
+    }
+  }
+  CHECK(dead > 0);
+}
+
+TEST_CASE("rules and convictions reach all, also past their first finder") {
+  NetworkOptions options = Options(30);
+  options.loss = 0.05;
+  GossipNetwork network(options);
+  network.Run(seconds(5));
+  network.node(7).SetRulesRevision(Revision(42));
+  network.node(7).AddNotice(Conviction(99, "entry-1007", 2));
+  network.Run(seconds(1));
+  network.Kill(7);
+  const auto all_know = [&] {
+    for (std::size_t i = 0; i < network.size(); ++i) {
+      if (network.IsDead(i)) continue;
+      if (network.node(i).notices().Total(Fingerprint(99),
+                                          NoticeKind::kConviction) != 2) {
+        return false;
+      }
+    }
+    return network.AllHave(Revision(42));
+  };
+  CHECK(network.RunUntil(all_know, kSpread));
+  CHECK(network.node(3).TakeNewNotices().size() == 1);
+  const std::size_t late = network.Join();
+  network.Run(kSpread);
+  CHECK(network.node(late).notices().size() == 1);
+}
+
+TEST_CASE("a replayed digest of a dead member is no sign of life") {
+  GossipNetwork network(Options(5));
+  std::vector<std::string> recorded;
+  network.on_deliver = [&](std::size_t to, const std::string& bytes) {
+    if (to == 0) recorded.push_back(bytes);
+  };
+  network.Run(seconds(10));
+  network.on_deliver = nullptr;
+  network.Kill(1);
+  CHECK(network.RunUntil([&] { return network.AllSee(1, MemberState::kDead); },
+                         kDetect));
+  for (const std::string& bytes : recorded) network.node(0).Receive(bytes);
+  CHECK(network.View(0, 1) == MemberState::kDead);
+  CHECK(network.node(0).counts().refused >= recorded.size());
+  // A fresh process has no memory of sequences; versions still hold.
+  network.Restart(0, 2);
+  network.Run(kDetect);
+  for (const std::string& bytes : recorded) network.node(0).Receive(bytes);
+  CHECK(network.View(0, 1) == MemberState::kDead);
+}
+
+TEST_CASE("notices add up over origins, end in time, and are bounded") {
+  ManualClock clock;
+  NoticeBoard board(4, clock);
+  CHECK(board.Merge(Conviction(1, "a", 1), 3));
+  CHECK(board.Merge(Conviction(1, "b", 2), 3));
+  CHECK_FALSE(board.Merge(Conviction(1, "b", 2), 3));
+  CHECK_FALSE(board.Merge(Conviction(1, "b", 1), 3));
+  CHECK(board.Total(Fingerprint(1), NoticeKind::kConviction) == 3);
+  CHECK(board.Total(Fingerprint(1), NoticeKind::kSuspicion) == 0);
+  for (std::uint64_t i = 2; i < 10; ++i) {
+    board.Merge(Conviction(i, "a", 1), 3);
+    CHECK(board.size() <= 4);
+  }
+  // Two boards that tell each other for ever keep nothing for ever.
+  NoticeBoard other(4, clock);
+  for (int i = 0; i < 700; ++i) {
+    for (const Notice& it : board.Next(4)) other.Merge(it, 3);
+    for (const Notice& it : other.Next(4)) board.Merge(it, 3);
+    clock.Advance(seconds(1));
+    board.Expire();
+    other.Expire();
+  }
+  CHECK(board.size() == 0);
+  CHECK(other.size() == 0);
+}
+
+}  // namespace briarspread
