--- a/briarspread/weights/rollout_action.h
+++ b/briarspread/weights/rollout_action.h
@@ -61,6 +61,8 @@
 enum class OrderOutcome {
   /// The replica says that it has loaded the version.
   kLoaded,
+  /// Its time to be sent had passed, so it was not.
+  kNotSent,
   /// The replica refused or failed; it does not load.
   kFailed,
   /// No answer in time; the replica may still be loading.
--- a/briarspread/weights/weight_rollout.cc
+++ b/briarspread/weights/weight_rollout.cc
@@ -186,6 +186,10 @@
   dirty_ = true;
   if (outcome == OrderOutcome::kFailed) {
     TakeFailure(now, order.id);
+  } else if (outcome == OrderOutcome::kNotSent) {
+    const bool failed = progress_[order.id].failed;
+    planner_.SetState(order.id,
+                      failed ? SwapState::kRetry : SwapState::kPending);
   } else if (order.version == target_) {
     TakeLoaded(now, order.id);
   } else {
--- a/tests/weights/rollout_world.cc
+++ b/tests/weights/rollout_world.cc
@@ -145,7 +145,8 @@
 
 void RolloutWorld::Send(std::size_t index, const LoadOrder& order) {
   if (clock.Now() >= order.send_before) {
-    drivers_[index].rollout->OnOrder(clock.Now(), order, OrderOutcome::kFailed);
+    drivers_[index].rollout->OnOrder(clock.Now(), order,
+                                     OrderOutcome::kNotSent);
     return;
   }
   if (on_sent) on_sent(index);
