--- a/briarspread/client/caller_client.cc
+++ b/briarspread/client/caller_client.cc
@@ -22,6 +22,18 @@
   return milliseconds(body.value("retry_after_ms", std::int64_t{0}));
 }
 
+/// Whether sending again would bring the same answer: the request is at fault,
+/// or an instance says that it may have run and names no time to come back.
+bool IsFinal(const CallerAnswer& answer) {
+  constexpr int kHttpTooManyRequests = 429;
+  const bool is_refused = answer.status >= 400 && answer.status < 500 &&
+                          answer.status != kHttpTooManyRequests;
+  const bool is_settled =
+      FindHeader(answer.headers, headers::kVerdict) == "may-have-run" &&
+      RetryAfter(answer).count() == 0;
+  return is_refused || is_settled;
+}
+
 }  // namespace
 
 CallerClient::CallerClient(std::vector<Endpoint> entries,
@@ -89,9 +101,7 @@
     const bool safe = MaySendAgain(
         combined, request.idempotent || !request.key.value().empty());
     if (answer.verdict == Verdict::kAnswered || !safe) break;
-    const bool is_final =
-        answer.status >= 400 && answer.status < 500 && answer.status != 429;
-    if (is_final) break;
+    if (IsFinal(answer)) break;
     Pause(answer, left);
   }
   answer.verdict = combined;
--- a/programs/load/main.cc
+++ b/programs/load/main.cc
@@ -5,11 +5,13 @@
 
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <thread>
 
 #include "briarspread/client/caller_client.h"
+#include "briarspread/client/paced_calls.h"
 #include "briarspread/client/trainer_client.h"
 #include "briarspread/transport/http_upstream_client.h"
 #include "programs/load/load_report.h"
@@ -61,41 +63,32 @@
   return WeightVersion(version);
 }
 
-/// One kind of live call at a steady rate.
+/// One kind of live call.
 class LiveLoad {
  public:
-  LiveLoad(std::string name, double rate, CallerClient& caller,
-           const Clock& clock, LoadReport& report)
+  LiveLoad(std::string name, CallerClient& caller, const Clock& clock,
+           LoadReport& report)
       : name_(std::move(name)),
-        rate_(rate),
         caller_(caller),
         clock_(clock),
         report_(report) {}
 
-  /// Calls until `end` on `threads` threads, then joins them.
-  void Run(TimePoint end, std::uint32_t threads) {
+  /// Makes call number `n`. Thread-safe.
+  void CallOnce(std::uint64_t n) {
+    const std::string mark =
+        name_ + "-" + std::to_string(FLAGS_seed) + "-" + std::to_string(n);
     const TimePoint start = clock_.Now();
-    std::vector<std::thread> workers;
-    for (std::uint32_t i = 0; i < threads; ++i) {
-      workers.emplace_back([this, start, end] { CallUntil(start, end); });
+    const CallerAnswer answer = caller_.Call(MakeRequest(mark));
+    bool wrong = false;
+    if (answer.verdict == Verdict::kAnswered) {
+      const Json body = Json::parse(answer.body, nullptr, false);
+      const char* field = name_ == "quote" ? "id" : "key";
+      wrong = !body.is_object() || body.value(field, "") != mark;
     }
-    for (std::thread& worker : workers) worker.join();
+    report_.AddCall(name_, answer, wrong, clock_.Now() - start);
   }
 
  private:
-  void CallUntil(TimePoint start, TimePoint end) {
-    while (true) {
-      const std::uint64_t n = next_++;
-      const TimePoint due =
-          start +
-          std::chrono::duration_cast<Duration>(
-              std::chrono::duration<double>(static_cast<double>(n) / rate_));
-      if (due >= end) return;
-      std::this_thread::sleep_until(due);
-      CallOnce(n);
-    }
-  }
-
   CallerRequest MakeRequest(const std::string& mark) const {
     CallerRequest request;
     request.customer = CustomerId("andes");
@@ -117,25 +110,10 @@
     return request;
   }
 
-  void CallOnce(std::uint64_t n) {
-    const std::string mark =
-        name_ + "-" + std::to_string(FLAGS_seed) + "-" + std::to_string(n);
-    const TimePoint start = clock_.Now();
-    const CallerAnswer answer = caller_.Call(MakeRequest(mark));
-    bool wrong = false;
-    if (answer.verdict == Verdict::kAnswered && name_ != "quote") {
-      const Json body = Json::parse(answer.body, nullptr, false);
-      wrong = !body.is_object() || body.value("key", "") != mark;
-    }
-    report_.AddCall(name_, answer, wrong, clock_.Now() - start);
-  }
-
   const std::string name_;
-  const double rate_;
   CallerClient& caller_;
   const Clock& clock_;
   LoadReport& report_;
-  std::atomic<std::uint64_t> next_{0};
 };
 
 /// A trainer that pulls whole steps and then computes for a while.
@@ -241,19 +219,20 @@
   LoadReport report;
   const TimePoint end = clock.Now() + seconds(FLAGS_seconds);
 
-  std::vector<std::thread> threads;
-  LiveLoad quotes("quote", FLAGS_quotes_per_second, caller, clock, report);
-  LiveLoad checks("stock-check", FLAGS_stock_checks_per_second, caller, clock,
-                  report);
+  LiveLoad quotes("quote", caller, clock, report);
+  LiveLoad checks("stock-check", caller, clock, report);
   TrainerLoad steps(trainer, clock, report);
-  if (FLAGS_quotes_per_second > 0) {
-    threads.emplace_back([&] { quotes.Run(end, FLAGS_threads); });
-  }
-  if (FLAGS_stock_checks_per_second > 0) {
-    threads.emplace_back([&] { checks.Run(end, FLAGS_threads); });
-  }
-  if (FLAGS_groups > 0) threads.emplace_back([&] { steps.Run(end); });
-  for (std::thread& thread : threads) thread.join();
+  std::vector<std::unique_ptr<PacedCalls>> calls;
+  const auto start = [&](LiveLoad& load, double rate) {
+    if (rate <= 0) return;
+    calls.push_back(std::make_unique<PacedCalls>(
+        PacedCallsSettings{rate, seconds(FLAGS_seconds), FLAGS_threads}, clock,
+        [&load](std::uint64_t n) { load.CallOnce(n); }));
+  };
+  start(quotes, FLAGS_quotes_per_second);
+  start(checks, FLAGS_stock_checks_per_second);
+  if (FLAGS_groups > 0) steps.Run(end);
+  for (const auto& paced : calls) paced->Wait();
 
   std::cout << report.ToText();
   if (!FLAGS_json.empty()) std::ofstream(FLAGS_json) << report.ToJson() << "\n";
--- a/standins/fake_engine/main.cc
+++ b/standins/fake_engine/main.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "briarspread/core/http_headers.h"
+#include "briarspread/history/history_writer.h"
 #include "briarspread/transport/http_server.h"
 #include "standins/common/registration.h"
 #include "standins/fake_engine/engine_state.h"
@@ -21,6 +22,7 @@
 DEFINE_string(region, "lim", "region");
 DEFINE_uint32(slots, 16, "requests that run at once");
 DEFINE_uint32(token_ms, 2, "milliseconds a token takes");
+DEFINE_string(history, "", "file to which runs and generations are appended");
 DEFINE_uint64(weight_version, 1, "weight version loaded at the start");
 
 namespace briarspread::standins {
@@ -40,6 +42,8 @@
   std::uint32_t resume_offset = 0;
   int level = kDefaultLevel;
   bool stream = false;
+  /// The caller's key; may be empty.
+  std::string key;
 };
 
 std::optional<Completion> ParseCompletion(const std::string& body) {
@@ -68,6 +72,17 @@
   }
   Json ToJson() const { return spans_; }
 
+  /// Records what was generated for `prompt`.
+  void Record(const std::string& prompt, HistoryWriter& history) const {
+    for (const Json& span : spans_) {
+      history.Write(
+          GenerationRecord{UpstreamId(FLAGS_name), prompt,
+                           WeightVersion(span["version"].get<std::uint64_t>()),
+                           span["begin"].get<std::uint32_t>(),
+                           span["end"].get<std::uint32_t>()});
+    }
+  }
+
  private:
   /// In order of tokens.
   std::vector<Json> spans_;
@@ -81,7 +96,8 @@
 /// The stand-in's HTTP routes.
 class EngineServer {
  public:
-  explicit EngineServer(EngineState& state) : state_(state) {}
+  EngineServer(EngineState& state, HistoryWriter& history)
+      : state_(state), history_(history) {}
 
   void AddRoutes(httplib::Server& routes) {
     routes.Post("/v1/completions",
@@ -100,7 +116,7 @@
 
  private:
   void Complete(const httplib::Request& in, httplib::Response& out) {
-    const auto completion = ParseCompletion(in.body);
+    auto completion = ParseCompletion(in.body);
     if (!completion.has_value()) {
       RespondJson(out, 400, R"({"error":{"message":"prompt is required"}})");
       return;
@@ -116,6 +132,10 @@
       _exit(1);
     }
     ++started_;
+    completion->key = in.get_header_value(headers::kIdempotencyKey);
+    history_.Write(RunRecord{UpstreamId(FLAGS_name),
+                             RequestKey(completion->key),
+                             ToHistoryTime(std::chrono::system_clock::now())});
     out.set_header(headers::kExchange, in.get_header_value(headers::kExchange));
     if (completion->stream) {
       Stream(*completion, out);
@@ -137,8 +157,10 @@
       spans.Add(token.weight_version, i);
     }
     state_.ReleaseSlot();
+    spans.Record(completion.prompt, history_);
     RespondJson(out, 200,
-                Json{{"object", "text_completion"},
+                Json{{"id", completion.key},
+                     {"object", "text_completion"},
                      {"model", completion.model},
                      {"choices", Choice(text, "length")},
                      {"usage",
@@ -166,11 +188,14 @@
     const std::uint64_t hash =
         XXH3_64bits(completion.prompt.data(), completion.prompt.size());
     bool whole = true;
+    VersionSpans spans;
     for (std::uint32_t i = completion.resume_offset; i < completion.max_tokens;
          ++i) {
       const GeneratedToken token = state_.Generate(hash, i);
+      spans.Add(token.weight_version, i);
       const bool last = i + 1 == completion.max_tokens;
       const Json chunk = {
+          {"id", completion.key},
           {"object", "text_completion"},
           {"model", completion.model},
           {"token_index", i},
@@ -182,6 +207,7 @@
       if (!whole) break;
     }
     state_.ReleaseSlot();
+    spans.Record(completion.prompt, history_);
     if (!whole) {
       ++cancelled_;
       return false;
@@ -246,6 +272,8 @@
 
   /// What the routes serve.
   EngineState& state_;
+  /// Records runs and generations.
+  HistoryWriter& history_;
   /// Requests taken.
   std::atomic<std::uint64_t> started_{0};
   /// Streams that ended before their end marker.
@@ -270,7 +298,13 @@
   settings.listen = ParseEndpoint(FLAGS_listen);
   settings.threads = kThreads;
   HttpServer server(settings);
-  EngineServer routes(state);
+  HistoryWriter history;
+  const Status opened = history.Open(FLAGS_history);
+  if (!IsOk(opened)) {
+    LOG(ERROR) << ErrorOf(opened).message;
+    return 1;
+  }
+  EngineServer routes(state, history);
   routes.AddRoutes(server.routes());
   const Status started = server.Start();
   if (!IsOk(started)) {
--- a/standins/fake_platform/main.cc
+++ b/standins/fake_platform/main.cc
@@ -67,6 +67,12 @@
       state_.Register(Json::parse(in.body));
       RespondJson(out, 200, "true");
     });
+    routes.Put("/v1/catalog/state", [this](const auto& in, auto& out) {
+      const Json json = Json::parse(in.body);
+      const bool known = state_.SetInstanceState(json.value("ServiceID", ""),
+                                                 json.value("state", "live"));
+      RespondJson(out, known ? 200 : 404, known ? "true" : "false");
+    });
     routes.Put("/v1/catalog/deregister", [this](const auto& in, auto& out) {
       state_.Deregister(Json::parse(in.body).value("ServiceID", ""));
       RespondJson(out, 200, "true");
--- a/standins/fake_platform/platform_state.cc
+++ b/standins/fake_platform/platform_state.cc
@@ -86,6 +86,16 @@
   PushView(std::move(rows));
 }
 
+bool PlatformState::SetInstanceState(const std::string& id,
+                                     const std::string& state) {
+  std::lock_guard lock(mutex_);
+  if (views_.empty() || !views_.back().rows.contains(id)) return false;
+  auto rows = views_.back().rows;
+  rows[id]["ServiceMeta"]["state"] = state;
+  PushView(std::move(rows));
+  return true;
+}
+
 void PlatformState::Deregister(const std::string& id) {
   std::lock_guard lock(mutex_);
   if (views_.empty()) return;
--- a/standins/fake_platform/platform_state.h
+++ b/standins/fake_platform/platform_state.h
@@ -60,6 +60,8 @@
 
   /// Adds or replaces a row of the catalog.
   void Register(const nlohmann::json& row);
+  /// Sets a row's state, `live` or `leaving`; false where there is no such row.
+  bool SetInstanceState(const std::string& id, const std::string& state);
   /// Removes a row.
   void Deregister(const std::string& id);
   /// The catalog as the lag lets it be seen.
--- a/standins/fake_service/main.cc
+++ b/standins/fake_service/main.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "briarspread/core/http_headers.h"
+#include "briarspread/history/history_writer.h"
 #include "briarspread/transport/http_server.h"
 #include "standins/common/registration.h"
 
@@ -18,6 +19,7 @@
 DEFINE_string(service, "orders", "the service offered");
 DEFINE_string(zone, "lim-a", "availability zone");
 DEFINE_string(region, "lim", "region");
+DEFINE_string(history, "", "file to which runs are appended");
 DEFINE_uint32(work_ms, 5, "milliseconds a call takes");
 
 namespace briarspread::standins {
@@ -99,8 +101,8 @@
       [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
 }
 
-void Call(ServiceState& state, const httplib::Request& in,
-          httplib::Response& out) {
+void Call(ServiceState& state, HistoryWriter& history,
+          const httplib::Request& in, httplib::Response& out) {
   const ServiceFaults faults = state.faults();
   if (faults.refuse) {
     out.set_header(headers::kRetryAfter, "1");
@@ -112,6 +114,8 @@
     _exit(1);
   }
   const std::string key = in.get_header_value(headers::kIdempotencyKey);
+  history.Write(RunRecord{UpstreamId(FLAGS_name), RequestKey(key),
+                          ToHistoryTime(std::chrono::system_clock::now())});
   const int runs = state.Run(key);
   std::this_thread::sleep_for(milliseconds(FLAGS_work_ms) + faults.delay);
   if (state.TakeLostAnswer()) {
@@ -129,9 +133,10 @@
                   .dump());
 }
 
-void AddRoutes(ServiceState& state, httplib::Server& routes) {
-  const auto call = [&state](const auto& in, auto& out) {
-    Call(state, in, out);
+void AddRoutes(ServiceState& state, HistoryWriter& history,
+               httplib::Server& routes) {
+  const auto call = [&state, &history](const auto& in, auto& out) {
+    Call(state, history, in, out);
   };
   routes.Get("/health",
              [](const auto&, auto& out) { RespondJson(out, 200, "{}"); });
@@ -168,7 +173,13 @@
   settings.listen = ParseEndpoint(FLAGS_listen);
   settings.threads = kThreads;
   HttpServer server(settings);
-  AddRoutes(state, server.routes());
+  HistoryWriter history;
+  const Status opened = history.Open(FLAGS_history);
+  if (!IsOk(opened)) {
+    LOG(ERROR) << ErrorOf(opened).message;
+    return 1;
+  }
+  AddRoutes(state, history, server.routes());
   const Status started = server.Start();
   if (!IsOk(started)) {
     LOG(ERROR) << ErrorOf(started).message;
