--- /dev/null
+++ b/briarspread/observe/trace_context.h
@@ -0,0 +1,33 @@
+#ifndef BRIARSPREAD_OBSERVE_TRACE_CONTEXT_H_
+#define BRIARSPREAD_OBSERVE_TRACE_CONTEXT_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "briarspread/core/random_source.h"
+
+namespace briarspread {
+
+/// A place in a trace, as the header `traceparent` carries it.
+/// Source: W3C Trace Context, version 00.
+struct TraceContext {
+  /// 32 lower-case hexadecimal digits.
+  std::string trace_id;
+  /// 16 lower-case hexadecimal digits.
+  std::string span_id;
+
+  /// The header's value. Thread-safe.
+  std::string ToHeader() const;
+};
+
+/// Reads a `traceparent` header; nothing where it is malformed. Thread-safe.
+std::optional<TraceContext> ParseTraceParent(std::string_view header);
+
+/// A new place below `parent`, or at the start of a new trace. Thread-safe.
+TraceContext ChildOf(const std::optional<TraceContext>& parent,
+                     RandomSource& random);
+
+}  // namespace briarspread
+
+#endif  // BRIARSPREAD_OBSERVE_TRACE_CONTEXT_H_
