Gateway: metrics, spans, resumed streams, priorities passed to engines

Cause: a stream that was cut after its first token ended may-have-run although it is idempotent, and no hop could be seen. Change: an idempotent stream resumes at its next token on another upstream, engines are given the rule's priority, each request and exchange is a span, /metrics is served, a handler that throws answers JSON with a verdict. Ruled out: starting the stream anew, which would send the caller tokens twice.

--- a/briarspread/gateway/entry.cc
+++ b/briarspread/gateway/entry.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <nlohmann/json.hpp>
+#include <random>
 
 namespace briarspread {
 namespace {
@@ -39,11 +40,14 @@
 
 Entry::Entry(const EntrySettings& settings)
     : settings_(settings),
+      random_(std::random_device{}()),
+      tracer_(settings.instance.value(), clock_, random_),
+      context_{settings.instance, state_, clock_, random_, metrics_, tracer_},
       client_(HttpUpstreamClientSettings{}, clock_),
       store_(PlatformSettings(settings), client_),
       list_(PlatformSettings(settings), client_),
-      caller_(state_, router_, client_, clock_),
-      live_(settings.instance, state_, caller_, clock_),
+      caller_(context_, router_, client_),
+      live_(context_, caller_),
       trainers_(state_, caller_, clock_, kTrainerWorkers),
       poller_(PollerSettings(settings), store_, list_, client_, state_, clock_),
       server_(ServerSettings(settings)) {}
@@ -56,6 +60,9 @@
     const bool ready = state_.has_rules.load() && !state_.draining.load();
     RespondJson(out, ready ? 200 : 503, Json{{"ready", ready}}.dump());
   });
+  routes.Get("/metrics", [this](const auto&, auto& out) {
+    out.set_content(metrics_.ToPrometheus(), "text/plain; version=0.0.4");
+  });
   routes.Get("/v1/status", [this](const auto&, auto& out) {
     RespondJson(out, 200,
                 Json{{"instance", settings_.instance.value()},
@@ -68,6 +75,8 @@
 }
 
 Status Entry::Start() {
+  Status traced = tracer_.Open(settings_.trace_file);
+  if (!IsOk(traced)) return traced;
   AddOperatorRoutes();
   live_.AddRoutes(server_.routes());
   trainers_.AddRoutes(server_.routes());
--- a/briarspread/gateway/entry.h
+++ b/briarspread/gateway/entry.h
@@ -32,7 +32,12 @@
 
   const EntrySettings settings_;
   SystemClock clock_;
+  /// Seeded by the operating system.
+  SeededRandom random_;
   ControlState state_;
+  EntryMetrics metrics_;
+  Tracer tracer_;
+  const GatewayContext context_;
   HttpUpstreamClient client_;
   ConsulStore store_;
   ConsulInstanceList list_;
--- a/briarspread/gateway/live_handler.cc
+++ b/briarspread/gateway/live_handler.cc
@@ -63,9 +63,8 @@
 
 }  // namespace
 
-LiveHandler::LiveHandler(const InstanceId& self, ControlState& state,
-                         UpstreamCaller& caller, const Clock& clock)
-    : self_(self), state_(state), caller_(caller), clock_(clock) {}
+LiveHandler::LiveHandler(const GatewayContext& context, UpstreamCaller& caller)
+    : context_(context), caller_(caller) {}
 
 void LiveHandler::AddRoutes(httplib::Server& routes) {
   routes.Post("/v1/completions",
@@ -81,8 +80,8 @@
 }
 
 bool LiveHandler::RefuseWhereUnready(httplib::Response& out) const {
-  const bool draining = state_.draining.load();
-  if (!draining && state_.has_rules.load()) return false;
+  const bool draining = context_.state.draining.load();
+  if (!draining && context_.state.has_rules.load()) return false;
   const Error error{ErrorCode::kUnavailable, Verdict::kNotRun,
                     draining ? "the instance is shutting down"
                              : "the instance has no rules yet",
@@ -99,7 +98,7 @@
   if (!IsOk(deadline)) return ErrorOf(deadline);
   const CustomerId customer(in.get_header_value(headers::kCustomer));
   const RequestClass request_class(in.get_header_value(headers::kRequestClass));
-  const auto rules = state_.rules.Read();
+  const auto rules = context_.state.rules.Read();
   const PriorityRule priority = rules->PriorityOf(customer, request_class);
   CallSpec spec;
   spec.route.kind = kind;
@@ -108,12 +107,14 @@
   spec.method = in.method;
   spec.body = in.body;
   spec.idempotent = rules->IsIdempotent(ServiceName(serves), in.method);
-  spec.deadline = clock_.Now() + ValueOf(deadline).value_or(priority.deadline);
-  for (const char* name : {headers::kIdempotencyKey, headers::kTraceParent}) {
-    if (in.has_header(name)) {
-      spec.headers.push_back({name, in.get_header_value(name)});
-    }
+  spec.deadline =
+      context_.clock.Now() + ValueOf(deadline).value_or(priority.deadline);
+  if (in.has_header(headers::kIdempotencyKey)) {
+    spec.headers.push_back({headers::kIdempotencyKey,
+                            in.get_header_value(headers::kIdempotencyKey)});
   }
+  spec.trace = ParseTraceParent(in.get_header_value(headers::kTraceParent));
+  spec.priority_level = priority.level;
   return spec;
 }
 
@@ -137,7 +138,9 @@
   }
   CallSpec& call = ValueOf(spec);
   call.path = "/v1/completions";
-  call.stream = body.value("stream", false);
+  body["priority"] = call.priority_level;
+  call.body = body.dump();
+  call.stream = body.contains("stream") && body["stream"] == true;
   const std::string prompt = body["prompt"].get<std::string>();
   call.route.prefix_hash =
       StableHash(std::string_view{prompt}.substr(0, kPrefixBytes));
@@ -160,10 +163,23 @@
   Answer(ValueOf(spec), out);
 }
 
-void LiveHandler::Answer(const CallSpec& spec, httplib::Response& out) {
-  const InFlight in_flight(state_);
+void LiveHandler::Finish(const CallSpec& spec, const CallResult& result,
+                         TimePoint start, Span& span) {
+  span.Set("class", spec.route.request_class.value());
+  span.Set("verdict", std::string(ToString(result.verdict)));
+  span.Set("attempts", std::to_string(result.attempts));
+  context_.metrics.CountRequest(spec.route.request_class.value(),
+                                result.verdict, context_.clock.Now() - start);
+}
+
+void LiveHandler::Answer(CallSpec spec, httplib::Response& out) {
+  const InFlight in_flight(context_.state);
+  const TimePoint start = context_.clock.Now();
+  Span span = context_.tracer.Start("request", spec.trace);
+  spec.trace = span.context();
   const CallResult result = caller_.Run(spec, {});
-  out.set_header(headers::kInstance, self_.value());
+  Finish(spec, result, start, span);
+  out.set_header(headers::kInstance, context_.self.value());
   if (result.verdict != Verdict::kAnswered) {
     RespondError(out, HttpStatusOf(result.error.code), result.error);
     return;
@@ -176,12 +192,16 @@
   RespondJson(out, result.status, result.body);
 }
 
-void LiveHandler::AnswerStream(const CallSpec& spec, httplib::Response& out) {
-  out.set_header(headers::kInstance, self_.value());
+void LiveHandler::AnswerStream(const CallSpec& call, httplib::Response& out) {
+  out.set_header(headers::kInstance, context_.self.value());
   out.set_chunked_content_provider(
       "text/event-stream",
-      [this, spec](std::size_t /*offset*/, httplib::DataSink& sink) {
-        const InFlight in_flight(state_);
+      [this, spec = call](std::size_t /*offset*/,
+                          httplib::DataSink& sink) mutable {
+        const InFlight in_flight(context_.state);
+        const TimePoint start = context_.clock.Now();
+        Span span = context_.tracer.Start("request", spec.trace);
+        spec.trace = span.context();
         // The end marker is held back until the verdict can go before it.
         constexpr std::string_view kEnd = "data: [DONE]\n\n";
         const EventSink pass_on = [&sink, kEnd](std::string_view events) {
@@ -189,6 +209,7 @@
           return events.empty() || sink.write(events.data(), events.size());
         };
         const CallResult result = caller_.Run(spec, pass_on);
+        Finish(spec, result, start, span);
         const bool whole = result.verdict == Verdict::kAnswered;
         const Json event = whole ? EndEvent(result) : ErrorEvent(result);
         std::string tail = std::string("event: ") +
--- a/briarspread/gateway/live_handler.h
+++ b/briarspread/gateway/live_handler.h
@@ -12,8 +12,7 @@
 class LiveHandler {
  public:
   /// Precondition: all arguments outlive this object.
-  LiveHandler(const InstanceId& self, ControlState& state,
-              UpstreamCaller& caller, const Clock& clock);
+  LiveHandler(const GatewayContext& context, UpstreamCaller& caller);
 
   /// Adds the routes. Call before the server starts.
   void AddRoutes(httplib::Server& routes);
@@ -21,8 +20,8 @@
  private:
   void ServeCompletion(const httplib::Request& in, httplib::Response& out);
   void ServeService(const httplib::Request& in, httplib::Response& out);
-  void Answer(const CallSpec& spec, httplib::Response& out);
-  void AnswerStream(const CallSpec& spec, httplib::Response& out);
+  void Answer(CallSpec spec, httplib::Response& out);
+  void AnswerStream(const CallSpec& call, httplib::Response& out);
   /// Fills in class, deadline, idempotency and headers by the rules. The error
   /// names a header that cannot be read.
   Result<CallSpec> MakeSpec(const httplib::Request& in, InstanceKind kind,
@@ -30,10 +29,12 @@
   /// Refuses at once where the instance cannot serve now.
   bool RefuseWhereUnready(httplib::Response& out) const;
 
-  const InstanceId self_;
-  ControlState& state_;
+  /// Counts the request and ends its span.
+  void Finish(const CallSpec& spec, const CallResult& result, TimePoint start,
+              Span& span);
+
+  const GatewayContext context_;
   UpstreamCaller& caller_;
-  const Clock& clock_;
 };
 
 }  // namespace briarspread
--- a/briarspread/gateway/upstream_call.cc
+++ b/briarspread/gateway/upstream_call.cc
@@ -55,6 +55,16 @@
   return Verdict::kAnswered;
 }
 
+/// The request that continues a cut stream at its next token.
+std::string ResumeBody(const std::string& body,
+                       const CompletionStream& stream) {
+  Json json = Json::parse(body, nullptr, false);
+  if (!json.is_object()) return body;
+  json["resume_offset"] = stream.next_token();
+  json["resume_text"] = stream.text();
+  return json.dump();
+}
+
 void ReadVersions(const std::string& body, CallResult& result) {
   const Json json = Json::parse(body, nullptr, false);
   if (!json.is_object() || !json.contains("weight_versions")) return;
@@ -68,14 +78,14 @@
 
 }  // namespace
 
-UpstreamCaller::UpstreamCaller(ControlState& state, Router& router,
-                               UpstreamClient& client, const Clock& clock)
-    : state_(state), router_(router), client_(client), clock_(clock) {}
+UpstreamCaller::UpstreamCaller(const GatewayContext& context, Router& router,
+                               UpstreamClient& client)
+    : context_(context), router_(router), client_(client) {}
 
 std::optional<UpstreamCaller::Target> UpstreamCaller::Choose(
     const RouteRequest& route) const {
-  const auto table = state_.routing.Read();
-  const auto rules = state_.rules.Read();
+  const auto table = context_.state.routing.Read();
+  const auto rules = context_.state.rules.Read();
   const auto index = router_.Choose(route, *table, *rules);
   if (!index.has_value()) return std::nullopt;
   const UpstreamView& chosen = table->upstreams[*index];
@@ -83,22 +93,35 @@
                 chosen.counters};
 }
 
-CallResult UpstreamCaller::Attempt(const CallSpec& spec, const Target& target,
-                                   CompletionStream& stream,
-                                   const EventSink& sink) {
+UpstreamRequest UpstreamCaller::MakeRequest(const CallSpec& spec,
+                                            const Target& target,
+                                            const CompletionStream& stream,
+                                            const std::string& exchange) const {
   UpstreamRequest request;
   request.endpoint = target.endpoint;
   request.method = spec.method;
   request.path = spec.path;
   request.headers = spec.headers;
+  request.headers.push_back({headers::kExchange, exchange});
   request.body = spec.body;
+  if (stream.next_token() > 0) request.body = ResumeBody(spec.body, stream);
   request.may_reuse_connection = spec.idempotent;
-  request.timeout =
-      std::chrono::duration_cast<milliseconds>(spec.deadline - clock_.Now());
+  request.timeout = std::chrono::duration_cast<milliseconds>(
+      spec.deadline - context_.clock.Now());
+  return request;
+}
+
+CallResult UpstreamCaller::Attempt(const CallSpec& spec, const Target& target,
+                                   CompletionStream& stream,
+                                   const EventSink& sink) {
   const std::string exchange = std::to_string(++last_exchange_);
-  request.headers.push_back({headers::kExchange, exchange});
+  Span span = context_.tracer.Start("upstream", spec.trace);
+  span.Set("upstream", target.id.value());
+  UpstreamRequest request = MakeRequest(spec, target, stream, exchange);
+  request.headers.push_back({headers::kTraceParent, span.context().ToHeader()});
 
   StreamReceiver receiver(stream, sink);
+  ++context_.metrics.exchanges;
   ++target.counters->in_flight;
   ExchangeOutcome outcome =
       client_.Exchange(request, spec.stream ? &receiver : nullptr);
@@ -115,7 +138,9 @@
     result.verdict = Verdict::kMayHaveRun;
     outcome.failure = crossed ? "answer of another exchange" : "stream cut";
   }
+  span.Set("verdict", std::string(ToString(result.verdict)));
   if (result.verdict != Verdict::kAnswered) {
+    if (crossed || cut) ++context_.metrics.dropped_answers;
     result.error = Error{ErrorCode::kUnavailable, result.verdict,
                          target.id.value() + ": " + outcome.failure,
                          kRetryAfterNoUpstream};
@@ -139,20 +164,28 @@
       Error{ErrorCode::kUnavailable, Verdict::kNotRun,
             "no upstream serves " + route.serves, kRetryAfterNoUpstream};
   Verdict combined = Verdict::kNotRun;
+  // A caller who hung up wants no second attempt.
+  bool sink_closed = false;
+  const EventSink watched_sink = [&](std::string_view events) {
+    sink_closed = !sink(events);
+    return !sink_closed;
+  };
   for (int i = 0; i < kMaxAttempts; ++i) {
-    if (clock_.Now() >= spec.deadline) {
+    if (context_.clock.Now() >= spec.deadline) {
       result.error.code = ErrorCode::kDeadlineExceeded;
       break;
     }
     const auto target = Choose(route);
     if (!target.has_value()) break;
-    result = Attempt(spec, *target, stream, sink);
+    result = Attempt(spec, *target, stream, watched_sink);
     result.attempts = i + 1;
     if (result.verdict == Verdict::kAnswered) return result;
     combined = Combine(combined, result.verdict);
     if (!MaySendAgain(combined, spec.idempotent)) break;
-    // A stream that has passed tokens on is not started anew.
-    if (spec.stream && stream.next_token() > 0) break;
+    if (sink_closed) break;
+    ++context_.metrics.retries;
+    if (stream.next_token() > 0) ++context_.metrics.resumed_streams;
+    stream.DropPartialEvent();
     route.excluded.push_back(target->id);
   }
   result.verdict = combined;
--- a/briarspread/gateway/upstream_call.h
+++ b/briarspread/gateway/upstream_call.h
@@ -10,7 +10,7 @@
 #include "briarspread/core/result.h"
 #include "briarspread/core/upstream_client.h"
 #include "briarspread/gateway/completion_stream.h"
-#include "briarspread/gateway/control_state.h"
+#include "briarspread/gateway/gateway_context.h"
 #include "briarspread/routing/router.h"
 
 namespace briarspread {
@@ -30,8 +30,12 @@
   bool idempotent = false;
   /// When the caller stops waiting.
   TimePoint deadline;
+  /// Rank by the rules, from 0, served first, to 9.
+  int priority_level = 5;
   /// Whether the answer is a stream of completion chunks.
   bool stream = false;
+  /// The hop that this request came from; empty where none was named.
+  std::optional<TraceContext> trace;
 };
 
 /// What came of a request after all attempts.
@@ -61,8 +65,8 @@
 class UpstreamCaller {
  public:
   /// Precondition: all arguments outlive this object.
-  UpstreamCaller(ControlState& state, Router& router, UpstreamClient& client,
-                 const Clock& clock);
+  UpstreamCaller(const GatewayContext& context, Router& router,
+                 UpstreamClient& client);
 
   /// Runs one request to its end. `sink` takes a stream's events; it may be
   /// empty where `spec.stream` is off.
@@ -78,14 +82,16 @@
   std::optional<Target> Choose(const RouteRequest& route) const;
   CallResult Attempt(const CallSpec& spec, const Target& target,
                      CompletionStream& stream, const EventSink& sink);
+  UpstreamRequest MakeRequest(const CallSpec& spec, const Target& target,
+                              const CompletionStream& stream,
+                              const std::string& exchange) const;
 
-  /// Rules and upstreams.
-  ControlState& state_;
+  /// Rules, upstreams, metrics, traces.
+  const GatewayContext context_;
   /// Chooses upstreams.
   Router& router_;
   /// Carries exchanges.
   UpstreamClient& client_;
-  const Clock& clock_;
   /// The last exchange's id.
   std::atomic<std::uint64_t> last_exchange_{0};
 };
--- a/briarspread/transport/http_server.cc
+++ b/briarspread/transport/http_server.cc
@@ -14,6 +14,21 @@
   return (wait.count() + kOneSecond.count() - 1) / kOneSecond.count();
 }
 
+/// Answers a request whose handler threw, such as on a field of another type.
+void DescribeException(const httplib::Request& /*request*/,
+                       httplib::Response& response,
+                       const std::exception_ptr& thrown) {
+  std::string message = "unknown exception";
+  try {
+    std::rethrow_exception(thrown);
+  } catch (const std::exception& exception) {
+    message = exception.what();
+  } catch (...) {
+  }
+  RespondError(response, 500,
+               Error{ErrorCode::kInternal, Verdict::kMayHaveRun, message});
+}
+
 /// Lets a restarted process take its port at once. The library's default,
 /// SO_REUSEPORT, would let two processes share the port unnoticed.
 void AllowQuickRestart(socket_t socket) {
@@ -45,6 +60,7 @@
   server_.set_keep_alive_max_count(1'000'000);
   server_.set_tcp_nodelay(true);
   server_.set_error_handler(&DescribeLibraryRefusal);
+  server_.set_exception_handler(&DescribeException);
   server_.set_socket_options(&AllowQuickRestart);
 }
 
