--- a/briarspread/weights/wave_planner.cc
+++ b/briarspread/weights/wave_planner.cc
@@ -29,6 +29,7 @@
     }
     Exit(it->first, it->second);
     --zones_[it->second.replica.locality.zone].total;
+    --regions_[it->second.replica.locality.region].total;
     it = slots_.erase(it);
   }
   for (const Replica& replica : replicas) {
@@ -38,7 +39,7 @@
       Zone& zone = zones_[replica.locality.zone];
       zone.region = replica.locality.region;
       ++zone.total;
-      regions_.try_emplace(zone.region);
+      ++regions_[zone.region].total;
     }
     it->second.replica.endpoint = replica.endpoint;
     it->second.replica.checks_fencing = replica.checks_fencing;
@@ -55,19 +56,28 @@
 void WavePlanner::Enter(const UpstreamId& id, Slot& slot, SwapState state) {
   slot.state = state;
   Zone& zone = zones_[slot.replica.locality.zone];
-  if (IsServing(state)) ++zone.serving;
+  Region& region = regions_[zone.region];
+  if (IsServing(state)) {
+    ++zone.serving;
+    ++region.serving;
+    ++serving_;
+  }
   if (state == SwapState::kPending) zone.pending.insert(id);
   if (state == SwapState::kRetry) zone.retry.insert(id);
   if (state == SwapState::kLoaded) {
     ++loaded_;
-    regions_[zone.region].sources.insert({serves_[id], id});
+    region.sources.insert({serves_[id], id});
   }
 }
 
 void WavePlanner::Exit(const UpstreamId& id, Slot& slot) {
   Zone& zone = zones_[slot.replica.locality.zone];
   Region& region = regions_[zone.region];
-  if (IsServing(slot.state)) --zone.serving;
+  if (IsServing(slot.state)) {
+    --zone.serving;
+    --region.serving;
+    --serving_;
+  }
   zone.pending.erase(id);
   zone.retry.erase(id);
   if (slot.state == SwapState::kLoaded) {
@@ -94,6 +104,13 @@
   return std::min(wanted, zone.total - 1);
 }
 
+bool WavePlanner::MayTake(const Zone& zone, const Region& region) const {
+  if (zone.serving <= FloorOf(zone)) return false;
+  if (zone.serving > 1 || region.serving > 1) return true;
+  const bool alone_in_region = region.total == 1;
+  return alone_in_region && (serving_ > 1 || slots_.size() == 1);
+}
+
 bool WavePlanner::Assign(const UpstreamId& id, Region& region,
                          std::vector<SwapAssignment>& out) {
   std::optional<UpstreamId> source;
@@ -125,7 +142,7 @@
     while (!zone.retry.empty()) {
       if (!Assign(UpstreamId(*zone.retry.begin()), region, out)) break;
     }
-    while (!zone.pending.empty() && zone.serving > FloorOf(zone)) {
+    while (!zone.pending.empty() && MayTake(zone, region)) {
       if (!Assign(UpstreamId(*zone.pending.begin()), region, out)) break;
     }
   }
--- a/briarspread/weights/wave_planner.h
+++ b/briarspread/weights/wave_planner.h
@@ -30,7 +30,8 @@
 struct WavePlannerSettings {
   /// The part of a zone's replicas that must keep serving, from 0 to 1. One
   /// replica of a zone may always swap, or a zone of one would never get new
-  /// weights.
+  /// weights; the last serving one only while others of its region serve, or
+  /// of another region where it is alone in its own.
   double live_floor = 0.5;
   /// Replicas that one replica sends weights to at once.
   std::uint32_t fan_out = 4;
@@ -105,6 +106,8 @@
   };
   /// One region.
   struct Region {
+    std::size_t total = 0;
+    std::size_t serving = 0;
     /// Replicas that can send, by the loads they serve now.
     std::set<std::pair<std::uint32_t, UpstreamId>> sources;
     /// The replica that pulls from the weight store.
@@ -115,6 +118,8 @@
   void Exit(const UpstreamId& id, Slot& slot);
   void ReleaseSource(Region& region, const UpstreamId& source);
   std::size_t FloorOf(const Zone& zone) const;
+  /// Whether a serving replica of `zone` may be taken out of rotation.
+  bool MayTake(const Zone& zone, const Region& region) const;
   /// Assigns `id` if the region can supply it.
   bool Assign(const UpstreamId& id, Region& region,
               std::vector<SwapAssignment>& out);
@@ -126,6 +131,8 @@
   /// Loads that each source serves.
   std::map<UpstreamId, std::uint32_t> serves_;
   std::size_t loaded_ = 0;
+  /// Replicas that serve now.
+  std::size_t serving_ = 0;
 };
 
 }  // namespace briarspread
