Membership: suspects are probed on until they refute

Change: who suspects a member goes on probing it, which tells it of the suspicion and fetches its refutation; that a listed member runs is no longer announced by all, which had filled the queues of changes. Ruled out: a longer time to refute, since it slows every real detection.

--- a/bench/membership_bench/main.cc
+++ b/bench/membership_bench/main.cc
@@ -126,10 +126,11 @@
     network_.on_deliver = [&](std::size_t to, const std::string& bytes) {
       constexpr std::size_t kSealBytes = 32;
       if (to != 0) return;
-      const auto digest = DecodeDigest(
-          std::string_view(bytes).substr(0, bytes.size() - kSealBytes));
+      std::string_view text = bytes;
+      text.remove_suffix(kSealBytes);
+      const auto digest = DecodeDigest(text);
       if (!IsOk(digest)) return;
-      cbor += bytes.size() - kSealBytes;
+      cbor += text.size();
       json += Json(ValueOf(digest)).dump().size();
       ++sampled;
     };
--- a/briarspread/membership/failure_detector.cc
+++ b/briarspread/membership/failure_detector.cc
@@ -31,11 +31,13 @@
     const Outstanding& probe = it->second;
     if (now - probe.sent_at < settings_.probe_timeout) {
       ++it;
-    } else if (probe.probes < settings_.probes) {
+      continue;
+    }
+    if (probe.probes == settings_.probes) overdue.failed.push_back(it->first);
+    if (probe.probes < settings_.max_probes) {
       overdue.retry.push_back(it->first);
       ++it;
     } else {
-      overdue.failed.push_back(it->first);
       it = outstanding_.erase(it);
     }
   }
--- a/briarspread/membership/failure_detector.h
+++ b/briarspread/membership/failure_detector.h
@@ -16,6 +16,10 @@
   milliseconds probe_timeout{1000};
   /// Unanswered probes in a row that make a member suspect.
   std::uint32_t probes = 2;
+  /// Unanswered probes in a row after which no more are sent. Until then the
+  /// suspect is probed on, which tells it of the suspicion and fetches its
+  /// refutation by the shortest way.
+  std::uint32_t max_probes = 10;
 };
 
 /// Keeps the probes that were not answered yet. Members probe each other by
@@ -27,7 +31,7 @@
   struct Overdue {
     /// Members to be probed again.
     std::vector<InstanceId> retry;
-    /// Members that left all probes unanswered.
+    /// Members that left enough probes unanswered to be suspect.
     std::vector<InstanceId> failed;
   };
 
@@ -39,7 +43,7 @@
   /// A probe was acknowledged. Only a sequence that is outstanding counts, so
   /// that a repeated digest of a dead member is no sign of life.
   bool Acknowledged(const InstanceId& id, std::uint64_t sequence);
-  /// Probes that are overdue now; failed ones are forgotten.
+  /// Probes that are overdue now. Each member fails once until it answers.
   Overdue TakeOverdue();
   /// Forgets all probes, after this instance itself was paused.
   void Forget() { outstanding_.clear(); }
--- a/briarspread/membership/member_table.cc
+++ b/briarspread/membership/member_table.cc
@@ -64,7 +64,10 @@
   if (unconfirmed && row.listed_leaving_at.has_value()) {
     row.listed_leaving_at = row.record.version.incarnation;
   }
-  return changed;
+  // What the list names is known to all; that it runs is found by each alone.
+  const bool only_confirmed = unconfirmed && before == Liveness::kAlive &&
+                              StateOf(row.record) == MemberState::kAlive;
+  return changed && !only_confirmed;
 }
 
 bool MemberTable::MergeSelf(const MemberRecord& record) {
--- a/tests/membership/member_table_test.cc
+++ b/tests/membership/member_table_test.cc
@@ -108,6 +108,18 @@
   CHECK(table.State(kPeer) == MemberState::kLeaving);
 }
 
+TEST_CASE("that a listed member runs is not passed on, all else is") {
+  ManualClock clock;
+  MemberTable table = Table(clock);
+  table.TakeList({Listed("peer", ListedState::kLive)});
+  CHECK_FALSE(table.Merge(Record("peer", 1, 0, Liveness::kAlive)));
+  CHECK(table.Merge(Record("peer", 2, 0, Liveness::kAlive)));
+  CHECK(table.Merge(Record("unlisted", 1, 0, Liveness::kAlive)));
+  table.TakeList({Listed("other", ListedState::kLive)});
+  table.Suspect(InstanceId("other"));
+  CHECK(table.Merge(Record("other", 1, 0, Liveness::kAlive)));
+}
+
 TEST_CASE("the list's leaving counts until a later start is seen") {
   ManualClock clock;
   MemberTable table = Table(clock);
