--- a/briarspread/core/rcu_cell.cc
+++ b/briarspread/core/rcu_cell.cc
@@ -25,6 +25,11 @@
 
 RcuReadSection::~RcuReadSection() { urcu_memb_read_unlock(); }
 
+bool IsInRcuReadSection() {
+  EnsureRegistered();
+  return urcu_memb_read_ongoing() != 0;
+}
+
 void RcuSynchronize() {
   EnsureRegistered();
   urcu_memb_synchronize_rcu();
--- a/briarspread/gateway/entry.cc
+++ b/briarspread/gateway/entry.cc
@@ -10,7 +10,6 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t kTrainerWorkers = 64;
 /// How long the balancer may still send new work once readiness has dropped.
 constexpr milliseconds kBalancerLag{1000};
 constexpr milliseconds kDrainCheck{20};
@@ -36,6 +35,13 @@
   return poller;
 }
 
+UpstreamMonitorSettings MonitorSettings(const EntrySettings& settings) {
+  UpstreamMonitorSettings monitor;
+  monitor.self = settings.locality;
+  monitor.interval = settings.poll_interval;
+  return monitor;
+}
+
 }  // namespace
 
 Entry::Entry(const EntrySettings& settings)
@@ -46,10 +52,14 @@
       client_(HttpUpstreamClientSettings{}, clock_),
       store_(PlatformSettings(settings), client_),
       list_(PlatformSettings(settings), client_),
-      caller_(context_, router_, client_),
+      router_(TwoChoicesSettings{}, random_, clock_),
+      gates_(clock_),
+      monitor_(MonitorSettings(settings), context_, list_, client_, gates_),
+      caller_(context_, router_, client_, gates_, monitor_.refusals()),
       live_(context_, caller_),
-      trainers_(state_, caller_, clock_, kTrainerWorkers),
-      poller_(PollerSettings(settings), store_, list_, client_, state_, clock_),
+      trainers_(TrainerHandlerSettings{}, settings.peer_key, state_, caller_,
+                clock_),
+      poller_(PollerSettings(settings), store_, state_),
       server_(ServerSettings(settings)) {}
 
 void Entry::AddOperatorRoutes() {
@@ -83,6 +93,7 @@
   Status started = server_.Start();
   if (!IsOk(started)) return started;
   poller_.Start();
+  monitor_.Start();
   LOG(INFO) << "event=started instance=" << settings_.instance
             << " port=" << settings_.listen.port;
   return OkStatus();
@@ -100,6 +111,7 @@
   const bool finished = state_.in_flight == 0;
   trainers_.Stop();
   poller_.Stop();
+  monitor_.Stop();
   server_.Stop();
   LOG(INFO) << "event=drained finished=" << finished;
   return finished;
--- a/scripts/lib/processes.sh
+++ b/scripts/lib/processes.sh
@@ -8,11 +8,20 @@
 mkdir -p "$histories"
 
 stop_all() { # ends every process that was started here
+  local pid
   for pid in "${pids[@]}"; do
     kill -CONT "$pid" 2>/dev/null || true
     kill "$pid" 2>/dev/null || true
   done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  for _ in $(seq 50); do
+    [ -n "$(jobs -rp)" ] || break
+    sleep 0.1
+  done
+  for pid in $(jobs -rp); do
+    echo "pid $pid did not end on SIGTERM" >&2
+    kill -9 "$pid" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
   if [ -n "${BRIARSPREAD_KEEP:-}" ]; then echo "logs in $out" >&2; else rm -rf "$out"; fi
 }
 
--- a/tests/core/verdict_test.cc
+++ b/tests/core/verdict_test.cc
@@ -42,6 +42,16 @@
   REQUIRE(*cell.Read() == 2);
 }
 
+TEST_CASE("a thread knows that it reads, and so must not publish") {
+  RcuCell<int> cell(std::make_unique<const int>(1));
+  REQUIRE_FALSE(IsInRcuReadSection());
+  {
+    const auto guard = cell.Read();
+    REQUIRE(IsInRcuReadSection());
+  }
+  REQUIRE_FALSE(IsInRcuReadSection());
+}
+
 TEST_CASE("the store's lost answer leaves the write in effect") {
   testing::MemoryStore store;
   store.LoseWriteAnswers(1);
