Routing: unused rollout slots are lent by what fresh reports show free

Cause: one instance runs a step and could use only its equal share of the slots. Ruled out: no share at all, since three trainers could then fill the reserve of long rollouts three times over. Change: beyond its share an instance fills its part of the slots that its last fresh report showed free, so the sum over instances that read the same report stays within the reserve. Test: three instances, one idle, 8 usable slots: never above 8, 7 reached.

--- a/briarspread/gateway/pool_gates.cc
+++ b/briarspread/gateway/pool_gates.cc
@@ -14,24 +14,35 @@
 constexpr double kOvercommit = 2.0;
 constexpr std::uint32_t kLeastSlots = 4;
 
-/// This instance's share of the slots of each model and service.
-std::map<std::string, double> SlotsByPool(const RoutingTable& table) {
-  std::map<std::string, double> slots;
+/// The slots of one model or service.
+struct PoolSlots {
+  /// All of them.
+  double all = 0;
+  /// This instance's equal share.
+  double own = 0;
+};
+
+std::map<std::string, PoolSlots> SlotsByPool(const RoutingTable& table) {
+  std::map<std::string, PoolSlots> pools;
   for (const UpstreamView& upstream : table.upstreams) {
     const double reported = upstream.load.slots;
-    slots[upstream.listed.serves] +=
-        (reported > 0 ? reported : kAssumedSlots) / upstream.share.count;
+    const double slots = reported > 0 ? reported : kAssumedSlots;
+    PoolSlots& pool = pools[upstream.listed.serves];
+    pool.all += slots;
+    pool.own += slots / upstream.share.count;
   }
-  return slots;
+  return pools;
 }
 
-AdmissionCapacity CapacityOf(double slots, double reserve) {
+/// Rollouts may take all slots but the reserve, since one instance may run the
+/// only step; the router holds the sum over the instances to it.
+AdmissionCapacity CapacityOf(const PoolSlots& slots, double reserve) {
+  const double rollouts = std::floor(slots.all * (1.0 - reserve));
+  const double live = std::ceil(slots.own * kOvercommit);
   AdmissionCapacity capacity;
-  capacity.slots = std::max(
-      kLeastSlots, static_cast<std::uint32_t>(std::ceil(slots * kOvercommit)));
-  const double rollouts = std::floor(slots * (1.0 - reserve));
-  capacity.rollout_slots = std::min(
-      capacity.slots, std::max(1U, static_cast<std::uint32_t>(rollouts)));
+  capacity.rollout_slots = std::max(1U, static_cast<std::uint32_t>(rollouts));
+  capacity.slots = capacity.rollout_slots +
+                   std::max(kLeastSlots, static_cast<std::uint32_t>(live));
   return capacity;
 }
 
--- a/briarspread/gateway/upstream_monitor.cc
+++ b/briarspread/gateway/upstream_monitor.cc
@@ -105,6 +105,8 @@
   HealthRead read;
   read.started = context_.clock.Now();
   const std::uint32_t own = upstream.counters->in_flight.load();
+  const std::uint32_t own_rollouts =
+      upstream.counters->rollouts_in_flight.load();
   const auto json = ParseLoad(client_.Exchange(request, nullptr));
   read.accepts_work = json.has_value();
   refusals_.OnHealthRead(UpstreamId(upstream.listed.name), *upstream.counters,
@@ -117,6 +119,7 @@
       WeightVersion(json->value("version", std::uint64_t{0}));
   upstream.load.received = context_.clock.Now();
   upstream.load.own_in_flight = own;
+  upstream.load.own_rollouts = own_rollouts;
 }
 
 void UpstreamMonitor::Poll() {
--- a/briarspread/routing/routing_table.h
+++ b/briarspread/routing/routing_table.h
@@ -29,6 +29,8 @@
   /// Own requests in flight when the report was asked for, so that later ones
   /// can be added to it.
   std::uint32_t own_in_flight = 0;
+  /// Those of them that a trainer waits for.
+  std::uint32_t own_rollouts = 0;
 };
 
 /// This instance's own counts for one upstream, shared by all snapshots that
--- a/briarspread/routing/two_choices_router.cc
+++ b/briarspread/routing/two_choices_router.cc
@@ -14,6 +14,8 @@
 
 /// Random draws before a group is scanned for an eligible member.
 constexpr int kDraws = 8;
+/// How old a load report may be to lend unused slots by it.
+constexpr Duration kFreshReport = std::chrono::seconds(2);
 /// Upstreams that a prefix may prefer, the first included.
 constexpr std::size_t kPreferences = 3;
 /// Members sampled for the mean load.
@@ -106,10 +108,28 @@
     return !request.is_rollout || HasRoomForRollout(upstream);
   }
   bool HasRoomForRollout(const UpstreamView& upstream) const {
-    const std::uint32_t quota =
-        RolloutQuota(LoadView(upstream).Slots(), reserve, upstream.share,
-                     StableHash(upstream.listed.name));
-    return upstream.counters->rollouts_in_flight.load() < quota;
+    const std::uint64_t name_hash = StableHash(upstream.listed.name);
+    const std::uint32_t slots = LoadView(upstream).Slots();
+    const std::uint32_t own = upstream.counters->rollouts_in_flight.load();
+    if (own < RolloutQuota(slots, reserve, upstream.share, name_hash)) {
+      return true;
+    }
+    return HasRoomInFreeSlots(upstream, own, name_hash);
+  }
+  /// Beyond the equal share, an instance may fill its part of the slots that
+  /// the last report showed free. Those that run no step leave theirs unused,
+  /// so the part of the others grows report by report.
+  bool HasRoomInFreeSlots(const UpstreamView& upstream, std::uint32_t own,
+                          std::uint64_t name_hash) const {
+    const LoadReport& report = upstream.load;
+    if (report.slots == 0 || now - report.received > kFreshReport) return false;
+    const std::uint32_t usable =
+        RolloutQuota(report.slots, reserve, InstanceShare{}, name_hash);
+    const std::uint32_t busy = report.running + report.queued;
+    if (busy >= usable) return false;
+    const std::uint32_t free = usable - busy;
+    return own < report.own_rollouts +
+                     RolloutQuota(free, 0.0, upstream.share, name_hash);
   }
 };
 
--- a/tests/routing/two_choices_router_test.cc
+++ b/tests/routing/two_choices_router_test.cc
@@ -160,6 +160,39 @@
   }
 }
 
+TEST_CASE("slots that a fresh report shows free are lent in equal parts") {
+  // Three instances: two of them, 0 and 1, run rollouts, the third runs none.
+  UpstreamView view = MakeEngine("near", LimA());
+  view.share.count = 3;
+  RoutingFixture fixture({view});
+  fixture.rules = RulesFrom("reserve serves=* share=0.2 # Rosa\n");
+  fixture.request.is_rollout = true;
+  UpstreamView& near = fixture.At("near");
+  std::uint32_t running[2] = {0, 0};
+  for (int report = 0; report < 20; ++report) {
+    const std::uint32_t reported = running[0] + running[1];
+    for (std::uint32_t rank = 0; rank < 2; ++rank) {
+      near.share.rank = rank;
+      near.load.running = reported;
+      near.load.received = fixture.clock.Now();
+      near.load.own_rollouts = running[rank];
+      near.counters->rollouts_in_flight = running[rank];
+      while (fixture.Choose() == "near") {
+        near.counters->rollouts_in_flight = ++running[rank];
+      }
+    }
+    REQUIRE(running[0] + running[1] <= 8);
+  }
+  // The last free slot is the part of the third instance, which leaves it.
+  REQUIRE(running[0] + running[1] == 7);
+  near.counters->rollouts_in_flight = 3;
+  near.load.own_rollouts = 3;
+  near.load.running = 3;
+  REQUIRE(fixture.Choose() == "near");
+  fixture.clock.Advance(seconds(3));
+  REQUIRE(fixture.Choose() == "none");
+}
+
 /// An upstream in a state drawn at random.
 UpstreamView ArbitraryEngine(const std::string& name, CircuitBreaker* opened) {
   const Locality places[] = {LimA(), LimB(), AqpA()};
