--- a/briarspread/gateway/entry.cc
+++ b/briarspread/gateway/entry.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <nlohmann/json.hpp>
+#include <random>
 
 namespace briarspread {
 namespace {
@@ -35,17 +36,28 @@
   return poller;
 }
 
+RulesAgentSettings RulesSettings(const EntrySettings& settings) {
+  RulesAgentSettings rules;
+  rules.distributor.self = settings.instance;
+  rules.distributor.zone = settings.locality.zone;
+  if (settings.peer_authentication) rules.peers.peer_key = settings.peer_key;
+  return rules;
+}
+
 }  // namespace
 
 Entry::Entry(const EntrySettings& settings)
     : settings_(settings),
+      random_(std::random_device{}()),
       client_(HttpUpstreamClientSettings{}, clock_),
       store_(PlatformSettings(settings), client_),
       list_(PlatformSettings(settings), client_),
       caller_(state_, router_, client_, clock_),
       live_(settings.instance, state_, caller_, clock_),
       trainers_(state_, caller_, clock_, kTrainerWorkers),
-      poller_(PollerSettings(settings), store_, list_, client_, state_, clock_),
+      rules_(RulesSettings(settings), store_, client_, state_, clock_, random_),
+      poller_(PollerSettings(settings), list_, client_, state_, clock_,
+              [this](const auto& listed) { rules_.OnInstances(listed); }),
       server_(ServerSettings(settings)) {}
 
 void Entry::AddOperatorRoutes() {
@@ -71,8 +83,10 @@
   AddOperatorRoutes();
   live_.AddRoutes(server_.routes());
   trainers_.AddRoutes(server_.routes());
+  rules_.AddRoutes(server_.routes());
   Status started = server_.Start();
   if (!IsOk(started)) return started;
+  rules_.Start();
   poller_.Start();
   LOG(INFO) << "event=started instance=" << settings_.instance
             << " port=" << settings_.listen.port;
@@ -91,6 +105,7 @@
   const bool finished = state_.in_flight == 0;
   trainers_.Stop();
   poller_.Stop();
+  rules_.Stop();
   server_.Stop();
   LOG(INFO) << "event=drained finished=" << finished;
   return finished;
--- a/briarspread/gateway/entry.h
+++ b/briarspread/gateway/entry.h
@@ -6,6 +6,7 @@
 #include "briarspread/gateway/control_state.h"
 #include "briarspread/gateway/live_handler.h"
 #include "briarspread/gateway/platform_poller.h"
+#include "briarspread/gateway/rules_agent.h"
 #include "briarspread/gateway/trainer_handler.h"
 #include "briarspread/gateway/upstream_call.h"
 #include "briarspread/routing/router.h"
@@ -32,6 +33,7 @@
 
   const EntrySettings settings_;
   SystemClock clock_;
+  SeededRandom random_;
   ControlState state_;
   HttpUpstreamClient client_;
   ConsulStore store_;
@@ -40,6 +42,7 @@
   UpstreamCaller caller_;
   LiveHandler live_;
   TrainerHandler trainers_;
+  RulesAgent rules_;
   PlatformPoller poller_;
   HttpServer server_;
 };
--- a/briarspread/gateway/platform_poller.cc
+++ b/briarspread/gateway/platform_poller.cc
@@ -5,27 +5,23 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "briarspread/rules/rule_parser.h"
-
 namespace briarspread {
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr char kRulesKey[] = "briarspread/rules";
-
 }  // namespace
 
 PlatformPoller::PlatformPoller(const PlatformPollerSettings& settings,
-                               KeyValueStore& store, InstanceList& list,
-                               UpstreamClient& client, ControlState& state,
-                               const Clock& clock)
+                               InstanceList& list, UpstreamClient& client,
+                               ControlState& state, const Clock& clock,
+                               ListObserver on_list)
     : settings_(settings),
-      store_(store),
       list_(list),
       client_(client),
       state_(state),
-      clock_(clock) {}
+      clock_(clock),
+      on_list_(std::move(on_list)) {}
 
 PlatformPoller::~PlatformPoller() { Stop(); }
 
@@ -46,7 +42,6 @@
   std::unique_lock lock(mutex_);
   while (!stopping_) {
     lock.unlock();
-    PollRules();
     PollUpstreams();
     lock.lock();
     stop_requested_.wait_for(lock, settings_.interval,
@@ -54,24 +49,6 @@
   }
 }
 
-void PlatformPoller::PollRules() {
-  const auto read = store_.Get(kRulesKey);
-  if (!IsOk(read) || !ValueOf(read).has_value()) return;
-  const KeyValue& stored = *ValueOf(read);
-  const Revision revision(stored.index.value());
-  if (revision <= state_.rules.Read()->revision) return;
-  auto parsed = ParseRules(stored.value);
-  auto* rules = std::get_if<RuleSet>(&parsed);
-  if (rules == nullptr) {
-    LOG(ERROR) << "event=rules_refused revision=" << revision;
-    return;
-  }
-  rules->revision = revision;
-  state_.rules.Publish(std::make_unique<const RuleSet>(std::move(*rules)));
-  state_.has_rules = true;
-  LOG(INFO) << "event=rules_in_force revision=" << revision;
-}
-
 void PlatformPoller::PollLoad(UpstreamView& upstream) {
   UpstreamRequest request;
   request.endpoint = upstream.listed.endpoint;
@@ -96,7 +73,10 @@
 
 void PlatformPoller::PollUpstreams() {
   auto read = list_.Read();
-  if (IsOk(read)) listed_ = std::move(ValueOf(read));
+  if (IsOk(read)) {
+    listed_ = std::move(ValueOf(read));
+    on_list_(listed_);
+  }
   auto table = std::make_unique<RoutingTable>();
   for (const ListedInstance& listed : listed_) {
     if (listed.kind == InstanceKind::kEntry) continue;
--- a/briarspread/gateway/platform_poller.h
+++ b/briarspread/gateway/platform_poller.h
@@ -2,6 +2,7 @@
 #define BRIARSPREAD_GATEWAY_PLATFORM_POLLER_H_
 
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -10,7 +11,6 @@
 #include <vector>
 
 #include "briarspread/core/instance_list.h"
-#include "briarspread/core/key_value_store.h"
 #include "briarspread/core/upstream_client.h"
 #include "briarspread/gateway/control_state.h"
 
@@ -18,20 +18,23 @@
 
 /// Settings of `PlatformPoller`.
 struct PlatformPollerSettings {
-  /// How often the list, the rules and the loads are read.
+  /// How often the list and the loads are read.
   milliseconds interval{1000};
   /// How long an upstream may take to tell its load.
   milliseconds load_timeout{500};
 };
 
-/// Reads the platform's instance list, the rules and the upstreams' loads, and
-/// publishes them. One thread of its own.
+/// Reads the platform's instance list and the upstreams' loads, and publishes
+/// them. One thread of its own.
 class PlatformPoller {
  public:
+  /// Takes the instance list each time it was read.
+  using ListObserver = std::function<void(const std::vector<ListedInstance>&)>;
+
   /// Precondition: all arguments outlive this object.
-  PlatformPoller(const PlatformPollerSettings& settings, KeyValueStore& store,
-                 InstanceList& list, UpstreamClient& client,
-                 ControlState& state, const Clock& clock);
+  PlatformPoller(const PlatformPollerSettings& settings, InstanceList& list,
+                 UpstreamClient& client, ControlState& state,
+                 const Clock& clock, ListObserver on_list);
   ~PlatformPoller();
   PlatformPoller(const PlatformPoller&) = delete;
   PlatformPoller& operator=(const PlatformPoller&) = delete;
@@ -43,16 +46,16 @@
 
  private:
   void Run();
-  void PollRules();
   void PollUpstreams();
   void PollLoad(UpstreamView& upstream);
 
   const PlatformPollerSettings settings_;
-  KeyValueStore& store_;
   InstanceList& list_;
   UpstreamClient& client_;
   ControlState& state_;
   const Clock& clock_;
+  /// Told of each list read.
+  const ListObserver on_list_;
   /// Counts by upstream, kept over changes of the list.
   std::map<std::string, std::shared_ptr<UpstreamCounters>> counters_;
   /// The last list that was read.
--- /dev/null
+++ b/briarspread/gateway/rules_agent.h
@@ -0,0 +1,90 @@
+#ifndef BRIARSPREAD_GATEWAY_RULES_AGENT_H_
+#define BRIARSPREAD_GATEWAY_RULES_AGENT_H_
+
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "briarspread/core/key_value_store.h"
+#include "briarspread/core/random_source.h"
+#include "briarspread/core/upstream_client.h"
+#include "briarspread/gateway/control_state.h"
+#include "briarspread/gateway/http_peer_rules.h"
+#include "briarspread/rules/rule_distributor.h"
+#include "briarspread/rules/rule_sync.h"
+#include "briarspread/transport/http_server.h"
+
+namespace briarspread {
+
+/// Settings of `RulesAgent`.
+struct RulesAgentSettings {
+  /// How rules are come by; holds this instance's name and zone.
+  RuleDistributorSettings distributor;
+  /// How peers are asked.
+  HttpPeerRulesSettings peers;
+};
+
+/// Keeps the rules in force on this instance: performs what a
+/// `RuleDistributor` decides on one thread of its own, publishes new rules to
+/// the path of a request, and offers them to peers.
+class RulesAgent final : private RuleSink {
+ public:
+  /// Precondition: all arguments outlive this object.
+  RulesAgent(const RulesAgentSettings& settings, KeyValueStore& store,
+             UpstreamClient& client, ControlState& state, const Clock& clock,
+             RandomSource& random);
+  ~RulesAgent() override;
+  RulesAgent(const RulesAgent&) = delete;
+  RulesAgent& operator=(const RulesAgent&) = delete;
+
+  /// Adds `GET /v1/rules`. Precondition: the server has not started.
+  void AddRoutes(httplib::Server& routes);
+  /// Starts the thread.
+  void Start();
+  /// Ends it; waits for a call to the store or a peer that is under way.
+  void Stop();
+
+  /// What the platform's list shows. Safe to call from any thread.
+  void OnInstances(const std::vector<ListedInstance>& instances);
+  /// What a peer's digest says. Safe to call from any thread.
+  void OnAnnouncement(const InstanceId& peer, Revision revision);
+
+  /// Performs one action; returns how long to wait for the next. Called by the
+  /// thread, or by a test in its place.
+  milliseconds Step() { return sync_.Step(); }
+  /// Decides for this instance. Thread-safe.
+  const RuleDistributor& distributor() const { return distributor_; }
+
+ private:
+  void Publish(RuleSet rules) override;
+  void Run();
+
+  /// As given.
+  const RulesAgentSettings settings_;
+  /// Where new rules go.
+  ControlState& state_;
+  /// Reads the records of the store.
+  RuleStore store_;
+  /// Asks peers.
+  HttpPeerRules peers_;
+  /// Decides.
+  RuleDistributor distributor_;
+  /// Performs.
+  RuleSync sync_;
+  /// Guards the two below.
+  std::mutex mutex_;
+  /// Whether the thread is to end.
+  bool stopping_ = false;
+  /// Whether something was announced since the last step.
+  bool announced_ = false;
+  /// Wakes the thread.
+  std::condition_variable wake_;
+  /// Runs `Run`.
+  std::thread thread_;
+};
+
+}  // namespace briarspread
+
+#endif  // BRIARSPREAD_GATEWAY_RULES_AGENT_H_
