--- /dev/null
+++ b/programs/rules/http_fleet_status.h
@@ -0,0 +1,32 @@
+#ifndef PROGRAMS_RULES_HTTP_FLEET_STATUS_H_
+#define PROGRAMS_RULES_HTTP_FLEET_STATUS_H_
+
+#include <vector>
+
+#include "briarspread/core/instance_list.h"
+#include "briarspread/core/upstream_client.h"
+#include "programs/rules/fleet_status.h"
+
+namespace briarspread {
+
+/// Asks by `GET /v1/status`, several instances at a time.
+class HttpFleetStatus final : public FleetStatus {
+ public:
+  /// Precondition: both outlive this object.
+  HttpFleetStatus(InstanceList& list, UpstreamClient& client)
+      : list_(list), client_(client) {}
+
+  Result<std::vector<InstanceRevision>> Read() override;
+
+ private:
+  InstanceRevision Ask(const ListedInstance& listed);
+
+  /// Names the instances.
+  InstanceList& list_;
+  /// Carries the calls.
+  UpstreamClient& client_;
+};
+
+}  // namespace briarspread
+
+#endif  // PROGRAMS_RULES_HTTP_FLEET_STATUS_H_
--- a/programs/rules/main.cc
+++ b/programs/rules/main.cc
@@ -1,69 +1,168 @@
-// briarspread-rules: checks the operators' file and puts it in force.
+// briarspread-rules: checks the operators' file, puts it in force, and shows
+// what is in force where. docs/RULES.md describes the commands.
 
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 
+#include <charconv>
+#include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <random>
 #include <sstream>
+#include <thread>
+#include <vector>
 
-#include "briarspread/rules/rule_parser.h"
+#include "briarspread/core/random_source.h"
 #include "briarspread/transport/consul_store.h"
 #include "briarspread/transport/http_upstream_client.h"
+#include "programs/rules/command_reports.h"
+#include "programs/rules/http_fleet_status.h"
+#include "programs/rules/rules_commands.h"
 
 DEFINE_string(platform_host, "127.0.0.1", "the platform's IP number");
 DEFINE_uint32(platform_port, 8500, "the platform's port");
+DEFINE_bool(json, false, "print JSON");
+DEFINE_string(who, "", "who asks; the user's name where it is empty");
+DEFINE_string(base, "",
+              "the revision that was edited, or current to replace all that is "
+              "in force; empty: as the file's first line says");
+DEFINE_uint32(wait, 0,
+              "seconds to wait until every live instance has the change in "
+              "force");
+DEFINE_string(operation, "", "the operation to complete after a lost answer");
+DEFINE_uint32(limit, 20, "how many changes history shows");
 
 namespace briarspread {
 namespace {
 
-constexpr char kRulesKey[] = "briarspread/rules";
-constexpr int kExitOk = 0;
-constexpr int kExitFailed = 1;
-constexpr int kExitBadRules = 2;
-
-int Check(const std::string& text) {
-  const auto parsed = ParseRules(text);
-  const auto* errors = std::get_if<std::vector<RuleError>>(&parsed);
-  if (errors == nullptr) return kExitOk;
-  for (const RuleError& error : *errors) std::cerr << Describe(error) << "\n";
-  return kExitBadRules;
+constexpr char kUsage[] =
+    "usage: briarspread-rules [FLAGS] COMMAND\n"
+    "  check FILE       look for errors in FILE\n"
+    "  diff FILE        what FILE changes of the rules in force\n"
+    "  apply FILE       put FILE in force\n"
+    "  show [REVISION]  the rules in force, or of a revision, as a file\n"
+    "  history          the last changes\n"
+    "  status           which revision each live instance has in force\n"
+    "  revert REVISION  put an older revision in force, as a new one\n";
+
+using Words = std::vector<std::string>;
+
+CommandResult UsageError() { return Failed(ExitCode::kUsage, kUsage); }
+
+std::string UserName() {
+  const char* user = std::getenv("USER");
+  return user == nullptr ? "" : user;
+}
+
+CommandOptions ReadOptions() {
+  CommandOptions options;
+  options.who = FLAGS_who.empty() ? UserName() : FLAGS_who;
+  if (options.who.empty()) options.who = "unknown";
+  std::random_device device;
+  SeededRandom random((std::uint64_t{device()} << 32U) | device());
+  const std::string fresh =
+      std::to_string(random.Next()) + "-" + std::to_string(random.Next());
+  options.operation =
+      OperationId(FLAGS_operation.empty() ? fresh : FLAGS_operation);
+  options.base = FLAGS_base;
+  options.wait = seconds(FLAGS_wait);
+  options.limit = FLAGS_limit;
+  return options;
+}
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) return std::nullopt;
+  std::ostringstream buf;
+  buf << in.rdbuf();
+  return buf.str();
+}
+
+/// Replaces a file whole, so that a crash leaves the old or the new one.
+bool ReplaceFile(const std::string& path, const std::string& text) {
+  const std::string scratch = path + ".new";
+  std::ofstream out(scratch, std::ios::binary | std::ios::trunc);
+  out << text;
+  out.close();
+  return out && std::rename(scratch.c_str(), path.c_str()) == 0;
+}
+
+CommandResult WriteBack(const std::string& path, CommandResult result) {
+  if (result.file_text.has_value() && !ReplaceFile(path, *result.file_text)) {
+    result.err += path + ": could not be updated; take the rules by 'show'\n";
+  }
+  return result;
+}
+
+CommandResult RunOnFile(RulesCommands& commands, const Words& words) {
+  const std::string& path = words[1];
+  const auto text = ReadFile(path);
+  if (!text.has_value()) {
+    return Failed(ExitCode::kUsage, path + ": cannot be read");
+  }
+  if (words[0] == "check") return RulesCommands::Check(*text);
+  if (words[0] == "diff") return commands.Diff(*text);
+  return WriteBack(path, commands.Apply(*text, ReadOptions()));
+}
+
+CommandResult RunOnRevision(RulesCommands& commands, const Words& words) {
+  std::uint64_t n = 0;
+  const char* end = words[1].data() + words[1].size();
+  const auto [it, ec] = std::from_chars(words[1].data(), end, n);
+  if (ec != std::errc() || it != end) {
+    return Failed(ExitCode::kUsage,
+                  "found '" + words[1] + "', allowed: a revision");
+  }
+  if (words[0] == "show") return commands.Show(Revision(n));
+  return commands.Revert(Revision(n), ReadOptions());
+}
+
+CommandResult RunCommand(RulesCommands& commands, const Words& words) {
+  if (words.empty() || words.size() > 2) return UsageError();
+  const std::string& name = words[0];
+  if (words.size() == 2) {
+    if (name == "check" || name == "diff" || name == "apply") {
+      return RunOnFile(commands, words);
+    }
+    if (name == "show" || name == "revert") {
+      return RunOnRevision(commands, words);
+    }
+    return UsageError();
+  }
+  if (name == "show") return commands.Show(std::nullopt);
+  if (name == "history") return commands.History(ReadOptions());
+  if (name == "status") return commands.Status();
+  return UsageError();
 }
 
-int Apply(const std::string& text) {
+int Run(const Words& words) {
   SystemClock clock;
   HttpUpstreamClient client(HttpUpstreamClientSettings{}, clock);
   ConsulSettings settings;
   settings.endpoint = {FLAGS_platform_host,
                        static_cast<std::uint16_t>(FLAGS_platform_port)};
-  ConsulStore store(settings, client);
-  const auto current = store.Get(kRulesKey);
-  if (!IsOk(current)) {
-    std::cerr << ErrorOf(current).message << "\n";
-    return kExitFailed;
+  ConsulStore platform(settings, client);
+  ConsulInstanceList list(settings, client);
+  RuleStore store(RuleStoreSettings{}, platform, clock);
+  HttpFleetStatus fleet(list, client);
+  RulesCommands commands(store, fleet, clock, [](milliseconds time) {
+    std::this_thread::sleep_for(time);
+  });
+  CommandResult result = RunCommand(commands, words);
+  const int code = static_cast<int>(result.code);
+  if (FLAGS_json) {
+    result.json["exit_code"] = code;
+    constexpr int kIndent = 2;
+    std::cout << result.json.dump(kIndent, ' ', false,
+                                  nlohmann::json::error_handler_t::replace)
+              << "\n";
+    return code;
   }
-  const StoreIndex index =
-      ValueOf(current).has_value() ? ValueOf(current)->index : StoreIndex(0);
-  const auto swapped = store.CompareAndSwap(kRulesKey, text, index);
-  if (!IsOk(swapped) || ValueOf(swapped) != SwapOutcome::kSwapped) {
-    std::cerr << "the rules were not applied\n";
-    return kExitFailed;
-  }
-  std::cout << "applied\n";
-  return kExitOk;
-}
-
-int Run(const std::string& command, const std::string& path) {
-  std::ifstream in(path);
-  if (!in) {
-    std::cerr << path << ": cannot be read\n";
-    return kExitBadRules;
-  }
-  std::ostringstream buf;
-  buf << in.rdbuf();
-  const int checked = Check(buf.str());
-  if (checked != kExitOk || command == "check") return checked;
-  return Apply(buf.str());
+  std::cout << result.out;
+  std::cerr << result.err;
+  return code;
 }
 
 }  // namespace
@@ -73,11 +172,7 @@
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
   gflags::SetVersionString(BRIARSPREAD_VERSION);
-  gflags::SetUsageMessage("briarspread-rules check|apply FILE");
+  gflags::SetUsageMessage(briarspread::kUsage);
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  if (argc != 3) {
-    std::cerr << "usage: briarspread-rules check|apply FILE\n";
-    return 2;
-  }
-  return briarspread::Run(argv[1], argv[2]);
+  return briarspread::Run({argv + 1, argv + argc});
 }
