--- /dev/null
+++ b/bench/rules_bench/fleet_model.cc
@@ -0,0 +1,378 @@
+#include "bench/rules_bench/fleet_model.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "briarspread/core/random_source.h"
+#include "briarspread/rules/rule_distributor.h"
+
+namespace briarspread::bench {
+namespace {
+
+constexpr double kMedian = 0.5;
+constexpr double kP99 = 0.99;
+
+/// Simulated time.
+class SimulatedClock final : public Clock {
+ public:
+  TimePoint Now() const override { return now; }
+  WallTime WallNow() const override { return WallTime{}; }
+
+  /// Starts above zero, so that times before it can be named.
+  TimePoint now{std::chrono::hours(1)};
+};
+
+/// Counts what comes into force on one instance.
+class CountingSink final : public RuleSink {
+ public:
+  explicit CountingSink(std::function<void(Revision)> on_revision)
+      : on_revision_(std::move(on_revision)) {}
+
+  void Publish(RuleSet rules) override {
+    if (rules.revision < last_) ++reversals;
+    last_ = rules.revision;
+    on_revision_(last_);
+  }
+
+  /// How often a revision was lower than the one before.
+  int reversals = 0;
+
+ private:
+  /// Told of each revision.
+  const std::function<void(Revision)> on_revision_;
+  /// The last one.
+  Revision last_{0};
+};
+
+/// One entry instance.
+struct Node {
+  std::unique_ptr<CountingSink> sink;
+  std::unique_ptr<RuleDistributor> distributor;
+  /// Whether a call is under way.
+  bool busy = false;
+  /// Tells a wake-up that another one replaced it.
+  std::uint64_t wake = 0;
+};
+
+/// A watch that waits at the store.
+struct PendingWatch {
+  std::size_t node = 0;
+  std::uint64_t id = 0;
+};
+
+/// One run of the model.
+class FleetModel {
+ public:
+  explicit FleetModel(const FleetModelSettings& settings)
+      : settings_(settings), random_(settings.seed) {}
+
+  FleetModelResult Run() {
+    MakeNodes();
+    Accept();
+    const TimePoint start = clock_.now + seconds(10);
+    RunUntil(start);
+    const std::uint64_t before_idle = calls_;
+    RunUntil(start + settings_.idle_time);
+    const std::uint64_t idle_calls = calls_ - before_idle;
+    const std::uint64_t before_changes = calls_;
+    counting_seconds_ = true;
+    times_ms_.clear();  // The first revision came while instances started.
+    for (int i = 0; i < settings_.changes; ++i) {
+      Accept();
+      RunUntil(clock_.now + settings_.change_interval);
+    }
+    const std::uint64_t change_calls = calls_ - before_changes;
+    RunUntil(clock_.now + seconds(60));
+    return Report(idle_calls, change_calls);
+  }
+
+ private:
+  using Action = std::function<void()>;
+  struct Event {
+    TimePoint at;
+    std::uint64_t order = 0;
+    Action action;
+    bool operator<(const Event& other) const {
+      return std::tie(other.at, other.order) < std::tie(at, order);
+    }
+  };
+
+  int ZoneOf(std::size_t node) const {
+    return static_cast<int>(node) % settings_.zones;
+  }
+  int RegionOf(std::size_t node) const {
+    return ZoneOf(node) % settings_.regions;
+  }
+  Duration ToStore(std::size_t node) const {
+    return RegionOf(node) == 0 ? settings_.within_region
+                               : settings_.between_regions;
+  }
+  Duration Between(std::size_t a, std::size_t b) const {
+    return RegionOf(a) == RegionOf(b) ? settings_.within_region
+                                      : settings_.between_regions;
+  }
+  InstanceId NameOf(std::size_t node) const {
+    return InstanceId("entry-" + std::to_string(node));
+  }
+
+  void At(TimePoint at, Action action) {
+    events_.push({at, ++order_, std::move(action)});
+  }
+  void After(Duration wait, Action action) {
+    At(clock_.now + wait, std::move(action));
+  }
+
+  void RunUntil(TimePoint end) {
+    while (!events_.empty() && events_.top().at <= end) {
+      Event event = events_.top();
+      events_.pop();
+      clock_.now = event.at;
+      event.action();
+    }
+    clock_.now = end;
+  }
+
+  void MakeNodes() {
+    std::vector<RuleMember> members;
+    const auto count = static_cast<std::size_t>(settings_.instances);
+    for (std::size_t i = 0; i < count; ++i) {
+      members.push_back(
+          {NameOf(i), ZoneId("zone-" + std::to_string(ZoneOf(i)))});
+    }
+    nodes_.resize(count);
+    in_force_.resize(count);
+    for (std::size_t i = 0; i < count; ++i) {
+      RuleDistributorSettings settings;
+      settings.self = members[i].instance;
+      settings.zone = members[i].zone;
+      Node& node = nodes_[i];
+      node.sink = std::make_unique<CountingSink>(
+          [this, i](Revision revision) { OnRevision(i, revision); });
+      node.distributor = std::make_unique<RuleDistributor>(settings, *node.sink,
+                                                           clock_, random_);
+      node.distributor->OnMembers(members);
+      After(milliseconds(random_.Below(1000)), [this, i] { Act(i); });
+      After(milliseconds(random_.Below(
+                static_cast<std::uint64_t>(settings_.digest_interval.count()))),
+            [this, i] { SendDigest(i); });
+    }
+  }
+
+  /// An operator's change is accepted: watches that wait end, but for those
+  /// whose event is dropped.
+  void Accept() {
+    revision_ = Revision(revision_.value() + 1);
+    accepted_at_[revision_] = clock_.now;
+    const bool outage = settings_.outage > milliseconds(0);
+    if (outage) out_until_ = clock_.now + settings_.outage;
+    std::vector<PendingWatch> kept;
+    bool heard = false;
+    for (const PendingWatch& watch : std::exchange(watches_, {})) {
+      if (outage && heard) {
+        FailStoreCall(watch.node);
+      } else if (random_.Fraction() < settings_.dropped_events) {
+        kept.push_back(watch);
+      } else {
+        AnswerStore(watch.node);
+        heard = true;
+      }
+    }
+    watches_ = std::move(kept);
+  }
+
+  /// Notes what came into force on an instance, and which changes are thereby
+  /// in force everywhere.
+  void OnRevision(std::size_t i, Revision revision) {
+    in_force_[i] = revision;
+    const Revision lowest =
+        *std::min_element(in_force_.begin(), in_force_.end());
+    while (!accepted_at_.empty() && accepted_at_.begin()->first <= lowest) {
+      const Duration took = clock_.now - accepted_at_.begin()->second;
+      times_ms_.push_back(static_cast<double>(took.count()) / 1e6);
+      accepted_at_.erase(accepted_at_.begin());
+    }
+  }
+
+  void Act(std::size_t i) {
+    Node& node = nodes_[i];
+    if (node.busy) return;
+    const RuleAction action = node.distributor->NextAction();
+    if (action.kind == RuleAction::Kind::kWait) {
+      const std::uint64_t wake = ++node.wake;
+      After(std::max(action.wait, milliseconds(1)), [this, i, wake] {
+        if (nodes_[i].wake == wake) Act(i);
+      });
+      return;
+    }
+    node.busy = true;
+    ++node.wake;
+    if (action.kind == RuleAction::Kind::kAskPeer) {
+      AskPeer(i, action.peer);
+      return;
+    }
+    CountCall();
+    const bool watch = action.kind == RuleAction::Kind::kWatchStore;
+    After(ToStore(i), [this, i, watch, wait = action.wait] {
+      ArriveAtStore(i, watch, wait);
+    });
+  }
+
+  void CountCall() {
+    ++calls_;
+    if (!counting_seconds_) return;
+    const auto second =
+        std::chrono::duration_cast<seconds>(clock_.now.time_since_epoch())
+            .count();
+    most_calls_ = std::max(most_calls_, ++calls_in_second_[second]);
+  }
+
+  void ArriveAtStore(std::size_t i, bool watch, milliseconds wait) {
+    if (clock_.now < out_until_) {
+      FailStoreCall(i);
+      return;
+    }
+    const StoreIndex known = nodes_[i].distributor->Known().index;
+    if (!watch || known.value() < revision_.value()) {
+      AnswerStore(i);
+      return;
+    }
+    const std::uint64_t id = ++watch_ids_;
+    watches_.push_back({i, id});
+    After(wait, [this, i, id] {
+      const auto erased = std::erase_if(
+          watches_, [&](const PendingWatch& w) { return w.id == id; });
+      if (erased > 0) AnswerStore(i);
+    });
+  }
+
+  void AnswerStore(std::size_t i) {
+    const StoredRules answer{TextOf(revision_), StoreIndex(revision_.value())};
+    After(settings_.store_delay + ToStore(i), [this, i, answer] {
+      nodes_[i].distributor->OnStoreAnswer(answer);
+      nodes_[i].busy = false;
+      Act(i);
+    });
+  }
+
+  void FailStoreCall(std::size_t i) {
+    After(settings_.call_timeout, [this, i] {
+      nodes_[i].distributor->OnStoreAnswer(
+          Error{ErrorCode::kUnavailable, Verdict::kNotRun, "no answer"});
+      nodes_[i].busy = false;
+      Act(i);
+    });
+  }
+
+  void AskPeer(std::size_t i, const InstanceId& peer) {
+    const std::size_t k = IndexOf(peer);
+    After(Between(i, k), [this, i, k] {
+      const RuleText answer = nodes_[k].distributor->InForce();
+      After(Between(i, k), [this, i, k, answer] {
+        nodes_[i].distributor->OnPeerAnswer(NameOf(k), answer);
+        nodes_[i].busy = false;
+        Act(i);
+      });
+    });
+  }
+
+  void SendDigest(std::size_t i) {
+    const std::size_t k = random_.Below(nodes_.size());
+    const Revision revision = nodes_[i].distributor->InForce().revision;
+    After(Between(i, k), [this, i, k, revision] {
+      if (nodes_[k].distributor->OnAnnouncement(NameOf(i), revision)) Act(k);
+    });
+    After(settings_.digest_interval, [this, i] { SendDigest(i); });
+  }
+
+  static RuleText TextOf(Revision revision) {
+    return {revision,
+            "queue length=" + std::to_string(revision.value()) + " # bench\n"};
+  }
+
+  static std::size_t IndexOf(const InstanceId& name) {
+    return std::stoul(name.value().substr(name.value().find('-') + 1));
+  }
+
+  FleetModelResult Report(std::uint64_t idle_calls,
+                          std::uint64_t change_calls) {
+    FleetModelResult result;
+    for (const Node& node : nodes_) {
+      result.watchers += node.distributor->IsWatcher() ? 1 : 0;
+      result.reversals += node.sink->reversals;
+    }
+    std::sort(times_ms_.begin(), times_ms_.end());
+    const auto quantile = [&](double q) {
+      if (times_ms_.empty()) return 0.0;
+      const auto last = static_cast<double>(times_ms_.size() - 1);
+      return times_ms_[static_cast<std::size_t>(q * last)];
+    };
+    result.p50_ms = quantile(kMedian);
+    result.p99_ms = quantile(kP99);
+    result.max_ms = quantile(1);
+    result.unfinished = static_cast<int>(accepted_at_.size());
+    const double idle_minutes =
+        std::chrono::duration<double>(settings_.idle_time).count() / 60;
+    result.calls_per_idle_minute =
+        static_cast<double>(idle_calls) / idle_minutes;
+    const double change_minutes =
+        std::chrono::duration<double>(settings_.change_interval).count() / 60 *
+        settings_.changes;
+    result.calls_per_change = (static_cast<double>(change_calls) -
+                               result.calls_per_idle_minute * change_minutes) /
+                              settings_.changes;
+    result.calls_per_second =
+        static_cast<double>(change_calls) / (change_minutes * 60);
+    result.most_calls_in_a_second = most_calls_;
+    return result;
+  }
+
+  /// As given.
+  const FleetModelSettings settings_;
+  /// The simulated time.
+  SimulatedClock clock_;
+  /// Seeded by the settings.
+  SeededRandom random_;
+  /// The instances.
+  std::vector<Node> nodes_;
+  /// What happens later, by time.
+  std::priority_queue<Event> events_;
+  /// Orders events of the same time.
+  std::uint64_t order_ = 0;
+  /// The last accepted revision; the store's index is the same number.
+  Revision revision_{0};
+  /// When revisions that are not yet in force everywhere were accepted.
+  std::map<Revision, TimePoint> accepted_at_;
+  /// What is in force on each instance.
+  std::vector<Revision> in_force_;
+  /// From accept to in force everywhere, in milliseconds.
+  std::vector<double> times_ms_;
+  /// Watches that wait at the store.
+  std::vector<PendingWatch> watches_;
+  /// Until when the store is out.
+  TimePoint out_until_{};
+  /// The last watch's number.
+  std::uint64_t watch_ids_ = 0;
+  /// Store calls so far.
+  std::uint64_t calls_ = 0;
+  /// Whether calls are counted by the second.
+  bool counting_seconds_ = false;
+  /// Store calls in each second.
+  std::map<std::int64_t, std::uint64_t> calls_in_second_;
+  /// The most of them.
+  std::uint64_t most_calls_ = 0;
+};
+
+}  // namespace
+
+FleetModelResult RunFleetModel(const FleetModelSettings& settings) {
+  return FleetModel(settings).Run();
+}
+
+}  // namespace briarspread::bench
--- a/briarspread/rules/rule_distributor.cc
+++ b/briarspread/rules/rule_distributor.cc
@@ -149,32 +149,36 @@
 void RuleDistributor::ChooseRole() {
   const bool was_watcher = is_watcher_;
   const std::size_t fleet = peers_.size() + 1;
-  if (fleet <= settings_.watch_all_up_to) {
-    watchers_ = fleet;
-    is_watcher_ = true;
-  } else {
-    std::vector<std::string> own_zone = {settings_.self.value()};
-    std::map<ZoneId, std::size_t> zones = {{settings_.zone, 1}};
-    for (const RuleMember& peer : peers_) {
-      ++zones[peer.zone];
-      if (peer.zone == settings_.zone)
-        own_zone.push_back(peer.instance.value());
-    }
-    watchers_ = 0;
-    for (const auto& [zone, size] : zones) {
-      watchers_ += std::min(size, settings_.watchers_per_zone);
-    }
-    const auto order = RendezvousOrder(kWatcherKey, own_zone);
-    const auto rank = std::find(order.begin(), order.end(), 0U);
-    is_watcher_ = rank - order.begin() <
-                  static_cast<std::ptrdiff_t>(settings_.watchers_per_zone);
-  }
+  const bool all_watch = fleet <= settings_.watch_all_up_to;
+  watchers_ = all_watch ? fleet : WatchersOfLargeFleet();
+  is_watcher_ = all_watch || RankInZone() < settings_.watchers_per_zone;
   // A new watcher does not wait for its next safety read.
   if (is_watcher_ && !was_watcher && !store_failing_) {
     next_store_call_ = clock_.Now();
   }
 }
 
+std::size_t RuleDistributor::WatchersOfLargeFleet() const {
+  std::map<ZoneId, std::size_t> zones = {{settings_.zone, 1}};
+  for (const RuleMember& peer : peers_) ++zones[peer.zone];
+  std::size_t watchers = 0;
+  for (const auto& [zone, size] : zones) {
+    watchers += std::min(size, settings_.watchers_per_zone);
+  }
+  return watchers;
+}
+
+std::size_t RuleDistributor::RankInZone() const {
+  std::vector<std::string> names = {settings_.self.value()};
+  for (const RuleMember& peer : peers_) {
+    if (peer.zone != settings_.zone) continue;
+    names.push_back(peer.instance.value());
+  }
+  const auto order = RendezvousOrder(kWatcherKey, names);
+  const auto rank = std::find(order.begin(), order.end(), 0U);
+  return static_cast<std::size_t>(rank - order.begin());
+}
+
 bool RuleDistributor::Offer(const RuleText& offered) {
   if (offered.revision == Revision(0)) return false;
   if (offered.revision == in_force_.revision) return false;
--- a/briarspread/rules/rule_distributor.h
+++ b/briarspread/rules/rule_distributor.h
@@ -124,6 +124,8 @@
  private:
   bool Offer(const RuleText& offered);
   void ChooseRole();
+  std::size_t WatchersOfLargeFleet() const;
+  std::size_t RankInZone() const;
   milliseconds WatchWait() const;
   milliseconds LeastStoreInterval() const;
   milliseconds Jittered(milliseconds wait);
--- a/briarspread/rules/rule_document.h
+++ b/briarspread/rules/rule_document.h
@@ -10,7 +10,7 @@
 
 /// The largest text of rules, in bytes. A change that replaces every line
 /// still fits one value of the platform's key-value service.
-inline constexpr std::size_t kMaxRulesBytes = 256 * 1024;
+inline constexpr std::size_t kMaxRulesBytes = 262'144;
 /// The longest line, in bytes.
 inline constexpr std::size_t kMaxRuleLineBytes = 1000;
 /// The most rules in one text.
--- a/briarspread/rules/rule_log.cc
+++ b/briarspread/rules/rule_log.cc
@@ -132,9 +132,8 @@
     segment.older.push_back(head.snapshot);
   }
   DropOldest(segment);
-  const Status written =
-      WriteOnce(SnapshotKey(head.revision),
-                FormatRecord(RuleSnapshot{head.revision, text}));
+  Status written = WriteOnce(SnapshotKey(head.revision),
+                             FormatRecord(RuleSnapshot{head.revision, text}));
   if (!IsOk(written)) return written;
   return WriteOnce(SegmentKey(head.revision), FormatRecord(segment));
 }
--- a/briarspread/rules/rule_log.h
+++ b/briarspread/rules/rule_log.h
@@ -17,11 +17,11 @@
   std::string key_prefix = "briarspread/rules";
   /// Changes that the head holds before a snapshot is written. Chosen by
   /// bench/rules_bench: see docs/design/rules.md.
-  std::size_t max_head_changes = 64;
+  std::size_t max_head_changes = 16;
   /// The head's size above which a snapshot is written, in bytes.
-  std::size_t max_head_bytes = 128 * 1024;
+  std::size_t max_head_bytes = 131'072;
   /// Segments of changes kept for the history.
-  std::size_t kept_segments = 1000;
+  std::size_t kept_segments = 4000;
   /// Snapshots kept beside the current one, for readers of an older head.
   std::size_t kept_snapshots = 2;
 };
--- a/briarspread/rules/rule_schema.cc
+++ b/briarspread/rules/rule_schema.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <limits>
 #include <optional>
+#include <utility>
 
 namespace briarspread {
 namespace {
@@ -42,8 +42,8 @@
 
 ArgumentSpec Integer(std::string name, double least, double most,
                      std::string unit, std::string fallback) {
-  ArgumentSpec spec =
-      Number(std::move(name), least, most, std::move(unit), fallback);
+  ArgumentSpec spec = Number(std::move(name), least, most, std::move(unit),
+                             std::move(fallback));
   spec.type = ArgumentType::kInteger;
   return spec;
 }
