--- a/briarspread/gateway/entry.cc
+++ b/briarspread/gateway/entry.cc
@@ -29,12 +29,6 @@
   return platform;
 }
 
-PlatformPollerSettings PollerSettings(const EntrySettings& settings) {
-  PlatformPollerSettings poller;
-  poller.interval = settings.poll_interval;
-  return poller;
-}
-
 UpstreamMonitorSettings MonitorSettings(const EntrySettings& settings) {
   UpstreamMonitorSettings monitor;
   monitor.self = settings.locality;
@@ -42,6 +36,14 @@
   return monitor;
 }
 
+RulesAgentSettings RulesSettings(const EntrySettings& settings) {
+  RulesAgentSettings rules;
+  rules.distributor.self = settings.instance;
+  rules.distributor.zone = settings.locality.zone;
+  if (settings.peer_authentication) rules.peers.peer_key = settings.peer_key;
+  return rules;
+}
+
 }  // namespace
 
 Entry::Entry(const EntrySettings& settings)
@@ -54,12 +56,13 @@
       list_(PlatformSettings(settings), client_),
       router_(TwoChoicesSettings{}, random_, clock_),
       gates_(clock_),
-      monitor_(MonitorSettings(settings), context_, list_, client_, gates_),
+      monitor_(MonitorSettings(settings), context_, list_, client_, gates_,
+               [this](const auto& listed) { rules_.OnInstances(listed); }),
       caller_(context_, router_, client_, gates_, monitor_.refusals()),
       live_(context_, caller_),
       trainers_(TrainerHandlerSettings{}, settings.peer_key, state_, caller_,
                 clock_),
-      poller_(PollerSettings(settings), store_, state_),
+      rules_(RulesSettings(settings), store_, client_, state_, clock_, random_),
       server_(ServerSettings(settings)) {}
 
 void Entry::AddOperatorRoutes() {
@@ -90,9 +93,10 @@
   AddOperatorRoutes();
   live_.AddRoutes(server_.routes());
   trainers_.AddRoutes(server_.routes());
+  rules_.AddRoutes(server_.routes());
   Status started = server_.Start();
   if (!IsOk(started)) return started;
-  poller_.Start();
+  rules_.Start();
   monitor_.Start();
   LOG(INFO) << "event=started instance=" << settings_.instance
             << " port=" << settings_.listen.port;
@@ -110,8 +114,8 @@
   }
   const bool finished = state_.in_flight == 0;
   trainers_.Stop();
-  poller_.Stop();
   monitor_.Stop();
+  rules_.Stop();
   server_.Stop();
   LOG(INFO) << "event=drained finished=" << finished;
   return finished;
--- a/briarspread/gateway/entry.h
+++ b/briarspread/gateway/entry.h
@@ -5,8 +5,8 @@
 #include "briarspread/core/random_source.h"
 #include "briarspread/gateway/control_state.h"
 #include "briarspread/gateway/live_handler.h"
-#include "briarspread/gateway/platform_poller.h"
 #include "briarspread/gateway/pool_gates.h"
+#include "briarspread/gateway/rules_agent.h"
 #include "briarspread/gateway/trainer_handler.h"
 #include "briarspread/gateway/upstream_call.h"
 #include "briarspread/gateway/upstream_monitor.h"
@@ -49,7 +49,7 @@
   UpstreamCaller caller_;
   LiveHandler live_;
   TrainerHandler trainers_;
-  PlatformPoller poller_;
+  RulesAgent rules_;
   HttpServer server_;
 };
 
--- a/briarspread/gateway/upstream_monitor.cc
+++ b/briarspread/gateway/upstream_monitor.cc
@@ -30,12 +30,13 @@
 UpstreamMonitor::UpstreamMonitor(const UpstreamMonitorSettings& settings,
                                  const GatewayContext& context,
                                  InstanceList& list, UpstreamClient& client,
-                                 PoolGates& gates)
+                                 PoolGates& gates, OnListed on_listed)
     : settings_(settings),
       context_(context),
       list_(list),
       client_(client),
       gates_(gates),
+      on_listed_(std::move(on_listed)),
       refusals_(RefusalWatchSettings{}),
       breakers_(BreakerPanelSettings{}) {}
 
@@ -124,7 +125,10 @@
 
 void UpstreamMonitor::Poll() {
   auto read = list_.Read();
-  if (IsOk(read)) listed_ = std::move(ValueOf(read));
+  if (IsOk(read)) {
+    listed_ = std::move(ValueOf(read));
+    on_listed_(listed_);
+  }
   breakers_.SetListed(listed_);
   const InstanceShare share = ShareOfEntries();
   std::vector<UpstreamView> views;
--- a/briarspread/gateway/upstream_monitor.h
+++ b/briarspread/gateway/upstream_monitor.h
@@ -2,6 +2,7 @@
 #define BRIARSPREAD_GATEWAY_UPSTREAM_MONITOR_H_
 
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -35,10 +36,13 @@
 /// the routing table. One thread of its own, and a pool for the reads.
 class UpstreamMonitor {
  public:
+  /// Told of each list that was read, on the monitor's thread.
+  using OnListed = std::function<void(const std::vector<ListedInstance>&)>;
+
   /// Preconditions: all arguments outlive this object.
   UpstreamMonitor(const UpstreamMonitorSettings& settings,
                   const GatewayContext& context, InstanceList& list,
-                  UpstreamClient& client, PoolGates& gates);
+                  UpstreamClient& client, PoolGates& gates, OnListed on_listed);
   ~UpstreamMonitor();
   UpstreamMonitor(const UpstreamMonitor&) = delete;
   UpstreamMonitor& operator=(const UpstreamMonitor&) = delete;
@@ -63,6 +67,7 @@
   InstanceList& list_;
   UpstreamClient& client_;
   PoolGates& gates_;
+  const OnListed on_listed_;
   RefusalWatch refusals_;
   BreakerPanel breakers_;
   LinkBudget links_;
