Contracts: at most once for idempotency keys, explored over all interleavings

Cause: a re-send of a non-idempotent request may arrive at any instance, while its home is killed, paused or cut off and the store is out. Ruled out: a claim waiting for the store and the standby both. Since a claim must commit by the standby's word alone in an outage, the log can't be known to be whole while a standby is named; waiting for both bought no knowledge and cost a store trip per claim. Also ruled out: keys of a lost home spread over all others (each would have to read its log and its standby's memory). Change: a table of homes with one owner and term each; claims commit at the standby (in sync), or in the log (out of sync), or alone after a takeover in an outage. A successor fences the copy, seals the log and changes the table, and takes nothing while a silent standby may still commit. A trial showed that a home whose standby was silent past its right could not serve again until the store was back; it now asks the standby first. Conclusion: whole as a library; the wiring to HTTP and the planned handover of a home are open.

--- /dev/null
+++ b/briarspread/contracts/claim_home.cc
@@ -0,0 +1,319 @@
+#include "briarspread/contracts/claim_home.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace briarspread {
+
+ClaimHome::ClaimHome(ClaimHomeSettings settings, HomeTerm term,
+                     InstanceId standby, std::vector<Claim> unlogged,
+                     TimePoint gap_until)
+    : settings_(settings),
+      term_(std::move(term)),
+      standby_(std::move(standby)),
+      gap_until_(gap_until),
+      unlogged_(std::move(unlogged)) {}
+
+ClaimHome ClaimHome::Solo(ClaimHomeSettings settings, HomeTerm term) {
+  ClaimHome home(settings, std::move(term), InstanceId(), {}, TimePoint());
+  home.mode_ = Mode::kSolo;
+  return home;
+}
+
+void ClaimHome::BeginCommit(std::vector<Claim> claims) {
+  assert(commit_ == CommitState::kIdle);
+  assert(claims.size() <= kMaxBatchClaims);
+  batch_ = std::move(claims);
+  commit_ = CommitState::kPending;
+  if (deposed_) {
+    Settle(CommitState::kRefused);
+  } else if (mode_ == Mode::kSolo) {
+    unlogged_.insert(unlogged_.end(), batch_.begin(), batch_.end());
+    Settle(CommitState::kCommitted);
+  } else {
+    Route();
+  }
+}
+
+/// Decides whether the log or the standby is to commit the batch. A standby
+/// whose right has lapsed is still asked first: with the store out it may be
+/// back, and until the log drops it, its acknowledgement counts.
+void ClaimHome::Route() {
+  if (mode_ != Mode::kInSync || leaving_) return;
+  if (standby_dead_) {
+    leaving_ = true;
+  } else {
+    witness_due_ = true;
+  }
+}
+
+bool ClaimHome::may_sync() const {
+  return mode_ == Mode::kOutOfSync && commit_ == CommitState::kIdle &&
+         !deposed_ && !append_.has_value() && unlogged_.empty() &&
+         next_segment_ > 0 && !standby_.value().empty();
+}
+
+bool ClaimHome::needs_heartbeat() const {
+  if (deposed_ || mode_ == Mode::kSolo) return false;
+  return mode_ == Mode::kInSync || next_segment_ == 0 || append_.has_value() ||
+         !unlogged_.empty();
+}
+
+void ClaimHome::BeginSync(std::vector<Claim> known) {
+  assert(may_sync());
+  batch_ = std::move(known);
+  commit_ = CommitState::kPending;
+  syncing_ = true;
+  sync_taken_ = 0;
+  sync_acked_ = false;
+  witness_due_ = true;
+}
+
+bool ClaimHome::HasLapsed(TimePoint now) const {
+  return standby_dead_ || now > last_ack_at_ +
+                                    settings_.standby.takeover_right +
+                                    settings_.standby.clock_margin;
+}
+
+/// Whether a segment is due that commits, or ends or begins the in-sync mode.
+bool ClaimHome::IsMarkDue() const {
+  if (commit_ != CommitState::kPending) return false;
+  if (syncing_) return sync_acked_;
+  return mode_ == Mode::kOutOfSync || leaving_;
+}
+
+OperationId ClaimHome::NextOperation() {
+  return OperationId(term_.owner.instance.value() + "." +
+                     std::to_string(term_.owner.incarnation.value()) + "." +
+                     std::to_string(++last_operation_));
+}
+
+ClaimSegment ClaimHome::MakeSegment(TimePoint now) {
+  ClaimSegment segment;
+  segment.operation = NextOperation();
+  segment.has_gap = now < gap_until_;
+  append_unlogged_ = std::min(unlogged_.size(), kMaxBatchClaims);
+  const auto end =
+      unlogged_.begin() + static_cast<std::ptrdiff_t>(append_unlogged_);
+  segment.claims.assign(unlogged_.begin(), end);
+  const bool has_all_unlogged = append_unlogged_ == unlogged_.size();
+  if (!IsMarkDue()) {
+    segment.standby = standby_process_;
+    append_has_batch_ = false;
+  } else if (syncing_) {
+    // The log holds the claims already; the segment only names the standby.
+    segment.standby = standby_process_;
+    append_has_batch_ = true;
+  } else {
+    const std::size_t room = kMaxBatchClaims - append_unlogged_;
+    append_has_batch_ = has_all_unlogged && batch_.size() <= room;
+    if (append_has_batch_) {
+      segment.claims.insert(segment.claims.end(), batch_.begin(), batch_.end());
+    }
+    if (leaving_ && !append_has_batch_) segment.standby = standby_process_;
+  }
+  segment.is_complete = has_all_unlogged;
+  return segment;
+}
+
+std::optional<AppendRequest> ClaimHome::TakeAppend(TimePoint now) {
+  if (deposed_ || append_in_flight_ || mode_ == Mode::kSolo) {
+    return std::nullopt;
+  }
+  const bool has_work = append_.has_value() || !unlogged_.empty();
+  const bool is_log_due = mode_ == Mode::kInSync && has_work &&
+                          now >= unlogged_since_ + settings_.log_delay;
+  if (!IsMarkDue() && !is_log_due) return std::nullopt;
+  if (!append_.has_value()) {
+    append_ = AppendRequest{next_segment_, MakeSegment(now)};
+  }
+  append_in_flight_ = true;
+  return append_;
+}
+
+void ClaimHome::OnAppend(AppendResult result, TimePoint now) {
+  assert(append_in_flight_);
+  append_in_flight_ = false;
+  const bool is_waited_for = IsMarkDue();
+  switch (result) {
+    case AppendResult::kAppended:
+      OnAppended(now);
+      return;
+    case AppendResult::kSealed:
+      append_.reset();
+      Depose();
+      return;
+    case AppendResult::kUnavailable:
+      // Only a first attempt that failed for certain leaves no trace; one that
+      // was unknown before stays so.
+      if (append_.has_value() && !append_has_been_unknown_) append_.reset();
+      break;
+    case AppendResult::kUnknown:
+      append_has_been_unknown_ = true;
+      // The log may now say that no standby can commit alone.
+      if (!append_->segment.standby.has_value()) mode_ = Mode::kOutOfSync;
+      break;
+  }
+  unlogged_since_ = now;
+  leaving_ = false;
+  append_has_batch_ = false;
+  if (is_waited_for) Settle(CommitState::kRefused);
+}
+
+void ClaimHome::OnAppended(TimePoint now) {
+  const std::optional<ProcessId> standby = append_->segment.standby;
+  append_.reset();
+  append_has_been_unknown_ = false;
+  ++next_segment_;
+  unlogged_.erase(
+      unlogged_.begin(),
+      unlogged_.begin() + static_cast<std::ptrdiff_t>(append_unlogged_));
+  unlogged_since_ = now;
+  if (standby.has_value()) {
+    mode_ = Mode::kInSync;
+  } else {
+    mode_ = Mode::kOutOfSync;
+    leaving_ = false;
+  }
+  if (append_has_batch_) {
+    append_has_batch_ = false;
+    Settle(CommitState::kCommitted);
+  } else if (commit_ == CommitState::kPending && !syncing_ &&
+             !witness_in_flight_) {
+    Route();
+  }
+}
+
+std::optional<WitnessBatch> ClaimHome::TakeWitness() {
+  if (!witness_due_ || deposed_) return std::nullopt;
+  witness_due_ = false;
+  witness_in_flight_ = true;
+  WitnessBatch batch;
+  batch.home = term_.home;
+  batch.term = term_.term;
+  batch.sequence = ++last_sequence_;
+  batch.standby_incarnation = standby_process_.incarnation;
+  if (!syncing_) {
+    batch.granted_ack = last_ack_;
+    batch.claims = batch_;
+    return batch;
+  }
+  // No right to take over before the log names this standby.
+  batch.is_reset = sync_taken_ == 0;
+  const std::size_t end =
+      std::min(batch_.size(), sync_taken_ + kMaxBatchClaims);
+  batch.claims.assign(batch_.begin() + static_cast<std::ptrdiff_t>(sync_taken_),
+                      batch_.begin() + static_cast<std::ptrdiff_t>(end));
+  return batch;
+}
+
+void ClaimHome::OnWitness(const WitnessAnswer& answer, TimePoint now) {
+  if (!witness_in_flight_ || answer.sequence != last_sequence_) return;
+  witness_in_flight_ = false;
+  if (deposed_) return;
+  switch (answer.outcome) {
+    case WitnessOutcome::kAcked:
+      OnAcked(answer, now);
+      return;
+    case WitnessOutcome::kDeposed:
+      Depose();
+      return;
+    case WitnessOutcome::kProcessDead:
+      OnStandbyLost();
+      return;
+    case WitnessOutcome::kNotInSync:
+      if (answer.incarnation != standby_process_.incarnation) {
+        OnStandbyLost();
+        return;
+      }
+      break;
+    case WitnessOutcome::kNoAnswer:
+      break;
+  }
+  if (!syncing_ && HasLapsed(now)) {
+    leaving_ = true;
+  } else {
+    Settle(CommitState::kRefused);
+  }
+}
+
+void ClaimHome::OnAcked(const WitnessAnswer& answer, TimePoint now) {
+  last_ack_ = answer.ack;
+  last_ack_at_ = now;
+  if (syncing_) {
+    standby_process_ = ProcessId{standby_, answer.incarnation};
+    standby_dead_ = false;
+    sync_taken_ = std::min(batch_.size(), sync_taken_ + kMaxBatchClaims);
+    sync_acked_ = sync_taken_ == batch_.size();
+    witness_due_ = !sync_acked_;
+    return;
+  }
+  if (unlogged_.empty()) unlogged_since_ = now;
+  unlogged_.insert(unlogged_.end(), batch_.begin(), batch_.end());
+  Settle(CommitState::kCommitted);
+}
+
+void ClaimHome::OnStandbyLost() {
+  if (syncing_) {
+    Settle(CommitState::kRefused);
+    return;
+  }
+  standby_dead_ = true;
+  leaving_ = true;
+}
+
+void ClaimHome::Settle(CommitState state) {
+  if (commit_ != CommitState::kPending) return;
+  commit_ = state;
+  syncing_ = false;
+  sync_acked_ = false;
+  witness_due_ = false;
+  batch_.clear();
+}
+
+void ClaimHome::Depose() {
+  deposed_ = true;
+  Settle(CommitState::kRefused);
+}
+
+ClaimHome::CommitState ClaimHome::TakeCommit() {
+  assert(commit_ == CommitState::kCommitted ||
+         commit_ == CommitState::kRefused);
+  return std::exchange(commit_, CommitState::kIdle);
+}
+
+std::string ClaimHome::DebugString(TimePoint now) const {
+  std::string out;
+  for (const bool it :
+       {deposed_, leaving_, standby_dead_, syncing_, sync_acked_,
+        append_in_flight_, append_has_batch_, append_has_been_unknown_,
+        witness_due_, witness_in_flight_}) {
+    out += it ? '1' : '0';
+  }
+  const auto add = [&out](auto number) {
+    out += ' ';
+    out += std::to_string(number);
+  };
+  add(static_cast<int>(mode_));
+  add(static_cast<int>(commit_));
+  add(next_segment_);
+  add(last_sequence_);
+  add(last_ack_);
+  add(last_operation_);
+  add(append_unlogged_);
+  add(sync_taken_);
+  add((now - last_ack_at_).count());
+  add((now - unlogged_since_).count());
+  add(standby_process_.incarnation.value());
+  out += " batch";
+  for (const Claim& it : batch_) out += ' ' + it.key.value();
+  out += " unlogged";
+  for (const Claim& it : unlogged_) out += ' ' + it.key.value();
+  if (append_.has_value()) {
+    out += " append " + append_->segment.operation.value();
+  }
+  return out;
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/briarspread/contracts/claim_standby.cc
@@ -0,0 +1,96 @@
+#include "briarspread/contracts/claim_standby.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace briarspread {
+namespace {
+
+/// Acknowledgements remembered until the home confirms one of them.
+constexpr std::size_t kMaxUnconfirmed = 64;
+
+}  // namespace
+
+ClaimStandby::ClaimStandby(StandbySettings settings, HomeName home, Epoch term,
+                           Incarnation self)
+    : settings_(settings), home_(std::move(home)), term_(term), self_(self) {}
+
+WitnessAnswer ClaimStandby::OnBatch(const WitnessBatch& batch, TimePoint now) {
+  assert(batch.home == home_ && batch.term == term_);
+  WitnessAnswer answer;
+  answer.sequence = batch.sequence;
+  answer.incarnation = self_;
+  if (fenced_) {
+    answer.outcome = WitnessOutcome::kDeposed;
+    return answer;
+  }
+  const bool is_late = batch.sequence <= last_sequence_;
+  const bool is_for_other =
+      !batch.is_reset && batch.standby_incarnation != self_;
+  if (is_late || is_for_other || (!batch.is_reset && !synced_)) {
+    answer.outcome = WitnessOutcome::kNotInSync;
+    return answer;
+  }
+  last_sequence_ = batch.sequence;
+  if (batch.is_reset) {
+    claims_.clear();
+    synced_ = true;
+  }
+  for (const Claim& claim : batch.claims) {
+    claims_.insert_or_assign(claim.key, Held{claim.fingerprint, now});
+  }
+  Renew(batch.granted_ack);
+  answer.outcome = WitnessOutcome::kAcked;
+  answer.ack = ++last_ack_;
+  sent_.emplace(last_ack_, now);
+  if (sent_.size() > kMaxUnconfirmed) sent_.erase(sent_.begin());
+  return answer;
+}
+
+void ClaimStandby::Renew(std::uint64_t granted_ack) {
+  const auto it = sent_.find(granted_ack);
+  if (it == sent_.end()) return;
+  // Counted from the sending of the acknowledgement, not from the receipt of
+  // the batch, which may have been under way for any time.
+  right_until_ = std::max(right_until_, it->second + settings_.takeover_right);
+  sent_.erase(sent_.begin(), it);
+}
+
+bool ClaimStandby::MayTakeOverInMemory(TimePoint now) const {
+  return synced_ && !fenced_ && now < right_until_;
+}
+
+void ClaimStandby::Expire(TimePoint oldest) {
+  std::erase_if(claims_, [oldest](const auto& entry) {
+    return entry.second.taken < oldest;
+  });
+}
+
+std::vector<Claim> ClaimStandby::Claims() const {
+  std::vector<Claim> claims;
+  claims.reserve(claims_.size());
+  for (const auto& [key, held] : claims_) {
+    claims.push_back({key, held.fingerprint});
+  }
+  return claims;
+}
+
+std::string ClaimStandby::DebugString(TimePoint now) const {
+  std::string out{synced_ ? '1' : '0', fenced_ ? '1' : '0'};
+  const auto add = [&out](auto number) {
+    out += ' ';
+    out += std::to_string(number);
+  };
+  add(last_sequence_);
+  add(last_ack_);
+  add(std::max<std::int64_t>(0, (right_until_ - now).count()));
+  for (const auto& [ack, time] : sent_) {
+    add(ack);
+    add((now - time).count());
+  }
+  for (const auto& [key, held] : claims_) out += ' ' + key.value();
+  return out;
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/briarspread/contracts/home_service.cc
@@ -0,0 +1,221 @@
+#include "briarspread/contracts/home_service.h"
+
+#include <algorithm>
+#include <set>
+#include <thread>
+#include <utility>
+
+namespace briarspread {
+
+HomeService::HomeService(HomeServiceSettings settings, HomeServiceLinks links,
+                         ClaimHome home, KeyTable keys, InstanceId standby)
+    : settings_(settings),
+      links_(links),
+      standby_(std::move(standby)),
+      home_(std::move(home)),
+      keys_(std::move(keys)) {}
+
+ClaimDecision HomeService::Refuse(ErrorCode code, Verdict verdict,
+                                  const char* message) const {
+  return Refused{Error{code, verdict, message, settings_.retry_after}};
+}
+
+ClaimDecision HomeService::Begin(const Claim& claim, Epoch created_in,
+                                 TimePoint deadline) {
+  Lock lock(mutex_);
+  while (true) {
+    switch (keys_.Begin(claim, created_in, links_.clock->Now())) {
+      case KeyStep::kClaim:
+        return Commit(lock, claim, deadline);
+      case KeyStep::kRun:
+        return RunIt{};
+      case KeyStep::kAnswered:
+        return StoredAnswer{*keys_.AnswerOf(claim.key)};
+      case KeyStep::kMayHaveRun:
+        return Refused{Error{ErrorCode::kUnavailable, Verdict::kMayHaveRun,
+                             "an earlier attempt may have run"}};
+      case KeyStep::kMismatch:
+        return Refused{Error{ErrorCode::kInvalidArgument, Verdict::kNotRun,
+                             "the idempotency key was used with another "
+                             "body"}};
+      case KeyStep::kFull:
+        return Refuse(ErrorCode::kOverloaded, Verdict::kNotRun,
+                      "too many idempotency keys");
+      case KeyStep::kWait:
+        break;
+    }
+    if (changed_.wait_until(lock, deadline) == std::cv_status::timeout) {
+      return Refuse(ErrorCode::kDeadlineExceeded, Verdict::kMayHaveRun,
+                    "the same request is still in progress");
+    }
+  }
+}
+
+ClaimDecision HomeService::Commit(Lock& lock, const Claim& claim,
+                                  TimePoint deadline) {
+  const auto waiter = std::make_shared<Waiter>(Waiter{claim});
+  waiting_.push_back(waiter);
+  while (!waiter->is_settled) {
+    if (!has_leader_) {
+      Lead(lock);
+    } else if (changed_.wait_until(lock, deadline) == std::cv_status::timeout &&
+               !waiter->is_settled) {
+      waiter->is_abandoned = true;
+      return Refuse(ErrorCode::kDeadlineExceeded, Verdict::kNotRun,
+                    "the claim was not committed in time");
+    }
+  }
+  if (waiter->is_committed) return RunIt{};
+  if (home_.is_deposed()) return NotHome{};
+  return Refuse(ErrorCode::kUnavailable, Verdict::kNotRun,
+                "neither the store nor the standby took the claim");
+}
+
+/// Commits one group.
+void HomeService::Lead(Lock& lock) {
+  has_leader_ = true;
+  if (settings_.batching_delay.count() > 0) {
+    // Others may join; only `Lead` and `Heartbeat` look at `has_leader_`.
+    lock.unlock();
+    std::this_thread::sleep_for(settings_.batching_delay);
+    lock.lock();
+  }
+  const std::size_t n = std::min(waiting_.size(), kMaxBatchClaims);
+  std::vector<std::shared_ptr<Waiter>> group(
+      waiting_.begin(), waiting_.begin() + static_cast<std::ptrdiff_t>(n));
+  waiting_.erase(waiting_.begin(),
+                 waiting_.begin() + static_cast<std::ptrdiff_t>(n));
+  std::vector<Claim> claims;
+  claims.reserve(n);
+  for (const auto& it : group) claims.push_back(it->claim);
+  home_.BeginCommit(std::move(claims));
+  Drive(lock);
+  Settle(group, home_.TakeCommit() == ClaimHome::CommitState::kCommitted);
+  has_leader_ = false;
+  changed_.notify_all();
+}
+
+/// Carries the commit under way to its end. The standby goes first: while it
+/// can commit, a slow store must not hold the commit up.
+void HomeService::Drive(Lock& lock) {
+  while (home_.commit_state() == ClaimHome::CommitState::kPending) {
+    if (DriveWitness(lock) || DriveAppend(lock)) continue;
+    // Another thread's append is under way.
+    changed_.wait(lock);
+  }
+}
+
+bool HomeService::DriveWitness(Lock& lock) {
+  const auto batch = home_.TakeWitness();
+  if (!batch.has_value()) return false;
+  lock.unlock();
+  const WitnessAnswer answer = links_.witness->Send(standby_, *batch);
+  lock.lock();
+  home_.OnWitness(answer, links_.clock->Now());
+  return true;
+}
+
+bool HomeService::DriveAppend(Lock& lock) {
+  const auto request = home_.TakeAppend(links_.clock->Now());
+  if (!request.has_value()) return false;
+  const HomeTerm term = home_.term();
+  lock.unlock();
+  const AppendResult result = links_.log->Append(
+      term.home, term.term, request->number, request->segment);
+  lock.lock();
+  home_.OnAppend(result, links_.clock->Now());
+  changed_.notify_all();
+  return true;
+}
+
+void HomeService::Settle(const std::vector<std::shared_ptr<Waiter>>& group,
+                         bool is_committed) {
+  for (const auto& it : group) {
+    it->is_settled = true;
+    it->is_committed = is_committed;
+    if (!is_committed) {
+      keys_.OnRefused(it->claim.key);
+      continue;
+    }
+    keys_.OnCommitted(it->claim.key);
+    if (it->is_abandoned) {
+      // Its thread has answered "not run"; a re-send may run it.
+      keys_.Finish(it->claim.key, KeyedOutcome{Verdict::kNotRun, 0, {}, {}},
+                   links_.clock->Now());
+    }
+  }
+}
+
+void HomeService::Finish(const RequestKey& key, KeyedOutcome outcome) {
+  Lock lock(mutex_);
+  keys_.Finish(key, std::move(outcome), links_.clock->Now());
+  changed_.notify_all();
+}
+
+void HomeService::Heartbeat() {
+  Lock lock(mutex_);
+  keys_.Expire(links_.clock->Now());
+  // A commit under way is as good as a heartbeat.
+  if (has_leader_) return;
+  has_leader_ = true;
+  if (home_.needs_heartbeat()) {
+    home_.BeginCommit({});
+    Drive(lock);
+    home_.TakeCommit();
+  }
+  if (home_.may_sync()) {
+    home_.BeginSync(keys_.CommittedClaims());
+    Drive(lock);
+    home_.TakeCommit();
+  }
+  has_leader_ = false;
+  changed_.notify_all();
+}
+
+void HomeService::WriteLog() {
+  Lock lock(mutex_);
+  DriveAppend(lock);
+}
+
+void HomeService::Promote(HomeTerm term, InstanceId standby,
+                          const std::vector<Claim>& logged,
+                          std::vector<Claim> held, bool has_gap) {
+  Lock lock(mutex_);
+  changed_.wait(lock, [this] { return !has_leader_; });
+  const TimePoint now = links_.clock->Now();
+  std::set<RequestKey> in_log;
+  for (const Claim& it : logged) in_log.insert(it.key);
+  const auto& solo = home_.unlogged();
+  held.insert(held.end(), solo.begin(), solo.end());
+  std::erase_if(held, [&in_log](const Claim& claim) {
+    return in_log.contains(claim.key);
+  });
+  keys_.InheritUnknown(logged, now);
+  if (has_gap) keys_.SetGap(term.term, now);
+  standby_ = standby;
+  home_ = ClaimHome(settings_.home, std::move(term), std::move(standby),
+                    std::move(held), keys_.gap_until());
+}
+
+void HomeService::Depose() {
+  Lock lock(mutex_);
+  home_.Depose();
+  changed_.notify_all();
+}
+
+bool HomeService::is_deposed() const {
+  Lock lock(mutex_);
+  return home_.is_deposed();
+}
+
+ClaimHome::Mode HomeService::mode() const {
+  Lock lock(mutex_);
+  return home_.mode();
+}
+
+Epoch HomeService::term() const {
+  Lock lock(mutex_);
+  return home_.term().term;
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/tests/contracts/at_most_once_test.cc
@@ -0,0 +1,191 @@
+#include "briarspread/contracts/at_most_once.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <set>
+#include <thread>
+
+#include "tests/support/manual_clock.h"
+#include "tests/support/memory_store.h"
+
+namespace briarspread::testing {
+namespace {
+
+const Fingerprint kBody(7);
+const HomeName kHome("home-0");
+
+/// Three processes in one: `a` owns the only home, `b` is its standby.
+class Fleet final : public ClaimWitness {
+ public:
+  Fleet() {
+    for (const char* name : {"a", "b", "c"}) nodes.push_back(Node(name));
+    Home home;
+    home.name = kHome;
+    home.owner = {InstanceId("a"), Incarnation(1)};
+    home.standby = InstanceId("b");
+    for (auto& node : nodes) REQUIRE(IsOk(node->CreateTable({home})));
+    a().Heartbeat();
+    a().Heartbeat();
+  }
+  WitnessAnswer Send(const InstanceId& standby,
+                     const WitnessBatch& batch) override {
+    WitnessAnswer answer;
+    answer.sequence = batch.sequence;
+    if (silent.contains(standby.value())) return answer;
+    if (dead.contains(standby.value())) {
+      answer.outcome = WitnessOutcome::kProcessDead;
+      return answer;
+    }
+    return nodes.at(static_cast<std::size_t>(standby.value()[0] - 'a'))
+        ->OnWitnessBatch(batch);
+  }
+  AtMostOnce& a() { return *nodes[0]; }
+  AtMostOnce& b() { return *nodes[1]; }
+  AtMostOnce& c() { return *nodes[2]; }
+
+  MemoryStore store;
+  ManualClock clock;
+  std::set<std::string> silent, dead;
+  std::vector<std::unique_ptr<AtMostOnce>> nodes;
+
+ private:
+  std::unique_ptr<AtMostOnce> Node(const char* name) {
+    HomeServiceSettings settings;
+    settings.batching_delay = milliseconds(0);
+    return std::make_unique<AtMostOnce>(
+        settings, ProcessId{InstanceId(name), Incarnation(1)}, store, *this,
+        clock);
+  }
+};
+
+ClaimDecision Ask(AtMostOnce& node, const char* key, Epoch created = Epoch(0),
+                  Fingerprint body = kBody) {
+  const TimePoint deadline = std::chrono::steady_clock::now() + seconds(10);
+  return node.Begin(RequestKey(key), body, created, deadline);
+}
+bool Runs(const ClaimDecision& decision) {
+  return std::holds_alternative<RunIt>(decision);
+}
+Error RefusalOf(const ClaimDecision& decision) {
+  REQUIRE(std::holds_alternative<Refused>(decision));
+  return std::get<Refused>(decision).error;
+}
+bool MayHaveRun(const ClaimDecision& decision) {
+  return RefusalOf(decision).verdict == Verdict::kMayHaveRun;
+}
+
+TEST_CASE("a re-send gets the same bytes, another body is refused") {
+  Fleet fleet;
+  REQUIRE(Runs(Ask(fleet.a(), "k")));
+  fleet.a().Finish(RequestKey("k"), {Verdict::kAnswered, 200, {}, "price 4"});
+  const auto again = Ask(fleet.a(), "k");
+  REQUIRE(std::get<StoredAnswer>(again).outcome.body == "price 4");
+  const Error error = RefusalOf(Ask(fleet.a(), "k", Epoch(0), Fingerprint(8)));
+  REQUIRE(error.code == ErrorCode::kInvalidArgument);
+  REQUIRE(error.verdict == Verdict::kNotRun);
+  REQUIRE(std::get<NotHome>(Ask(fleet.c(), "k")).home.owner.instance ==
+          InstanceId("a"));
+}
+
+TEST_CASE("a run that was refused for certain may run again") {
+  Fleet fleet;
+  REQUIRE(Runs(Ask(fleet.a(), "k")));
+  fleet.a().Finish(RequestKey("k"), {Verdict::kNotRun, 0, {}, {}});
+  REQUIRE(Runs(Ask(fleet.a(), "k")));
+  fleet.a().Finish(RequestKey("k"), {Verdict::kMayHaveRun, 0, {}, {}});
+  REQUIRE(MayHaveRun(Ask(fleet.a(), "k")));
+}
+
+TEST_CASE("after the owner's loss its claims never run again") {
+  Fleet fleet;
+  REQUIRE(Runs(Ask(fleet.a(), "k")));
+  REQUIRE(IsOk(fleet.b().TakeOver(kHome, false, InstanceId("c"))));
+  REQUIRE(MayHaveRun(Ask(fleet.b(), "k")));
+  REQUIRE(Runs(Ask(fleet.b(), "new")));
+  // The owner was only paused.
+  REQUIRE(std::holds_alternative<NotHome>(Ask(fleet.a(), "later")));
+}
+
+TEST_CASE("an outage of the store alone stops nothing") {
+  Fleet fleet;
+  fleet.store.SetOutage(true);
+  REQUIRE(Runs(Ask(fleet.a(), "k")));
+  SECTION("a killed owner's standby serves on, and knows its claims") {
+    REQUIRE(IsOk(fleet.b().TakeOverInMemory(kHome)));
+    REQUIRE(MayHaveRun(Ask(fleet.b(), "k")));
+    REQUIRE(Runs(Ask(fleet.b(), "new")));
+    fleet.store.SetOutage(false);
+    REQUIRE(IsOk(fleet.b().TakeOver(kHome, false, InstanceId("c"))));
+    REQUIRE(MayHaveRun(Ask(fleet.b(), "k")));
+    REQUIRE(Runs(Ask(fleet.b(), "newer")));
+    REQUIRE(IsOk(fleet.c().TakeOver(kHome, true, InstanceId())));
+    REQUIRE(MayHaveRun(Ask(fleet.c(), "new")));
+    REQUIRE(MayHaveRun(Ask(fleet.c(), "k")));
+  }
+  SECTION("the right to take over lapses without heartbeats") {
+    fleet.clock.Advance(seconds(3));
+    REQUIRE_FALSE(IsOk(fleet.b().TakeOverInMemory(kHome)));
+  }
+  SECTION("with the standby gone too, new keys are refused at once") {
+    fleet.dead.insert("b");
+    const Error error = RefusalOf(Ask(fleet.a(), "new"));
+    REQUIRE(error.verdict == Verdict::kNotRun);
+    REQUIRE(error.retry_after.has_value());
+  }
+  SECTION("a standby that was silent past its right serves again") {
+    fleet.silent.insert("b");
+    fleet.clock.Advance(seconds(9));
+    REQUIRE(RefusalOf(Ask(fleet.a(), "new")).verdict == Verdict::kNotRun);
+    fleet.silent.clear();
+    REQUIRE(Runs(Ask(fleet.a(), "new")));
+  }
+}
+
+TEST_CASE("a third instance takes over only without a silent standby") {
+  Fleet fleet;
+  REQUIRE(Runs(Ask(fleet.a(), "k")));
+  fleet.clock.Advance(seconds(1));
+  fleet.a().WriteLogs();
+  REQUIRE_FALSE(IsOk(fleet.c().TakeOver(kHome, false, InstanceId())));
+  REQUIRE(IsOk(fleet.c().TakeOver(kHome, true, InstanceId())));
+  // Owner and standby are both lost: only keys made since are known to be new.
+  REQUIRE(MayHaveRun(Ask(fleet.c(), "unknown")));
+  REQUIRE(Runs(Ask(fleet.c(), "new", fleet.c().table().epoch)));
+  REQUIRE(MayHaveRun(Ask(fleet.c(), "k", fleet.c().table().epoch)));
+}
+
+TEST_CASE("a lost standby is dropped through the log, a lost answer settled") {
+  Fleet fleet;
+  fleet.dead.insert("b");
+  fleet.store.LoseWriteAnswers(1);
+  REQUIRE(Runs(Ask(fleet.a(), "k")));
+  REQUIRE(IsOk(fleet.c().TakeOver(kHome, false, InstanceId())));
+  REQUIRE(MayHaveRun(Ask(fleet.c(), "k")));
+  REQUIRE(Runs(Ask(fleet.c(), "new")));
+}
+
+TEST_CASE("threads that send the same keys run each once") {
+  Fleet fleet;
+  constexpr int kThreads = 8;
+  constexpr int kKeys = 200;
+  std::vector<std::atomic<int>> runs(kKeys);
+  std::vector<std::thread> threads;
+  threads.reserve(kThreads);
+  for (int t = 0; t < kThreads; ++t) {
+    threads.emplace_back([&fleet, &runs] {
+      for (int i = 0; i < kKeys; ++i) {
+        const std::string key = "k" + std::to_string(i);
+        const auto decision = Ask(fleet.a(), key.c_str());
+        if (!Runs(decision)) continue;
+        ++runs[static_cast<std::size_t>(i)];
+        fleet.a().Finish(RequestKey(key), {Verdict::kAnswered, 200, {}, key});
+      }
+    });
+  }
+  for (std::thread& it : threads) it.join();
+  for (const auto& it : runs) REQUIRE(it == 1);
+}
+
+}  // namespace
+}  // namespace briarspread::testing
--- /dev/null
+++ b/tests/contracts/claim_exploration_test.cc
@@ -0,0 +1,74 @@
+#include <catch2/catch.hpp>
+#include <iostream>
+
+#include "claim_model.h"
+
+namespace briarspread::testing {
+namespace {
+
+Exploration ExploreWith(const char* name, FaultBudget budget,
+                        Omission omission = Omission::kNone,
+                        bool starts_in_sync = true) {
+  auto result = Explore(ClaimModel(budget, omission, starts_in_sync));
+  std::cout << "exploration " << name << ": " << result.states << " states, "
+            << (result.violation.empty() ? "no violation" : result.violation)
+            << "\n";
+  return result;
+}
+
+/// Also checks that the protections leave every process able to serve.
+void RequireSafe(const Exploration& result) {
+  REQUIRE(result.violation.empty());
+  for (const bool has_run : result.has_run) REQUIRE(has_run);
+}
+
+TEST_CASE("no interleaving runs a key twice, standby in sync") {
+  RequireSafe(ExploreWith("in sync", {}));
+}
+
+TEST_CASE("no interleaving runs a key twice, standby out of sync") {
+  RequireSafe(ExploreWith("out of sync", {}, Omission::kNone, false));
+}
+
+TEST_CASE("no interleaving runs a key twice, standby brought in sync") {
+  FaultBudget budget;
+  budget.syncs = 1;
+  budget.time_steps = 0;
+  RequireSafe(ExploreWith("brought in sync", budget, Omission::kNone, false));
+}
+
+TEST_CASE("no interleaving runs a key twice, owner and standby both lost") {
+  FaultBudget budget;
+  budget.crashes = 2;
+  budget.lost_batches = 0;
+  budget.time_steps = 0;
+  RequireSafe(ExploreWith("two crashes", budget));
+}
+
+TEST_CASE("no interleaving runs a key twice, a run refused by its upstream") {
+  FaultBudget budget;
+  budget.refused_runs = 1;
+  budget.sends_of_first_key = 3;
+  budget.outages = 0;
+  budget.lost_store_answers = 0;
+  RequireSafe(ExploreWith("refused run", budget));
+}
+
+TEST_CASE("each protection left out lets a key run twice") {
+  const std::pair<const char*, Omission> omissions[] = {
+      {"no commit before the run", Omission::kCommitBeforeRun},
+      {"no seal", Omission::kSeal},
+      {"no fence", Omission::kFence},
+      {"no proof of death", Omission::kProofOfDeath},
+      {"no evidence of the standby", Omission::kStandbyEvidence},
+      {"no lapse of the right", Omission::kLapseOfRight},
+      {"unknown append taken for none", Omission::kUnknownAppend},
+      {"inherited claims dropped", Omission::kInheritedClaims}};
+  for (const auto& [name, omission] : omissions) {
+    INFO(name);
+    REQUIRE_FALSE(ExploreWith(name, {}, omission).violation.empty());
+  }
+}
+
+}  // namespace
+}  // namespace briarspread::testing
