--- /dev/null
+++ b/tests/contracts/suspect_table_test.cc
@@ -0,0 +1,189 @@
+#include "briarspread/contracts/suspect_table.h"
+
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "tests/support/manual_clock.h"
+
+namespace briarspread::testing {
+namespace {
+
+const Fingerprint kCulprit(666);
+
+/// Instances that share digests, and callers that send through any of them.
+class Fleet {
+ public:
+  explicit Fleet(int size) {
+    for (int i = 0; i < size; ++i) {
+      names.emplace_back("entry-" + std::to_string(i));
+      tables.push_back(std::make_unique<SuspectTable>(
+          SuspectSettings{}, ProcessId{names.back(), Incarnation(1)}, clock));
+    }
+  }
+  /// Sends a body through an instance, forwarded to its trial home.
+  SuspectAdmission Send(std::size_t via, Fingerprint body,
+                        std::size_t* runs_at) {
+    *runs_at = via;
+    auto admission = tables[via]->Admit(body, IsHome(via, body));
+    if (admission == SuspectAdmission::kForward) {
+      *runs_at = HomeOf(body);
+      admission = tables[*runs_at]->Admit(body, true);
+    }
+    return admission;
+  }
+  void Gossip() {
+    for (const auto& from : tables) {
+      const auto digest = ParseSuspectDigest(ToJson(from->Digest(100)));
+      for (const auto& to : tables) to->Merge(ValueOf(digest));
+    }
+  }
+  std::size_t HomeOf(Fingerprint body) const {
+    const auto home = TrialHome(body, names);
+    return static_cast<std::size_t>(
+        std::find(names.begin(), names.end(), home) - names.begin());
+  }
+  bool IsHome(std::size_t i, Fingerprint body) const {
+    return HomeOf(body) == i;
+  }
+
+  ManualClock clock;
+  std::vector<InstanceId> names;
+  std::vector<std::unique_ptr<SuspectTable>> tables;
+};
+
+/// Sends the culprit through another instance each time, with digests after
+/// each `sends_per_gossip` sends; gives the number of upstreams lost.
+int UpstreamsLost(Fleet& fleet, int sends_per_gossip) {
+  int lost = 0;
+  for (std::size_t i = 0; i < 60; ++i) {
+    std::size_t at = 0;
+    const auto admission = fleet.Send(i % fleet.tables.size(), kCulprit, &at);
+    const bool runs = admission == SuspectAdmission::kRunNormally ||
+                      admission == SuspectAdmission::kRunAlone;
+    if (runs) {
+      fleet.tables[at]->OnDeath(UpstreamId("u" + std::to_string(lost++)),
+                                {kCulprit});
+    }
+    if ((i + 1) % static_cast<std::size_t>(sends_per_gossip) == 0) {
+      fleet.Gossip();
+    }
+    fleet.clock.Advance(seconds(1));
+  }
+  return lost;
+}
+
+TEST_CASE("a culprit re-sent through other instances kills two upstreams") {
+  Fleet fleet(7);
+  REQUIRE(UpstreamsLost(fleet, 1) == 2);
+  for (const auto& it : fleet.tables) {
+    REQUIRE(it->IsConvicted(kCulprit));
+    REQUIRE(it->Admit(kCulprit, true) == SuspectAdmission::kRefuseForGood);
+    const Error error = it->RefusalOf(SuspectAdmission::kRefuseForGood);
+    REQUIRE(error.code == ErrorCode::kRefusedForGood);
+    REQUIRE_FALSE(error.retry_after.has_value());
+  }
+}
+
+TEST_CASE("each send before the digest can cost one upstream more") {
+  Fleet fleet(7);
+  // Without digests every instance runs it once, and its home once alone.
+  REQUIRE(UpstreamsLost(fleet, 1000) > 2);
+  for (const int n : {2, 3, 5}) {
+    Fleet slow(7);
+    REQUIRE(UpstreamsLost(slow, n) <= n + 1);
+  }
+}
+
+TEST_CASE("a conviction survives the instance that found it") {
+  Fleet fleet(3);
+  UpstreamsLost(fleet, 1);
+  SuspectTable fresh({}, {InstanceId("fresh"), Incarnation(1)}, fleet.clock);
+  fresh.Merge(fleet.tables[1]->Digest(100));
+  REQUIRE(fresh.IsConvicted(kCulprit));
+}
+
+TEST_CASE("a death in a trial convicts only if no instance had more there") {
+  Fleet fleet(2);
+  const Fingerprint innocent(1);
+  std::size_t home = fleet.HomeOf(innocent);
+  fleet.tables[home]->OnDeath(UpstreamId("u1"), {innocent});
+  REQUIRE(fleet.tables[home]->Admit(innocent, true) ==
+          SuspectAdmission::kRunAlone);
+  // Another instance runs the culprit on the same upstream.
+  fleet.tables[home]->OnDeath(UpstreamId("u2"), {innocent});
+  fleet.tables[1 - home]->OnDeath(UpstreamId("u2"), {kCulprit});
+  REQUIRE(fleet.tables[home]->Admit(innocent, true) ==
+          SuspectAdmission::kRefuseForNow);
+  SECTION("without the other's report it would be convicted") {
+    fleet.clock.Advance(seconds(60));
+    REQUIRE(fleet.tables[home]->IsConvicted(innocent));
+  }
+  // The report also revokes, so that it may come late.
+  fleet.Gossip();
+  fleet.clock.Advance(seconds(60));
+  REQUIRE_FALSE(fleet.tables[home]->IsConvicted(innocent));
+  REQUIRE(fleet.tables[home]->Admit(innocent, true) ==
+          SuspectAdmission::kRunAlone);
+  fleet.tables[home]->EndTrial(innocent, true);
+  REQUIRE(fleet.tables[home]->Admit(innocent, true) ==
+          SuspectAdmission::kRunNormally);
+}
+
+TEST_CASE("a malformed digest is refused") {
+  for (const char* text :
+       {"", "{}", "[]", R"({"reports":[{}],"clearances":[]})",
+        R"({"reports":[],"clearances":[[1,-5]]})"}) {
+    REQUIRE_FALSE(IsOk(ParseSuspectDigest(text)));
+  }
+}
+
+TEST_CASE("random sharing convicts the culprit and no innocent") {
+  rc::prop("one culprit among many innocents", [] {
+    Fleet fleet(*rc::gen::inRange(1, 8));
+    const int innocents = *rc::gen::inRange(1, 30);
+    int lost = 0;
+    for (int round = 0; round < 60; ++round) {
+      // Innocents and the culprit share one upstream through instances drawn.
+      std::vector<std::vector<Fingerprint>> shared(fleet.tables.size());
+      std::vector<std::pair<std::size_t, Fingerprint>> alone;
+      bool culprit_shared = false;
+      for (int i = 0; i <= innocents; ++i) {
+        const Fingerprint body =
+            i == 0 ? kCulprit : Fingerprint(static_cast<std::uint64_t>(i));
+        const auto via = *rc::gen::inRange<std::size_t>(0, shared.size());
+        std::size_t at = 0;
+        const auto admission = fleet.Send(via, body, &at);
+        RC_ASSERT(admission != SuspectAdmission::kRefuseForGood ||
+                  body == kCulprit);
+        if (admission == SuspectAdmission::kRunNormally) {
+          shared[at].push_back(body);
+          culprit_shared = culprit_shared || body == kCulprit;
+        } else if (admission == SuspectAdmission::kRunAlone) {
+          alone.emplace_back(at, body);
+        }
+      }
+      if (culprit_shared) ++lost;
+      for (std::size_t i = 0; culprit_shared && i < shared.size(); ++i) {
+        fleet.tables[i]->OnDeath(UpstreamId("shared"), shared[i]);
+      }
+      for (const auto& [at, body] : alone) {
+        if (body == kCulprit) {
+          ++lost;
+          fleet.tables[at]->OnDeath(UpstreamId("alone"), {body});
+        } else {
+          fleet.tables[at]->EndTrial(body, true);
+        }
+      }
+      fleet.Gossip();
+      fleet.clock.Advance(seconds(1));
+    }
+    RC_ASSERT(lost == 2);
+    RC_ASSERT(fleet.tables[0]->IsConvicted(kCulprit));
+  });
+}
+
+}  // namespace
+}  // namespace briarspread::testing
