--- a/briarspread/contracts/at_most_once.cc
+++ b/briarspread/contracts/at_most_once.cc
@@ -92,9 +92,10 @@
 
 ClaimDecision AtMostOnce::Begin(const RequestKey& key, Fingerprint fingerprint,
                                 Epoch created_in, TimePoint deadline) {
-  if (key.value().empty() || key.value().size() > kMaxKeyBytes) {
+  if (!IsValidKey(key.value())) {
     return Refused{Error{ErrorCode::kInvalidArgument, Verdict::kNotRun,
-                         "the idempotency key has no 1 to 128 bytes"}};
+                         "an idempotency key has 1 to 128 printable ASCII "
+                         "characters"}};
   }
   Home home;
   Epoch epoch;
--- a/briarspread/contracts/claim_batch.cc
+++ b/briarspread/contracts/claim_batch.cc
@@ -1,5 +1,6 @@
 #include "briarspread/contracts/claim_batch.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <utility>
@@ -32,9 +33,7 @@
   claims.reserve(items.size());
   for (const Json& it : items) {
     auto key = it.at(0).get<std::string>();
-    if (key.empty() || key.size() > kMaxKeyBytes) {
-      throw std::length_error("key");
-    }
+    if (!IsValidKey(key)) throw std::invalid_argument("key");
     claims.push_back({RequestKey(std::move(key)),
                       Fingerprint(it.at(1).get<std::uint64_t>())});
   }
@@ -55,6 +54,12 @@
 
 }  // namespace
 
+bool IsValidKey(std::string_view key) {
+  const bool is_printable = std::all_of(
+      key.begin(), key.end(), [](char c) { return c >= ' ' && c <= '~'; });
+  return !key.empty() && key.size() <= kMaxKeyBytes && is_printable;
+}
+
 std::string ToJson(const ClaimSegment& segment) {
   Json json{{"operation", segment.operation.value()},
             {"seal", segment.is_seal},
--- a/briarspread/contracts/claim_batch.h
+++ b/briarspread/contracts/claim_batch.h
@@ -19,6 +19,10 @@
 /// a value stays below the store's limit.
 inline constexpr std::size_t kMaxBatchClaims = 4096;
 
+/// Whether a caller's key has 1 to `kMaxKeyBytes` printable ASCII characters;
+/// others can't stand in JSON text. Thread-safe.
+bool IsValidKey(std::string_view key);
+
 /// States that a key may run from now on.
 struct Claim {
   /// The caller's key.
--- a/tests/contracts/at_most_once_test.cc
+++ b/tests/contracts/at_most_once_test.cc
@@ -88,6 +88,14 @@
           InstanceId("a"));
 }
 
+TEST_CASE("a key that can't be written down is refused") {
+  Fleet fleet;
+  const std::string too_long(kMaxKeyBytes + 1, 'k');
+  for (const char* key : {"", "\xff", "a\n", too_long.c_str()}) {
+    REQUIRE(RefusalOf(Ask(fleet.a(), key)).code == ErrorCode::kInvalidArgument);
+  }
+}
+
 TEST_CASE("a run that was refused for certain may run again") {
   Fleet fleet;
   REQUIRE(Runs(Ask(fleet.a(), "k")));
