--- a/briarspread/contracts/at_most_once.cc
+++ b/briarspread/contracts/at_most_once.cc
@@ -48,7 +48,6 @@
 
 Status AtMostOnce::Refresh() {
   const auto stored = tables_.Read();
-  for (const auto& service : Services()) service->OnStoreHealth(IsOk(stored));
   if (!IsOk(stored)) return ErrorOf(stored);
   OnTable(ValueOf(stored).table);
   return OkStatus();
@@ -109,12 +108,6 @@
     }
     home = *found;
   }
-  if (created_in > epoch) {
-    // The key's maker saw a change that this process has not.
-    return Refused{Error{ErrorCode::kStale, Verdict::kNotRun,
-                         "a newer table of homes is on its way here",
-                         settings_.retry_after}};
-  }
   const auto service = ServiceOf(home.name);
   if (service == nullptr || service->is_deposed()) {
     return NotHome{epoch, home};
@@ -196,7 +189,7 @@
          service->mode() != ClaimHome::Mode::kSolo;
 }
 
-Status AtMostOnce::TakeOver(const HomeName& name, DeathProof proof,
+Status AtMostOnce::TakeOver(const HomeName& name, bool is_standby_dead,
                             const InstanceId& next_standby) {
   std::lock_guard takeover_lock(takeover_mutex_);
   const auto stored = tables_.Read();
@@ -209,18 +202,15 @@
   }
   const Home before = *old;
   if (Serves(before)) return OkStatus();
-  const bool is_own_past = before.owner.instance == self_.instance &&
-                           before.owner.incarnation != self_.incarnation;
   const auto copy = FenceCopy(before);
   const auto sealed = log_.Seal(name, before.term, NextOperation());
   if (!IsOk(sealed)) return ErrorOf(sealed);
   const auto decision = DecideTakeover(
       ValueOf(sealed),
-      EvidenceOf(ValueOf(sealed), copy.has_value(), proof.is_standby_dead),
-      proof.is_owner_dead || is_own_past);
+      EvidenceOf(ValueOf(sealed), copy.has_value(), is_standby_dead));
   if (decision == TakeoverDecision::kBlocked) {
     return Unavailable("the standby of " + name.value() +
-                       " or its owner may still commit claims");
+                       " is silent and may still commit claims");
   }
   // All terms so far are sealed, so this misses nothing.
   const auto logged = log_.ReadAllTerms(name);
--- a/briarspread/contracts/at_most_once.h
+++ b/briarspread/contracts/at_most_once.h
@@ -19,15 +19,6 @@
 
 namespace briarspread {
 
-/// Which processes of a home are proved gone: their addresses refused a
-/// connection, or another incarnation answered there.
-struct DeathProof {
-  /// The owner that the table names.
-  bool is_owner_dead = false;
-  /// The standby process of that owner's term.
-  bool is_standby_dead = false;
-};
-
 /// What one process does for at-most-once requests: serves the homes it owns,
 /// stands by for others, and takes homes over.
 ///
@@ -64,10 +55,10 @@
   WitnessAnswer OnWitnessBatch(const WitnessBatch& batch);
 
   /// Tries to take the home over through the store. Its owner may be alive: it
-  /// finds itself deposed. `proof` states which processes are proved gone. An
-  /// error with `kUnavailable`
+  /// finds itself deposed. `is_standby_dead` states proof that the standby
+  /// process that the home's log names is gone. An error with `kUnavailable`
   /// may be retried; nothing is run meanwhile.
-  Status TakeOver(const HomeName& home, DeathProof proof,
+  Status TakeOver(const HomeName& home, bool is_standby_dead,
                   const InstanceId& next_standby);
   /// As the standby, takes the home over without the store. Precondition: the
   /// owner's address refused a connection, or another incarnation answered
--- a/briarspread/contracts/claim_home.cc
+++ b/briarspread/contracts/claim_home.cc
@@ -29,7 +29,8 @@
   if (deposed_) {
     Settle(CommitState::kRefused);
   } else if (mode_ == Mode::kSolo) {
-    CommitAlone();
+    unlogged_.insert(unlogged_.end(), batch_.begin(), batch_.end());
+    Settle(CommitState::kCommitted);
   } else {
     Route();
   }
@@ -40,23 +41,13 @@
 /// back, and until the log drops it, its acknowledgement counts.
 void ClaimHome::Route() {
   if (mode_ != Mode::kInSync || leaving_) return;
-  if (!standby_dead_) {
-    witness_due_ = true;
-  } else if (store_up_) {
+  if (standby_dead_) {
     leaving_ = true;
   } else {
-    CommitAlone();
+    witness_due_ = true;
   }
 }
 
-/// Commits in memory only. The log names a standby process that is gone, so
-/// nobody takes the home over while this process lives.
-void ClaimHome::CommitAlone() {
-  assert(mode_ == Mode::kSolo || (mode_ == Mode::kInSync && standby_dead_));
-  unlogged_.insert(unlogged_.end(), batch_.begin(), batch_.end());
-  Settle(CommitState::kCommitted);
-}
-
 bool ClaimHome::may_sync() const {
   return mode_ == Mode::kOutOfSync && commit_ == CommitState::kIdle &&
          !deposed_ && !append_.has_value() && unlogged_.empty() &&
@@ -167,13 +158,7 @@
   unlogged_since_ = now;
   leaving_ = false;
   append_has_batch_ = false;
-  if (!is_waited_for) return;
-  if (mode_ == Mode::kInSync && standby_dead_) {
-    store_up_ = false;
-    CommitAlone();
-  } else {
-    Settle(CommitState::kRefused);
-  }
+  if (is_waited_for) Settle(CommitState::kRefused);
 }
 
 void ClaimHome::OnAppended(TimePoint now) {
@@ -275,7 +260,7 @@
     return;
   }
   standby_dead_ = true;
-  Route();
+  leaving_ = true;
 }
 
 void ClaimHome::Settle(CommitState state) {
@@ -303,7 +288,7 @@
   for (const bool it :
        {deposed_, leaving_, standby_dead_, syncing_, sync_acked_,
         append_in_flight_, append_has_batch_, append_has_been_unknown_,
-        store_up_, witness_due_, witness_in_flight_}) {
+        witness_due_, witness_in_flight_}) {
     out += it ? '1' : '0';
   }
   const auto add = [&out](auto number) {
--- a/briarspread/contracts/claim_home.h
+++ b/briarspread/contracts/claim_home.h
@@ -44,10 +44,6 @@
 /// - Out of sync: a claim is committed once it is in the log.
 /// - In sync: a claim is committed once the standby holds it, with the store up
 ///   or out; the log follows within `log_delay`.
-/// - In sync, with the standby's process proved gone and the store out: at
-/// once.
-///   The log still names the standby, so a successor needs proof that both
-///   processes are gone, and knows that claims may be missing.
 /// - Solo, at a standby that took over without the store: at once. A successor
 ///   knows that such a term may have left claims that nobody holds.
 ///
@@ -115,10 +111,6 @@
   /// Takes the standby's answer. One to an earlier batch is ignored.
   void OnWitness(const WitnessAnswer& answer, TimePoint now);
 
-  /// Says whether the store answers, as other calls show. While it does not, a
-  /// home whose standby is gone commits without trying it.
-  void OnStoreHealth(bool is_up) { store_up_ = is_up; }
-
   /// Another process owns the home: refuses the commit under way and all later
   /// ones.
   void Depose();
@@ -141,7 +133,6 @@
  private:
   void Route();
   bool HasLapsed(TimePoint now) const;
-  void CommitAlone();
   void Settle(CommitState state);
   bool IsMarkDue() const;
   ClaimSegment MakeSegment(TimePoint now);
@@ -166,8 +157,6 @@
   bool deposed_ = false;
   /// Whether the in-sync mode is being left.
   bool leaving_ = false;
-  /// Whether the store answers.
-  bool store_up_ = true;
   /// Whether the standby process in sync is proved gone.
   bool standby_dead_ = false;
 
--- a/briarspread/contracts/home_service.cc
+++ b/briarspread/contracts/home_service.cc
@@ -197,11 +197,6 @@
                     std::move(held), keys_.gap_until());
 }
 
-void HomeService::OnStoreHealth(bool is_up) {
-  Lock lock(mutex_);
-  home_.OnStoreHealth(is_up);
-}
-
 void HomeService::Depose() {
   Lock lock(mutex_);
   home_.Depose();
--- a/briarspread/contracts/home_service.h
+++ b/briarspread/contracts/home_service.h
@@ -68,8 +68,6 @@
                const std::vector<Claim>& logged, std::vector<Claim> held,
                bool has_gap);
 
-  /// Says whether the store answers.
-  void OnStoreHealth(bool is_up);
   /// Another process owns the home.
   void Depose();
   bool is_deposed() const;
--- a/briarspread/contracts/home_takeover.h
+++ b/briarspread/contracts/home_takeover.h
@@ -23,17 +23,14 @@
   /// Claims may be missing: unknown keys end `kMayHaveRun` for the re-send
   /// window.
   kGap,
-  /// The owner may still commit, through its standby or alone: take nothing.
+  /// The owner may still commit through its standby: take nothing.
   kBlocked,
 };
 
 /// Decides by the sealed log and the evidence. The order matters: the own copy
 /// is fenced before the log is sealed, and the log is sealed before this is
-/// asked. `is_owner_dead` states proof that the owner's process is gone: an
-/// owner whose standby died in an outage commits in memory.
-/// Thread-safe.
-TakeoverDecision DecideTakeover(const SealedLog& log, StandbyEvidence evidence,
-                                bool is_owner_dead);
+/// asked. Thread-safe.
+TakeoverDecision DecideTakeover(const SealedLog& log, StandbyEvidence evidence);
 
 }  // namespace briarspread
 
--- a/tests/contracts/at_most_once_test.cc
+++ b/tests/contracts/at_most_once_test.cc
@@ -14,8 +14,6 @@
 
 const Fingerprint kBody(7);
 const HomeName kHome("home-0");
-const DeathProof kNoProof;
-const DeathProof kBothDead{true, true};
 
 /// Three processes in one: `a` owns the only home, `b` is its standby.
 class Fleet final : public ClaimWitness {
@@ -110,7 +108,7 @@
 TEST_CASE("after the owner's loss its claims never run again") {
   Fleet fleet;
   REQUIRE(Runs(Ask(fleet.a(), "k")));
-  REQUIRE(IsOk(fleet.b().TakeOver(kHome, kNoProof, InstanceId("c"))));
+  REQUIRE(IsOk(fleet.b().TakeOver(kHome, false, InstanceId("c"))));
   REQUIRE(MayHaveRun(Ask(fleet.b(), "k")));
   REQUIRE(Runs(Ask(fleet.b(), "new")));
   // The owner was only paused.
@@ -126,10 +124,10 @@
     REQUIRE(MayHaveRun(Ask(fleet.b(), "k")));
     REQUIRE(Runs(Ask(fleet.b(), "new")));
     fleet.store.SetOutage(false);
-    REQUIRE(IsOk(fleet.b().TakeOver(kHome, kNoProof, InstanceId("c"))));
+    REQUIRE(IsOk(fleet.b().TakeOver(kHome, false, InstanceId("c"))));
     REQUIRE(MayHaveRun(Ask(fleet.b(), "k")));
     REQUIRE(Runs(Ask(fleet.b(), "newer")));
-    REQUIRE(IsOk(fleet.c().TakeOver(kHome, kBothDead, InstanceId())));
+    REQUIRE(IsOk(fleet.c().TakeOver(kHome, true, InstanceId())));
     REQUIRE(MayHaveRun(Ask(fleet.c(), "new")));
     REQUIRE(MayHaveRun(Ask(fleet.c(), "k")));
   }
@@ -137,18 +135,8 @@
     fleet.clock.Advance(seconds(3));
     REQUIRE_FALSE(IsOk(fleet.b().TakeOverInMemory(kHome)));
   }
-  SECTION("with the standby killed, the owner serves on alone") {
+  SECTION("with the standby gone too, new keys are refused at once") {
     fleet.dead.insert("b");
-    REQUIRE(Runs(Ask(fleet.a(), "new")));
-    fleet.store.SetOutage(false);
-    // Nobody takes over while the owner may live.
-    const DeathProof standby_dead{false, true};
-    REQUIRE_FALSE(IsOk(fleet.c().TakeOver(kHome, standby_dead, InstanceId())));
-    REQUIRE(IsOk(fleet.c().TakeOver(kHome, kBothDead, InstanceId())));
-    REQUIRE(MayHaveRun(Ask(fleet.c(), "new")));
-  }
-  SECTION("with the standby silent, new keys are refused at once") {
-    fleet.silent.insert("b");
     const Error error = RefusalOf(Ask(fleet.a(), "new"));
     REQUIRE(error.verdict == Verdict::kNotRun);
     REQUIRE(error.retry_after.has_value());
@@ -167,30 +155,20 @@
   REQUIRE(Runs(Ask(fleet.a(), "k")));
   fleet.clock.Advance(seconds(1));
   fleet.a().WriteLogs();
-  REQUIRE_FALSE(IsOk(fleet.c().TakeOver(kHome, kNoProof, InstanceId())));
-  REQUIRE(IsOk(fleet.c().TakeOver(kHome, kBothDead, InstanceId())));
+  REQUIRE_FALSE(IsOk(fleet.c().TakeOver(kHome, false, InstanceId())));
+  REQUIRE(IsOk(fleet.c().TakeOver(kHome, true, InstanceId())));
   // Owner and standby are both lost: only keys made since are known to be new.
   REQUIRE(MayHaveRun(Ask(fleet.c(), "unknown")));
   REQUIRE(Runs(Ask(fleet.c(), "new", fleet.c().table().epoch)));
   REQUIRE(MayHaveRun(Ask(fleet.c(), "k", fleet.c().table().epoch)));
 }
 
-TEST_CASE("a key made under a newer table waits for that table") {
-  Fleet fleet;
-  REQUIRE(IsOk(fleet.b().TakeOver(kHome, kNoProof, InstanceId("c"))));
-  const Epoch newer = fleet.b().table().epoch;
-  REQUIRE(RefusalOf(Ask(fleet.a(), "k", newer)).code == ErrorCode::kStale);
-  fleet.a().OnTable(fleet.b().table());
-  REQUIRE(std::get<NotHome>(Ask(fleet.a(), "k", newer)).epoch == newer);
-  REQUIRE(Runs(Ask(fleet.b(), "k", newer)));
-}
-
 TEST_CASE("a lost standby is dropped through the log, a lost answer settled") {
   Fleet fleet;
   fleet.dead.insert("b");
   fleet.store.LoseWriteAnswers(1);
   REQUIRE(Runs(Ask(fleet.a(), "k")));
-  REQUIRE(IsOk(fleet.c().TakeOver(kHome, kNoProof, InstanceId())));
+  REQUIRE(IsOk(fleet.c().TakeOver(kHome, false, InstanceId())));
   REQUIRE(MayHaveRun(Ask(fleet.c(), "k")));
   REQUIRE(Runs(Ask(fleet.c(), "new")));
 }
--- a/tests/contracts/claim_exploration_test.cc
+++ b/tests/contracts/claim_exploration_test.cc
@@ -63,8 +63,7 @@
       {"no evidence of the standby", Omission::kStandbyEvidence},
       {"no lapse of the right", Omission::kLapseOfRight},
       {"unknown append taken for none", Omission::kUnknownAppend},
-      {"inherited claims dropped", Omission::kInheritedClaims},
-      {"no proof of the owner's death", Omission::kOwnerDeath}};
+      {"inherited claims dropped", Omission::kInheritedClaims}};
   for (const auto& [name, omission] : omissions) {
     INFO(name);
     REQUIRE_FALSE(ExploreWith(name, {}, omission).violation.empty());
--- a/tests/contracts/claim_model.cc
+++ b/tests/contracts/claim_model.cc
@@ -84,10 +84,6 @@
   const State state = service.home.commit_state();
   if (state != State::kCommitted && state != State::kRefused) return;
   service.home.TakeCommit();
-  const bool is_late = has_gap_ && service.home.term().term < Epoch(2);
-  if (state == State::kCommitted && is_late && !service.committing.empty()) {
-    violation_ = "an owner commits in its successor's re-send window";
-  }
   for (const RequestKey& key : service.committing) {
     if (state == State::kCommitted) {
       service.keys.OnCommitted(key);
@@ -127,9 +123,8 @@
   }
 }
 
-void ClaimModel::BeginCommit(int process, bool is_store_tried) {
+void ClaimModel::BeginCommit(int process) {
   Service& service = *services_[process];
-  service.home.OnStoreHealth(is_store_tried);
   service.committing = std::exchange(service.claiming, {});
   service.home.BeginCommit(ClaimsOf(service.committing));
   Drive(process);
@@ -245,9 +240,7 @@
     phase = TakeoverPhase::kSealed;
     return;
   }
-  auto decision =
-      DecideTakeover(sealed_[process], EvidenceOf(process),
-                     !alive_[kOwner] || omission_ == Omission::kOwnerDeath);
+  auto decision = DecideTakeover(sealed_[process], EvidenceOf(process));
   if (decision == TakeoverDecision::kBlocked &&
       omission_ == Omission::kStandbyEvidence) {
     decision = TakeoverDecision::kComplete;
@@ -273,8 +266,7 @@
   if (omission_ != Omission::kInheritedClaims) {
     keys.InheritUnknown(log.claims, now_);
   }
-  has_gap_ = decision == TakeoverDecision::kGap;
-  if (has_gap_) keys.SetGap(Epoch(2), now_);
+  if (decision == TakeoverDecision::kGap) keys.SetGap(Epoch(2), now_);
   ClaimHome home({}, TermOf(process, 2), InstanceId(), unlogged,
                  keys.gap_until());
   if (service.has_value()) {
--- a/tests/contracts/claim_model.h
+++ b/tests/contracts/claim_model.h
@@ -26,7 +26,6 @@
   kLapseOfRight,
   kUnknownAppend,
   kInheritedClaims,
-  kOwnerDeath,
 };
 
 /// How many of each fault a run may take.
@@ -85,7 +84,7 @@
   void TakeCommit(Service& service);
   void Send(int process, const RequestKey& key);
   void Run(int process, const RequestKey& key, bool is_refused);
-  void BeginCommit(int process, bool is_store_tried = true);
+  void BeginCommit(int process);
   AppendResult Apply(std::uint64_t term, const AppendRequest& request);
   void DeliverBatch(int process);
   void DeliverAppendResult(int process, AppendResult result);
@@ -120,8 +119,6 @@
   /// Requests that their senders gave up on and that may still arrive.
   std::vector<std::pair<std::uint64_t, AppendRequest>> late_appends_;
   std::vector<WitnessBatch> late_batches_;
-  /// Whether a successor counts a re-send window from its takeover.
-  bool has_gap_ = false;
   /// Takeovers with the store.
   std::array<TakeoverPhase, kProcesses> phases_{};
   std::array<SealedLog, kProcesses> sealed_;
--- a/tests/contracts/claim_model_steps.cc
+++ b/tests/contracts/claim_model_steps.cc
@@ -44,10 +44,6 @@
   if (is_idle && !service.claiming.empty()) {
     out.push_back(*this);
     out.back().BeginCommit(process);
-    if (!alive_[kStandby]) {
-      out.push_back(*this);
-      out.back().BeginCommit(process, false);
-    }
   }
   if (budget_.syncs > 0 && service.home.may_sync()) {
     out.push_back(*this);
--- a/tests/contracts/claim_model_text.cc
+++ b/tests/contracts/claim_model_text.cc
@@ -61,7 +61,7 @@
 std::string ClaimModel::Text() const {
   std::string out;
   AppendNumbers(
-      out, {now_.time_since_epoch().count(), store_up_, has_gap_,
+      out, {now_.time_since_epoch().count(), store_up_,
             static_cast<std::int64_t>(table_term_), budget_.crashes,
             budget_.outages, budget_.lost_store_answers, budget_.lost_batches,
             budget_.refused_runs, budget_.syncs});
