--- a/briarspread/contracts/claim_log.cc
+++ b/briarspread/contracts/claim_log.cc
@@ -1,6 +1,8 @@
 #include "briarspread/contracts/claim_log.h"
 
+#include <charconv>
 #include <cstdio>
+#include <string_view>
 #include <utility>
 
 namespace briarspread {
@@ -24,6 +26,21 @@
   return LogPrefix(home, term) + digits;
 }
 
+/// The number at the start of `text`; zero where there is none.
+std::uint64_t LeadingNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+std::uint64_t NumberOf(std::string_view segment_key) {
+  return LeadingNumber(segment_key.substr(segment_key.rfind('/') + 1));
+}
+
+std::uint64_t TermOf(std::string_view segment_key, std::string_view prefix) {
+  return LeadingNumber(segment_key.substr(prefix.size()));
+}
+
 }  // namespace
 
 SealedLog Summarize(const std::vector<ClaimSegment>& segments) {
@@ -61,16 +78,17 @@
   return is_own ? AppendResult::kAppended : AppendResult::kSealed;
 }
 
-Result<std::vector<ClaimSegment>> ClaimLog::Read(const std::string& prefix) {
+Result<ClaimLog::Stored> ClaimLog::Read(const std::string& prefix) {
   const auto listed = store_.List(prefix);
   if (!IsOk(listed)) return ErrorOf(listed);
-  std::vector<ClaimSegment> segments;
+  Stored stored;
   for (const KeyValue& it : ValueOf(listed)) {
     auto segment = ParseClaimSegment(it.value);
     if (!IsOk(segment)) return ErrorOf(segment);
-    segments.push_back(std::move(ValueOf(segment)));
+    stored.segments.push_back(std::move(ValueOf(segment)));
+    stored.next_number = NumberOf(it.key) + 1;
   }
-  return segments;
+  return stored;
 }
 
 Result<SealedLog> ClaimLog::Seal(const HomeName& home, Epoch term,
@@ -81,10 +99,10 @@
   for (int i = 0; i < kMaxSealAttempts; ++i) {
     const auto segments = Read(LogPrefix(home, term));
     if (!IsOk(segments)) return ErrorOf(segments);
-    const auto& list = ValueOf(segments);
+    const auto& list = ValueOf(segments).segments;
     if (!list.empty() && list.back().is_seal) return Summarize(list);
     // Whatever the answer, the next read shows who was first.
-    Append(home, term, list.size(), seal);
+    Append(home, term, ValueOf(segments).next_number, seal);
   }
   return Error{ErrorCode::kUnavailable, Verdict::kMayHaveRun,
                "claim log of " + home.value() + " could not be sealed"};
@@ -94,16 +112,29 @@
   const auto segments = Read(HomePrefix(home));
   if (!IsOk(segments)) return ErrorOf(segments);
   std::vector<Claim> claims;
-  for (const ClaimSegment& it : ValueOf(segments)) {
+  for (const ClaimSegment& it : ValueOf(segments).segments) {
     claims.insert(claims.end(), it.claims.begin(), it.claims.end());
   }
   return claims;
 }
 
-Status ClaimLog::Trim(const HomeName& home, Epoch term) {
-  const auto listed = store_.List(LogPrefix(home, term));
+Status ClaimLog::TrimSegment(const HomeName& home, Epoch term,
+                             std::uint64_t number) {
+  const std::string key = SegmentKey(home, term, number);
+  const auto found = store_.Get(key);
+  if (!IsOk(found)) return ErrorOf(found);
+  if (!ValueOf(found).has_value()) return OkStatus();
+  const auto deleted = store_.Delete(key, ValueOf(found)->index);
+  if (!IsOk(deleted)) return ErrorOf(deleted);
+  return OkStatus();
+}
+
+Status ClaimLog::TrimTermsBefore(const HomeName& home, Epoch term) {
+  const std::string prefix = HomePrefix(home);
+  const auto listed = store_.List(prefix);
   if (!IsOk(listed)) return ErrorOf(listed);
   for (const KeyValue& it : ValueOf(listed)) {
+    if (TermOf(it.key, prefix) >= term.value()) continue;
     const auto deleted = store_.Delete(it.key, it.index);
     if (!IsOk(deleted)) return ErrorOf(deleted);
   }
--- a/briarspread/contracts/claim_log.h
+++ b/briarspread/contracts/claim_log.h
@@ -63,12 +63,21 @@
   /// The claims of all terms of the home that are still kept.
   Result<std::vector<Claim>> ReadAllTerms(const HomeName& home);
 
-  /// Deletes the segments of a term whose claims are older than the re-send
-  /// window. Precondition: the log is sealed and its term is long over.
-  Status Trim(const HomeName& home, Epoch term);
+  /// Deletes one segment whose claims are older than the re-send window.
+  /// Precondition: a later segment of the term stays, which tells the log's
+  /// length.
+  Status TrimSegment(const HomeName& home, Epoch term, std::uint64_t number);
+  /// Deletes the logs of all terms before `term`. Precondition: `term` began
+  /// more than a re-send window ago.
+  Status TrimTermsBefore(const HomeName& home, Epoch term);
 
  private:
-  Result<std::vector<ClaimSegment>> Read(const std::string& prefix);
+  /// Segments as stored, and the number that follows the last of them.
+  struct Stored {
+    std::vector<ClaimSegment> segments;
+    std::uint64_t next_number = 0;
+  };
+  Result<Stored> Read(const std::string& prefix);
 
   /// The platform's service.
   KeyValueStore& store_;
--- a/briarspread/contracts/home_service.cc
+++ b/briarspread/contracts/home_service.cc
@@ -74,7 +74,9 @@
 /// Commits one group.
 void HomeService::Lead(Lock& lock) {
   has_leader_ = true;
-  if (settings_.batching_delay.count() > 0) {
+  const bool is_batched = home_.mode() == ClaimHome::Mode::kOutOfSync &&
+                          settings_.batching_delay.count() > 0;
+  if (is_batched) {
     // Others may join; only `Lead` and `Heartbeat` look at `has_leader_`.
     lock.unlock();
     std::this_thread::sleep_for(settings_.batching_delay);
@@ -124,6 +126,9 @@
       term.home, term.term, request->number, request->segment);
   lock.lock();
   home_.OnAppend(result, links_.clock->Now());
+  if (result == AppendResult::kAppended) {
+    logged_.emplace_back(links_.clock->Now(), request->number);
+  }
   changed_.notify_all();
   return true;
 }
@@ -175,6 +180,27 @@
 void HomeService::WriteLog() {
   Lock lock(mutex_);
   DriveAppend(lock);
+  Trim(lock);
+}
+
+void HomeService::Trim(Lock& lock) {
+  if (home_.is_deposed() || home_.mode() == ClaimHome::Mode::kSolo) return;
+  const HomeTerm term = home_.term();
+  const TimePoint now = links_.clock->Now();
+  const TimePoint oldest = now - settings_.keys.resend_window;
+  // The last segment stays: it tells the log's length.
+  if (logged_.size() > 1 && logged_.front().first < oldest) {
+    const std::uint64_t number = logged_.front().second;
+    logged_.pop_front();
+    lock.unlock();
+    links_.log->TrimSegment(term.home, term.term, number);
+    lock.lock();
+  }
+  if (now < trim_terms_at_) return;
+  lock.unlock();
+  const bool is_done = IsOk(links_.log->TrimTermsBefore(term.home, term.term));
+  lock.lock();
+  if (is_done) trim_terms_at_ = TimePoint::max();
 }
 
 void HomeService::Promote(HomeTerm term, InstanceId standby,
@@ -193,6 +219,8 @@
   keys_.InheritUnknown(logged, now);
   if (has_gap) keys_.SetGap(term.term, now);
   standby_ = standby;
+  logged_.clear();
+  trim_terms_at_ = now + settings_.keys.resend_window;
   home_ = ClaimHome(settings_.home, std::move(term), std::move(standby),
                     std::move(held), keys_.gap_until());
 }
--- a/briarspread/contracts/home_service.h
+++ b/briarspread/contracts/home_service.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <memory>
 #include <mutex>
+#include <utility>
 #include <vector>
 
 #include "briarspread/contracts/claim_decision.h"
@@ -22,8 +23,10 @@
   ClaimHomeSettings home;
   /// Keys and answers.
   KeyTableSettings keys;
-  /// How long the first claim waits for others to share its commit.
-  milliseconds batching_delay{2};
+  /// How long the first claim waits for others to share its commit, where the
+  /// log commits. A standby's commit writes nothing to the store, so waiting
+  /// would save nothing.
+  milliseconds batching_delay{5};
   /// When a caller refused for lack of a commit is to come back.
   milliseconds retry_after{1000};
 };
@@ -57,7 +60,8 @@
   /// called several times within the takeover right. Blocks for calls to the
   /// standby, and to the store while that commits.
   void Heartbeat();
-  /// Writes what the log lacks. To be called about each `log_delay`, by another
+  /// Writes what the log lacks and trims what is older than the re-send window.
+  /// To be called about each `log_delay`, by another
   /// thread than `Heartbeat`, which a slow store must not hold up.
   void WriteLog();
 
@@ -91,6 +95,7 @@
   void Drive(Lock& lock);
   bool DriveWitness(Lock& lock);
   bool DriveAppend(Lock& lock);
+  void Trim(Lock& lock);
   void Settle(const std::vector<std::shared_ptr<Waiter>>& group,
               bool is_committed);
   ClaimDecision Refuse(ErrorCode code, Verdict verdict,
@@ -112,6 +117,11 @@
   KeyTable keys_;
   /// Claims not yet in a commit.
   std::deque<std::shared_ptr<Waiter>> waiting_;
+  /// When segments of this term were written, and their numbers.
+  std::deque<std::pair<TimePoint, std::uint64_t>> logged_;
+  /// When logs of earlier terms may be deleted; the end of time where that is
+  /// done.
+  TimePoint trim_terms_at_ = TimePoint::max();
   /// Whether a thread commits now.
   bool has_leader_ = false;
 };
--- a/tests/contracts/at_most_once_test.cc
+++ b/tests/contracts/at_most_once_test.cc
@@ -115,6 +115,25 @@
   REQUIRE(std::holds_alternative<NotHome>(Ask(fleet.a(), "later")));
 }
 
+TEST_CASE("logs older than the window are trimmed, their length stays known") {
+  Fleet fleet;
+  for (int i = 0; i < 20; ++i) {
+    REQUIRE(Runs(Ask(fleet.a(), ("k" + std::to_string(i)).c_str())));
+    fleet.clock.Advance(seconds(100));
+    fleet.a().WriteLogs();
+  }
+  const auto kept = fleet.store.List("briarspread/claims/");
+  REQUIRE(ValueOf(kept).size() < 10);
+  REQUIRE(IsOk(fleet.b().TakeOver(kHome, false, InstanceId("c"))));
+  REQUIRE(MayHaveRun(Ask(fleet.b(), "k19")));
+  fleet.b().Heartbeat();
+  fleet.clock.Advance(seconds(700));
+  fleet.b().WriteLogs();
+  REQUIRE(ValueOf(fleet.store.List("briarspread/claims/home-0/1/")).empty());
+  REQUIRE_FALSE(
+      ValueOf(fleet.store.List("briarspread/claims/home-0/2/")).empty());
+}
+
 TEST_CASE("an outage of the store alone stops nothing") {
   Fleet fleet;
   fleet.store.SetOutage(true);
