--- a/briarspread/rollout/rollout_scheduler.h
+++ b/briarspread/rollout/rollout_scheduler.h
@@ -12,6 +12,7 @@
 #include "briarspread/core/ids.h"
 #include "briarspread/core/result.h"
 #include "briarspread/rollout/cursor.h"
+#include "briarspread/rollout/lead_policy.h"
 #include "briarspread/rollout/sample.h"
 #include "briarspread/rollout/straggler_policy.h"
 #include "briarspread/rollout/trainer_rollout.h"
@@ -25,6 +26,7 @@
   TrainerRolloutSettings trainer;
   TrainerShareSettings share;
   StragglerSettings stragglers;
+  LeadSettings lead;
   /// Trainers known at once; bounds memory.
   std::size_t max_trainers = 64;
   /// How often runs are looked through for stragglers and stale work.
@@ -168,12 +170,16 @@
 
   std::uint64_t RuleBound(const TrainerId& trainer) const;
   double TotalWeight() const;
+  /// Looks through all runs, once in each interval.
   void Review();
+  void NoteServed(const SlotOffer& offer);
   bool IsToBeCut(Run& run);
   void Cancel(RunId id, Run& run);
   void CancelOthers(const Run& finished);
   std::optional<SampleRun> StartHedge(const SlotOffer& offer);
   std::optional<SampleRun> StartPending(const SlotOffer& offer);
+  /// The demands that are to be worked on now, in the order of need.
+  std::vector<StepDemand> DueDemands(std::size_t slots) const;
   SampleRun AddRun(TrainerEntry& entry, const Run& run);
   void Forget(std::map<RunId, Run>::iterator it);
 
@@ -183,6 +189,7 @@
   const Clock& clock_;
   const TrainerShare share_;
   const StragglerPolicy stragglers_;
+  const LeadPolicy lead_;
   std::map<TrainerId, TrainerEntry> trainers_;
   std::map<RunId, Run> runs_;
   std::uint64_t last_run_ = 0;
@@ -190,6 +197,7 @@
   std::vector<RunId> slow_runs_;
   std::vector<RunId> to_cancel_;
   TimePoint next_review_{};
+  TimePoint next_served_check_{};
 };
 
 }  // namespace briarspread
--- a/briarspread/rollout/trainer_rollout.cc
+++ b/briarspread/rollout/trainer_rollout.cc
@@ -10,6 +10,8 @@
 /// A slow run's usual duration, for the end of a step.
 constexpr double kTailQuantile = 0.9;
 constexpr milliseconds kRetryAfterFull{1000};
+/// A need is expected late by at most this part of the time until it.
+constexpr int kNeedMargin = 10;
 
 Duration DividedBy(Duration work, double slots) {
   return Duration(static_cast<Duration::rep>(static_cast<double>(work.count()) /
@@ -23,8 +25,7 @@
     : settings_(settings),
       trainer_(std::move(trainer)),
       clock_(clock),
-      staleness_(settings.staleness),
-      lead_(settings.lead) {}
+      staleness_(settings.staleness) {}
 
 std::uint64_t TrainerRollout::BoundOf(const StepSpec& spec,
                                       std::uint64_t rule_bound) {
@@ -67,40 +68,36 @@
   return durations_.Mean() * static_cast<Duration::rep>(ledger.RemainingRuns());
 }
 
-Duration TrainerRollout::UntilNeed(StepNumber step, Duration open_left) const {
+void TrainerRollout::AppendDemands(double slots,
+                                   std::vector<StepDemand>& demands) const {
   const TimePoint now = clock_.Now();
-  return pace_.NeedTime(step, now, open_left) - now;
-}
-
-std::optional<StartableStep> TrainerRollout::NextStep(
-    double slots, std::uint64_t rule_bound, const ServedVersions* served) {
   const Duration tail = durations_.Quantile(kTailQuantile);
-  Duration work{};
   Duration open_left{};
   for (const auto& [step, ledger] : steps_) {
-    work += WorkOf(ledger);
+    if (ledger.RemainingRuns() == 0) continue;
+    const Duration work = WorkOf(ledger);
     if (step <= pace_.open_step().value_or(step)) {
-      open_left = DividedBy(work, slots);
-    }
-    if (!ledger.HasPending()) continue;
-    const Duration until_need = UntilNeed(step, open_left);
-    if (!lead_.StartsNow(until_need, DividedBy(work, slots) + tail)) {
-      return std::nullopt;
-    }
-    const Duration until_delivered = std::max(durations_.Mean(), until_need);
-    const auto version = served == nullptr
-                             ? std::nullopt
-                             : served->NewestServed(ledger.spec().model);
-    if (version.has_value() &&
-        !staleness_.IsWorthRunning(
-            *version, pace_.newest(), BoundOf(ledger.spec(), rule_bound),
-            until_delivered, pace_.VersionInterval(clock_.Now()))) {
-      ++stats_.not_started_stale;
-      return std::nullopt;
+      open_left += DividedBy(work, slots);
     }
-    return StartableStep{step, work, until_need, ledger.submitted()};
+    demands.push_back({trainer_, step, work,
+                       pace_.NeedTime(step, now, open_left) - now, tail,
+                       ledger.submitted(), ledger.HasPending()});
   }
-  return std::nullopt;
+}
+
+bool TrainerRollout::IsWorthStarting(const StepDemand& demand,
+                                     std::uint64_t rule_bound,
+                                     const ServedVersions* served) {
+  if (served == nullptr) return true;
+  const StepSpec& spec = steps_.at(demand.step).spec();
+  const auto version = served->NewestServed(spec.model);
+  if (!version.has_value()) return true;
+  const Duration wait = std::max(durations_.Mean(), demand.until_need);
+  const bool is_worth = staleness_.IsWorthRunning(
+      *version, pace_.newest(), BoundOf(spec, rule_bound),
+      pace_.ChangesWithin(wait, clock_.Now()));
+  if (!is_worth) ++stats_.not_started_stale;
+  return is_worth;
 }
 
 bool TrainerRollout::IsWorthRunning(StepNumber step, WeightVersion oldest,
@@ -110,8 +107,8 @@
   if (it == steps_.end()) return false;
   const Duration left = std::max(durations_.Mean() - elapsed, Duration::zero());
   return staleness_.IsWorthRunning(oldest, pace_.newest(),
-                                   BoundOf(it->second.spec(), rule_bound), left,
-                                   pace_.VersionInterval(clock_.Now()));
+                                   BoundOf(it->second.spec(), rule_bound),
+                                   pace_.ChangesWithin(left, clock_.Now()));
 }
 
 std::optional<Error> TrainerRollout::Check(const Cursor& cursor) const {
@@ -152,6 +149,9 @@
     AddToBatch(group, ledger, batch);
   }
   if (!batch.groups.empty()) ++batch.next.batch;
+  // Taken as arrived until a cursor says otherwise, so that a trainer that
+  // computes on its step is not given fresh samples of it for nothing.
+  ledger.NoteDelivered(batch.next.delivered);
   const auto& arrived = batch.next.delivered;
   batch.is_whole =
       std::find(arrived.begin(), arrived.end(), false) == arrived.end();
@@ -172,15 +172,36 @@
   batch.next.delivered[group] = true;
 }
 
+void TrainerRollout::OnServed(const ServedVersions& served,
+                              std::uint64_t rule_bound) {
+  for (const auto& [step, ledger] : steps_) {
+    const auto version = served.NewestServed(ledger.spec().model);
+    if (version.has_value()) OnVersion(*version, rule_bound);
+  }
+}
+
+WeightVersion TrainerRollout::NewestAtNeed(StepNumber step,
+                                           std::uint64_t bound) const {
+  if (!settings_.staleness.cuts_early) return pace_.newest();
+  const TimePoint now = clock_.Now();
+  const Duration until_need = pace_.NeedTime(step, now, {}) - now;
+  const std::uint64_t changes =
+      pace_.ChangesWithin(until_need + until_need / kNeedMargin, now);
+  // Where even a sample made now would be too old, nothing is gained by it.
+  if (changes > bound) return pace_.newest();
+  return WeightVersion(pace_.newest().value() + changes);
+}
+
 void TrainerRollout::OnVersion(WeightVersion newest, std::uint64_t rule_bound) {
   if (newest <= pace_.newest()) return;
   pace_.OnVersion(newest, clock_.Now());
   for (auto& [step, ledger] : steps_) {
     const std::uint64_t bound = BoundOf(ledger.spec(), rule_bound);
+    const WeightVersion at_need = NewestAtNeed(step, bound);
     for (std::size_t group = 0; group < ledger.spec().groups.size(); ++group) {
       if (ledger.IsDelivered(group)) continue;
       stats_.dropped_stale_tokens +=
-          ledger.DropStale(group, staleness_, pace_.newest(), bound);
+          ledger.DropStale(group, staleness_, at_need, bound);
     }
   }
 }
