--- /dev/null
+++ b/bench/rollout_bench/scenarios.cc
@@ -0,0 +1,191 @@
+#include "bench/rollout_bench/scenarios.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include "tests/rollout_model/experiment.h"
+
+namespace briarspread::bench {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::minutes;
+using testing::Experiment;
+using testing::TrainerModelReport;
+using testing::TrainerModelSettings;
+
+constexpr hours kHorizon{4};
+constexpr std::uint32_t kSamplesPerGroup = 16;
+constexpr int kStepsMeasured = 8;
+
+TrainerModelSettings MakeTrainer(const std::string& name, std::uint32_t groups,
+                                 seconds compute) {
+  TrainerModelSettings trainer;
+  trainer.id = TrainerId(name);
+  trainer.groups = groups;
+  trainer.samples_per_group = kSamplesPerGroup;
+  trainer.compute = compute;
+  return trainer;
+}
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+double WastedShare(RolloutScheduler& scheduler) {
+  double wasted = 0;
+  double all = 0;
+  for (const TrainerId& trainer : scheduler.Trainers()) {
+    const TrainerStats& stats = *scheduler.StatsOf(trainer);
+    wasted +=
+        static_cast<double>(stats.wasted_tokens + stats.dropped_stale_tokens);
+    all += static_cast<double>(stats.wasted_tokens + stats.tokens);
+  }
+  return all > 0 ? wasted / all : 0;
+}
+
+}  // namespace
+
+Deployment Mantaro(std::uint64_t seed) {
+  Deployment deployment{"mantaro", {}, {}};
+  deployment.world.engines = 9;
+  deployment.world.seed = seed;
+  deployment.trainers = {MakeTrainer("order", 128, seconds(480)),
+                         MakeTrainer("quote", 32, seconds(240)),
+                         MakeTrainer("stock", 64, seconds(520))};
+  return deployment;
+}
+
+Deployment Caledonian(std::uint64_t seed) {
+  Deployment deployment{"caledonian", {}, {}};
+  deployment.world.engines = 8;
+  deployment.world.seed = seed;
+  deployment.trainers = {MakeTrainer("report", 96, seconds(400)),
+                         MakeTrainer("fitter", 48, seconds(400)),
+                         MakeTrainer("booking", 32, seconds(300))};
+  return deployment;
+}
+
+void AddFaults(Deployment& deployment) {
+  // The second of three zones, and one engine outside it.
+  const std::size_t third = deployment.world.engines / 3;
+  deployment.world.outages = {{0, 1, hours(1), hours(1)},
+                              {third, 2 * third, hours(3), minutes(10)}};
+  deployment.world.failed_swaps = 0.03;
+}
+
+Policy Ours(double staleness_weight) {
+  Policy policy{"ours", {}};
+  policy.settings.lead.staleness_weight = staleness_weight;
+  return policy;
+}
+
+std::vector<Policy> Baselines() {
+  Policy first_come = Ours(0);
+  first_come.name = "first-come";
+  first_come.settings.share.mode = ShareMode::kFirstCome;
+  first_come.settings.stragglers.is_enabled = false;
+  first_come.settings.trainer.staleness.cuts_early = false;
+  Policy turns = first_come;
+  turns.name = "equal-turns";
+  turns.settings.share.mode = ShareMode::kEqualTurns;
+  Policy not_hedged = Ours(LeadSettings{}.staleness_weight);
+  not_hedged.name = "no-hedging";
+  not_hedged.settings.stragglers.is_enabled = false;
+  Policy not_cut = Ours(LeadSettings{}.staleness_weight);
+  not_cut.name = "no-early-cut";
+  not_cut.settings.trainer.staleness.cuts_early = false;
+  return {first_come, turns, not_hedged, not_cut};
+}
+
+Outcome Run(const Deployment& deployment, const Policy& policy,
+            const std::string& faults) {
+  Experiment experiment(deployment.world, policy.settings, deployment.trainers);
+  experiment.world().RunUntil([] { return false; }, kHorizon);
+  Outcome outcome;
+  outcome.deployment = deployment.name;
+  outcome.policy = policy.name;
+  outcome.faults = faults;
+  double step_seconds = 0;
+  double staleness = 0;
+  std::uint64_t samples = 0;
+  std::uint64_t measured_steps = 0;
+  std::uint64_t batches = 0;
+  const auto reports = experiment.Reports(false);
+  for (const TrainerModelReport& report : reports) {
+    const double idle = report.measured > Duration::zero()
+                            ? Seconds(report.idle) / Seconds(report.measured)
+                            : 1;
+    outcome.worst_idle_share = std::max(outcome.worst_idle_share, idle);
+    outcome.idle_share += idle / static_cast<double>(reports.size());
+    outcome.steps += report.steps;
+    batches += report.batches;
+    outcome.broken_promises +=
+        report.lost + report.doubled + report.mislabelled + report.over_age;
+    // The highest of the trainers: each has its own promise.
+    outcome.staleness_p95 =
+        std::max(outcome.staleness_p95, report.staleness.Percentile95());
+    staleness +=
+        report.staleness.Mean() * static_cast<double>(report.staleness.count());
+    samples += report.staleness.count();
+    for (const Duration time : report.step_times) step_seconds += Seconds(time);
+    measured_steps += report.step_times.size();
+  }
+  if (outcome.steps > 0) {
+    outcome.batches_per_step =
+        static_cast<double>(batches) / static_cast<double>(outcome.steps);
+  }
+  if (samples > 0) {
+    outcome.staleness_mean = staleness / static_cast<double>(samples);
+  }
+  if (measured_steps > 0) {
+    outcome.step_seconds_mean =
+        step_seconds / static_cast<double>(measured_steps);
+  }
+  outcome.wasted_share = WastedShare(experiment.world().instance(0));
+  return outcome;
+}
+
+namespace {
+
+/// Mean step time of one trainer that has the engines for itself.
+double StepSeconds(const testing::WorldSettings& world,
+                   const RolloutSchedulerSettings& scheduler,
+                   std::uint32_t groups, double* wasted) {
+  TrainerModelSettings trainer = MakeTrainer("alone", groups, seconds(1));
+  trainer.steps_ahead = 0;
+  trainer.warm_up_steps = 1;
+  Experiment experiment(world, scheduler, {trainer});
+  const auto is_done = [&experiment] {
+    return experiment.Reports(false)[0].step_times.size() >= kStepsMeasured;
+  };
+  experiment.world().RunUntil(is_done, hours(100));
+  const auto report = experiment.Reports(false)[0];
+  if (wasted != nullptr) *wasted = WastedShare(experiment.world().instance(0));
+  const Duration sum = std::accumulate(
+      report.step_times.begin(), report.step_times.end(), Duration::zero());
+  return Seconds(sum) / static_cast<double>(report.step_times.size());
+}
+
+}  // namespace
+
+StepTime MeasureStepTime(const Deployment& deployment, std::uint32_t groups) {
+  StepTime result;
+  result.deployment = deployment.name;
+  result.samples = groups * kSamplesPerGroup;
+  testing::WorldSettings world = deployment.world;
+  world.swap_interval = Duration::zero();
+  world.outages.clear();
+  const Policy hedged = Ours(0);
+  Policy not_hedged = hedged;
+  not_hedged.settings.stragglers.is_enabled = false;
+  result.hedged =
+      StepSeconds(world, hedged.settings, groups, &result.hedge_cost);
+  result.not_hedged = StepSeconds(world, not_hedged.settings, groups, nullptr);
+  world.straggler_share = 0;
+  result.without_stragglers =
+      StepSeconds(world, not_hedged.settings, groups, nullptr);
+  return result;
+}
+
+}  // namespace briarspread::bench
--- a/briarspread/gateway/upstream_call.cc
+++ b/briarspread/gateway/upstream_call.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "briarspread/core/http_headers.h"
+#include "briarspread/routing/load_view.h"
 
 namespace briarspread {
 namespace {
@@ -47,6 +48,26 @@
   return status == kHttpTooManyRequests || status == kHttpUnavailable;
 }
 
+/// Counts an exchange as in flight while it lives.
+class InFlightCount {
+ public:
+  InFlightCount(UpstreamCounters& counters, bool is_rollout)
+      : counters_(counters), is_rollout_(is_rollout) {
+    ++counters_.in_flight;
+    if (is_rollout_) ++counters_.rollouts_in_flight;
+  }
+  ~InFlightCount() {
+    --counters_.in_flight;
+    if (is_rollout_) --counters_.rollouts_in_flight;
+  }
+  InFlightCount(const InFlightCount&) = delete;
+  InFlightCount& operator=(const InFlightCount&) = delete;
+
+ private:
+  UpstreamCounters& counters_;
+  const bool is_rollout_;
+};
+
 Verdict VerdictOf(const ExchangeOutcome& outcome) {
   if (outcome.stage <= ExchangeStage::kConnecting) return Verdict::kNotRun;
   if (outcome.stage != ExchangeStage::kEnded) return Verdict::kMayHaveRun;
@@ -79,8 +100,13 @@
 }  // namespace
 
 UpstreamCaller::UpstreamCaller(const GatewayContext& context, Router& router,
-                               UpstreamClient& client)
-    : context_(context), router_(router), client_(client) {}
+                               UpstreamClient& client, PoolGates& gates,
+                               RefusalWatch& refusals)
+    : context_(context),
+      router_(router),
+      client_(client),
+      gates_(gates),
+      refusals_(refusals) {}
 
 std::optional<UpstreamCaller::Target> UpstreamCaller::Choose(
     const RouteRequest& route) const {
@@ -90,7 +116,7 @@
   if (!index.has_value()) return std::nullopt;
   const UpstreamView& chosen = table->upstreams[*index];
   return Target{UpstreamId(chosen.listed.name), chosen.listed.endpoint,
-                chosen.counters};
+                chosen.counters, chosen.breaker};
 }
 
 UpstreamRequest UpstreamCaller::MakeRequest(const CallSpec& spec,
@@ -121,14 +147,16 @@
   request.headers.push_back({headers::kTraceParent, span.context().ToHeader()});
 
   StreamReceiver receiver(stream, sink);
+  const TimePoint start = context_.clock.Now();
   ++context_.metrics.exchanges;
-  ++target.counters->in_flight;
-  ExchangeOutcome outcome =
-      client_.Exchange(request, spec.stream ? &receiver : nullptr);
-  --target.counters->in_flight;
-
+  ExchangeOutcome outcome;
+  {
+    const InFlightCount count(*target.counters, spec.route.is_rollout);
+    outcome = client_.Exchange(request, spec.stream ? &receiver : nullptr);
+  }
   CallResult result;
   result.verdict = VerdictOf(outcome);
+  NoteOutcome(target, outcome, result.verdict, context_.clock.Now() - start);
   result.upstream = target.id;
   result.status = outcome.status;
   const std::string echoed = FindHeader(outcome.headers, headers::kExchange);
@@ -156,7 +184,40 @@
   return result;
 }
 
+void UpstreamCaller::NoteOutcome(const Target& target,
+                                 const ExchangeOutcome& outcome,
+                                 Verdict verdict, Duration latency) {
+  const TimePoint now = context_.clock.Now();
+  if (outcome.stage == ExchangeStage::kEnded && IsRefusal(outcome.status)) {
+    refusals_.OnRefusal(target.id, *target.counters, now);
+  }
+  if (verdict == Verdict::kAnswered)
+    RecordServiceTime(*target.counters, latency);
+  if (target.breaker == nullptr || outcome.cancelled) return;
+  if (verdict == Verdict::kAnswered) {
+    target.breaker->OnSuccess(now);
+  } else {
+    target.breaker->OnFailure(now);
+  }
+}
+
 CallResult UpstreamCaller::Run(const CallSpec& spec, const EventSink& sink) {
+  AdmissionRequest request;
+  request.request_class = spec.route.request_class;
+  request.level = spec.priority_level;
+  request.is_rollout = spec.route.is_rollout;
+  request.queue_length =
+      context_.state.rules.Read()->QueueLengthOf(spec.route.request_class);
+  const auto permit = gates_.Enter(spec.route.serves, request, spec.deadline);
+  if (IsOk(permit)) return RunAdmitted(spec, sink);
+  ++context_.metrics.refused;
+  CallResult refused;
+  refused.error = ErrorOf(permit);
+  return refused;
+}
+
+CallResult UpstreamCaller::RunAdmitted(const CallSpec& spec,
+                                       const EventSink& sink) {
   RouteRequest route = spec.route;
   CompletionStream stream;
   CallResult result;
--- a/briarspread/gateway/upstream_call.h
+++ b/briarspread/gateway/upstream_call.h
@@ -11,6 +11,8 @@
 #include "briarspread/core/upstream_client.h"
 #include "briarspread/gateway/completion_stream.h"
 #include "briarspread/gateway/gateway_context.h"
+#include "briarspread/gateway/pool_gates.h"
+#include "briarspread/routing/refusal_watch.h"
 #include "briarspread/routing/router.h"
 
 namespace briarspread {
@@ -66,7 +68,8 @@
  public:
   /// Precondition: all arguments outlive this object.
   UpstreamCaller(const GatewayContext& context, Router& router,
-                 UpstreamClient& client);
+                 UpstreamClient& client, PoolGates& gates,
+                 RefusalWatch& refusals);
 
   /// Runs one request to its end. `sink` takes a stream's events; it may be
   /// empty where `spec.stream` is off.
@@ -78,8 +81,15 @@
     UpstreamId id;
     Endpoint endpoint;
     std::shared_ptr<UpstreamCounters> counters;
+    /// Null for none.
+    std::shared_ptr<CircuitBreaker> breaker;
   };
   std::optional<Target> Choose(const RouteRequest& route) const;
+  CallResult RunAdmitted(const CallSpec& spec, const EventSink& sink);
+  /// Tells the breaker, the refusal watch and the counts what came of an
+  /// exchange.
+  void NoteOutcome(const Target& target, const ExchangeOutcome& outcome,
+                   Verdict verdict, Duration latency);
   CallResult Attempt(const CallSpec& spec, const Target& target,
                      CompletionStream& stream, const EventSink& sink);
   UpstreamRequest MakeRequest(const CallSpec& spec, const Target& target,
@@ -92,6 +102,10 @@
   Router& router_;
   /// Carries exchanges.
   UpstreamClient& client_;
+  /// Admits requests to each model and service.
+  PoolGates& gates_;
+  /// Learns which upstreams take no work.
+  RefusalWatch& refusals_;
   /// The last exchange's id.
   std::atomic<std::uint64_t> last_exchange_{0};
 };
