--- a/briarspread/gateway/entry.h
+++ b/briarspread/gateway/entry.h
@@ -5,10 +5,12 @@
 #include "briarspread/core/random_source.h"
 #include "briarspread/gateway/control_state.h"
 #include "briarspread/gateway/live_handler.h"
-#include "briarspread/gateway/platform_poller.h"
+#include "briarspread/gateway/pool_gates.h"
+#include "briarspread/gateway/rules_agent.h"
 #include "briarspread/gateway/trainer_handler.h"
 #include "briarspread/gateway/upstream_call.h"
-#include "briarspread/routing/router.h"
+#include "briarspread/gateway/upstream_monitor.h"
+#include "briarspread/routing/two_choices_router.h"
 #include "briarspread/settings/entry_settings.h"
 #include "briarspread/transport/consul_store.h"
 #include "briarspread/transport/http_server.h"
@@ -32,15 +34,22 @@
 
   const EntrySettings settings_;
   SystemClock clock_;
+  /// Seeded by the operating system.
+  SeededRandom random_;
   ControlState state_;
+  EntryMetrics metrics_;
+  Tracer tracer_;
+  const GatewayContext context_;
   HttpUpstreamClient client_;
   ConsulStore store_;
   ConsulInstanceList list_;
-  FewestInFlightRouter router_;
+  TwoChoicesRouter router_;
+  PoolGates gates_;
+  UpstreamMonitor monitor_;
   UpstreamCaller caller_;
   LiveHandler live_;
   TrainerHandler trainers_;
-  PlatformPoller poller_;
+  RulesAgent rules_;
   HttpServer server_;
 };
 
--- a/briarspread/gateway/upstream_call.cc
+++ b/briarspread/gateway/upstream_call.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "briarspread/core/http_headers.h"
+#include "briarspread/routing/load_view.h"
 
 namespace briarspread {
 namespace {
@@ -47,6 +48,26 @@
   return status == kHttpTooManyRequests || status == kHttpUnavailable;
 }
 
+/// Counts an exchange as in flight while it lives.
+class InFlightCount {
+ public:
+  InFlightCount(UpstreamCounters& counters, bool is_rollout)
+      : counters_(counters), is_rollout_(is_rollout) {
+    ++counters_.in_flight;
+    if (is_rollout_) ++counters_.rollouts_in_flight;
+  }
+  ~InFlightCount() {
+    --counters_.in_flight;
+    if (is_rollout_) --counters_.rollouts_in_flight;
+  }
+  InFlightCount(const InFlightCount&) = delete;
+  InFlightCount& operator=(const InFlightCount&) = delete;
+
+ private:
+  UpstreamCounters& counters_;
+  const bool is_rollout_;
+};
+
 Verdict VerdictOf(const ExchangeOutcome& outcome) {
   if (outcome.stage <= ExchangeStage::kConnecting) return Verdict::kNotRun;
   if (outcome.stage != ExchangeStage::kEnded) return Verdict::kMayHaveRun;
@@ -55,6 +76,16 @@
   return Verdict::kAnswered;
 }
 
+/// The request that continues a cut stream at its next token.
+std::string ResumeBody(const std::string& body,
+                       const CompletionStream& stream) {
+  Json json = Json::parse(body, nullptr, false);
+  if (!json.is_object()) return body;
+  json["resume_offset"] = stream.next_token();
+  json["resume_text"] = stream.text();
+  return json.dump();
+}
+
 void ReadVersions(const std::string& body, CallResult& result) {
   const Json json = Json::parse(body, nullptr, false);
   if (!json.is_object() || !json.contains("weight_versions")) return;
@@ -68,44 +99,64 @@
 
 }  // namespace
 
-UpstreamCaller::UpstreamCaller(ControlState& state, Router& router,
-                               UpstreamClient& client, const Clock& clock)
-    : state_(state), router_(router), client_(client), clock_(clock) {}
+UpstreamCaller::UpstreamCaller(const GatewayContext& context, Router& router,
+                               UpstreamClient& client, PoolGates& gates,
+                               RefusalWatch& refusals)
+    : context_(context),
+      router_(router),
+      client_(client),
+      gates_(gates),
+      refusals_(refusals) {}
 
 std::optional<UpstreamCaller::Target> UpstreamCaller::Choose(
     const RouteRequest& route) const {
-  const auto table = state_.routing.Read();
-  const auto rules = state_.rules.Read();
+  const auto table = context_.state.routing.Read();
+  const auto rules = context_.state.rules.Read();
   const auto index = router_.Choose(route, *table, *rules);
   if (!index.has_value()) return std::nullopt;
   const UpstreamView& chosen = table->upstreams[*index];
   return Target{UpstreamId(chosen.listed.name), chosen.listed.endpoint,
-                chosen.counters};
+                chosen.counters, chosen.breaker};
 }
 
-CallResult UpstreamCaller::Attempt(const CallSpec& spec, const Target& target,
-                                   CompletionStream& stream,
-                                   const EventSink& sink) {
+UpstreamRequest UpstreamCaller::MakeRequest(const CallSpec& spec,
+                                            const Target& target,
+                                            const CompletionStream& stream,
+                                            const std::string& exchange) const {
   UpstreamRequest request;
   request.endpoint = target.endpoint;
   request.method = spec.method;
   request.path = spec.path;
   request.headers = spec.headers;
+  request.headers.push_back({headers::kExchange, exchange});
   request.body = spec.body;
+  if (stream.next_token() > 0) request.body = ResumeBody(spec.body, stream);
   request.may_reuse_connection = spec.idempotent;
-  request.timeout =
-      std::chrono::duration_cast<milliseconds>(spec.deadline - clock_.Now());
+  request.timeout = std::chrono::duration_cast<milliseconds>(
+      spec.deadline - context_.clock.Now());
+  return request;
+}
+
+CallResult UpstreamCaller::Attempt(const CallSpec& spec, const Target& target,
+                                   CompletionStream& stream,
+                                   const EventSink& sink) {
   const std::string exchange = std::to_string(++last_exchange_);
-  request.headers.push_back({headers::kExchange, exchange});
+  Span span = context_.tracer.Start("upstream", spec.trace);
+  span.Set("upstream", target.id.value());
+  UpstreamRequest request = MakeRequest(spec, target, stream, exchange);
+  request.headers.push_back({headers::kTraceParent, span.context().ToHeader()});
 
   StreamReceiver receiver(stream, sink);
-  ++target.counters->in_flight;
-  ExchangeOutcome outcome =
-      client_.Exchange(request, spec.stream ? &receiver : nullptr);
-  --target.counters->in_flight;
-
+  const TimePoint start = context_.clock.Now();
+  ++context_.metrics.exchanges;
+  ExchangeOutcome outcome;
+  {
+    const InFlightCount count(*target.counters, spec.route.is_rollout);
+    outcome = client_.Exchange(request, spec.stream ? &receiver : nullptr);
+  }
   CallResult result;
   result.verdict = VerdictOf(outcome);
+  NoteOutcome(target, outcome, result.verdict, context_.clock.Now() - start);
   result.upstream = target.id;
   result.status = outcome.status;
   const std::string echoed = FindHeader(outcome.headers, headers::kExchange);
@@ -115,7 +166,9 @@
     result.verdict = Verdict::kMayHaveRun;
     outcome.failure = crossed ? "answer of another exchange" : "stream cut";
   }
+  span.Set("verdict", std::string(ToString(result.verdict)));
   if (result.verdict != Verdict::kAnswered) {
+    if (crossed || cut) ++context_.metrics.dropped_answers;
     result.error = Error{ErrorCode::kUnavailable, result.verdict,
                          target.id.value() + ": " + outcome.failure,
                          kRetryAfterNoUpstream};
@@ -131,7 +184,40 @@
   return result;
 }
 
+void UpstreamCaller::NoteOutcome(const Target& target,
+                                 const ExchangeOutcome& outcome,
+                                 Verdict verdict, Duration latency) {
+  const TimePoint now = context_.clock.Now();
+  if (outcome.stage == ExchangeStage::kEnded && IsRefusal(outcome.status)) {
+    refusals_.OnRefusal(target.id, *target.counters, now);
+  }
+  if (verdict == Verdict::kAnswered)
+    RecordServiceTime(*target.counters, latency);
+  if (target.breaker == nullptr || outcome.cancelled) return;
+  if (verdict == Verdict::kAnswered) {
+    target.breaker->OnSuccess(now);
+  } else {
+    target.breaker->OnFailure(now);
+  }
+}
+
 CallResult UpstreamCaller::Run(const CallSpec& spec, const EventSink& sink) {
+  AdmissionRequest request;
+  request.request_class = spec.route.request_class;
+  request.level = spec.priority_level;
+  request.is_rollout = spec.route.is_rollout;
+  request.queue_length =
+      context_.state.rules.Read()->QueueLengthOf(spec.route.request_class);
+  const auto permit = gates_.Enter(spec.route.serves, request, spec.deadline);
+  if (IsOk(permit)) return RunAdmitted(spec, sink);
+  ++context_.metrics.refused;
+  CallResult refused;
+  refused.error = ErrorOf(permit);
+  return refused;
+}
+
+CallResult UpstreamCaller::RunAdmitted(const CallSpec& spec,
+                                       const EventSink& sink) {
   RouteRequest route = spec.route;
   CompletionStream stream;
   CallResult result;
@@ -139,20 +225,28 @@
       Error{ErrorCode::kUnavailable, Verdict::kNotRun,
             "no upstream serves " + route.serves, kRetryAfterNoUpstream};
   Verdict combined = Verdict::kNotRun;
+  // A caller who hung up wants no second attempt.
+  bool sink_closed = false;
+  const EventSink watched_sink = [&](std::string_view events) {
+    sink_closed = !sink(events);
+    return !sink_closed;
+  };
   for (int i = 0; i < kMaxAttempts; ++i) {
-    if (clock_.Now() >= spec.deadline) {
+    if (context_.clock.Now() >= spec.deadline) {
       result.error.code = ErrorCode::kDeadlineExceeded;
       break;
     }
     const auto target = Choose(route);
     if (!target.has_value()) break;
-    result = Attempt(spec, *target, stream, sink);
+    result = Attempt(spec, *target, stream, watched_sink);
     result.attempts = i + 1;
     if (result.verdict == Verdict::kAnswered) return result;
     combined = Combine(combined, result.verdict);
     if (!MaySendAgain(combined, spec.idempotent)) break;
-    // A stream that has passed tokens on is not started anew.
-    if (spec.stream && stream.next_token() > 0) break;
+    if (sink_closed) break;
+    ++context_.metrics.retries;
+    if (stream.next_token() > 0) ++context_.metrics.resumed_streams;
+    stream.DropPartialEvent();
     route.excluded.push_back(target->id);
   }
   result.verdict = combined;
