Gateway: non-idempotent requests run at the home of their key

Change: the home agent runs AtMostOnce with heartbeats, probes, logs and takeovers; requests are forwarded to their home, signed; a claimed request runs on although its caller's deadline passed, and a re-send gets its answer.

--- a/briarspread/core/http_headers.h
+++ b/briarspread/core/http_headers.h
@@ -16,6 +16,10 @@
 inline constexpr char kInstance[] = "Briarspread-Instance";
 /// The upstream that ran the request, for reports.
 inline constexpr char kUpstream[] = "Briarspread-Upstream";
+/// The instance that forwards a request to its key's home.
+inline constexpr char kForwardedBy[] = "Briarspread-Forwarded-By";
+/// The epoch under which the caller made its idempotency key.
+inline constexpr char kCreatedIn[] = "Briarspread-Created-In";
 /// Authenticates calls between instances.
 inline constexpr char kPeerSignature[] = "Briarspread-Peer-Signature";
 /// The id of the exchange, echoed by upstreams that can.
--- a/briarspread/core/upstream_client.h
+++ b/briarspread/core/upstream_client.h
@@ -69,6 +69,8 @@
   std::string body;
   /// What ended the exchange early, in words.
   std::string failure;
+  /// Whether the address refused the connection: no process listens there.
+  bool refused = false;
   /// Whether the receiver ended it.
   bool cancelled = false;
 };
--- a/briarspread/gateway/entry.cc
+++ b/briarspread/gateway/entry.cc
@@ -44,27 +44,91 @@
   return rules;
 }
 
+/// A number that is higher at each later start of the process.
+Incarnation StartNumber(const Clock& clock) {
+  return Incarnation(
+      static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                     clock.WallNow().time_since_epoch())
+                                     .count()));
+}
+
+/// The key that signs calls between instances; empty where that is off.
+std::string PeerKey(const EntrySettings& settings) {
+  return settings.peer_authentication ? settings.peer_key : "";
+}
+
+HomeAgentSettings HomesSettings(const EntrySettings& settings) {
+  HomeAgentSettings homes;
+  homes.zone = settings.locality.zone;
+  return homes;
+}
+
+MembershipAgentSettings MembershipSettings(const EntrySettings& settings) {
+  MembershipAgentSettings membership;
+  membership.listen = settings.listen;
+  membership.node.interval = settings.heartbeat_interval;
+  membership.node.peer_key = PeerKey(settings);
+  return membership;
+}
+
+MemberRecord MemberSelf(const EntrySettings& settings,
+                        Incarnation incarnation) {
+  MemberRecord self;
+  self.id = settings.instance;
+  self.endpoint = settings.listen;
+  self.locality = settings.locality;
+  self.version.incarnation = incarnation;
+  return self;
+}
+
+WeightsAgentSettings WeightsSettings(const EntrySettings& settings) {
+  WeightsAgentSettings weights;
+  weights.store_region = settings.store_region;
+  return weights;
+}
+
 }  // namespace
 
 Entry::Entry(const EntrySettings& settings)
     : settings_(settings),
+      incarnation_(StartNumber(clock_)),
       random_(std::random_device{}()),
       tracer_(settings.instance.value(), clock_, random_),
       context_{settings.instance, state_, clock_, random_, metrics_, tracer_},
       client_(HttpUpstreamClientSettings{}, clock_),
       store_(PlatformSettings(settings), client_),
       list_(PlatformSettings(settings), client_),
+      peers_(settings.instance, PeerKey(settings), clock_),
       router_(TwoChoicesSettings{}, random_, clock_),
       gates_(clock_),
       monitor_(MonitorSettings(settings), context_, list_, client_, gates_,
-               [this](const auto& listed) { rules_.OnInstances(listed); }),
+               [this](const auto& listed) { OnList(listed); }),
       caller_(context_, router_, client_, gates_, monitor_.refusals()),
-      live_(context_, caller_),
+      homes_(HomesSettings(settings), context_, incarnation_, store_, client_,
+             peers_),
+      keyed_(context_, caller_, homes_, peers_, client_),
+      live_(context_, caller_, keyed_, peers_),
       trainers_(TrainerHandlerSettings{}, settings.peer_key, state_, caller_,
                 clock_),
       rules_(RulesSettings(settings), store_, client_, state_, clock_, random_),
+      reports_(rules_),
+      membership_(MembershipSettings(settings),
+                  MemberSelf(settings, incarnation_), clock_, random_,
+                  &reports_),
+      fencing_(state_),
+      orders_(settings.instance, client_, clock_),
+      weights_(WeightsSettings(settings), settings.instance, incarnation_,
+               store_, orders_, fencing_, state_, clock_, random_),
       server_(ServerSettings(settings)) {}
 
+void Entry::OnList(const std::vector<ListedInstance>& listed) {
+  rules_.OnInstances(listed);
+  peers_.OnList(listed);
+  membership_.TakeList(listed);
+  membership_.SetRulesRevision(state_.rules.Read()->revision);
+  membership_.SetEpoch(homes_.at_most_once().table().epoch);
+}
+
 void Entry::AddOperatorRoutes() {
   httplib::Server& routes = server_.routes();
   routes.Get("/healthz",
@@ -94,10 +158,16 @@
   live_.AddRoutes(server_.routes());
   trainers_.AddRoutes(server_.routes());
   rules_.AddRoutes(server_.routes());
+  homes_.AddRoutes(server_.routes());
+  weights_.AddRoutes(server_.routes());
   Status started = server_.Start();
   if (!IsOk(started)) return started;
   rules_.Start();
+  Status joined = membership_.Start();
+  if (!IsOk(joined)) return joined;
   monitor_.Start();
+  homes_.Start();
+  weights_.Start();
   LOG(INFO) << "event=started instance=" << settings_.instance
             << " port=" << settings_.listen.port;
   return OkStatus();
@@ -106,6 +176,7 @@
 bool Entry::Drain() {
   LOG(INFO) << "event=drain_started in_flight=" << state_.in_flight;
   state_.draining = true;
+  membership_.Leave();
   const TimePoint limit = clock_.Now() + settings_.drain_limit;
   const TimePoint earliest = clock_.Now() + kBalancerLag;
   while (clock_.Now() < limit &&
@@ -114,7 +185,12 @@
   }
   const bool finished = state_.in_flight == 0;
   trainers_.Stop();
+  weights_.Stop();
+  // Claims end before the listener closes, so that a refused connection proves
+  // that this process commits none.
+  homes_.Stop();
   monitor_.Stop();
+  membership_.Stop();
   rules_.Stop();
   server_.Stop();
   LOG(INFO) << "event=drained finished=" << finished;
--- a/briarspread/gateway/entry.h
+++ b/briarspread/gateway/entry.h
@@ -4,12 +4,17 @@
 #include "briarspread/core/clock.h"
 #include "briarspread/core/random_source.h"
 #include "briarspread/gateway/control_state.h"
+#include "briarspread/gateway/home_agent.h"
+#include "briarspread/gateway/keyed_requests.h"
 #include "briarspread/gateway/live_handler.h"
+#include "briarspread/gateway/membership_agent.h"
+#include "briarspread/gateway/peer_directory.h"
 #include "briarspread/gateway/pool_gates.h"
 #include "briarspread/gateway/rules_agent.h"
 #include "briarspread/gateway/trainer_handler.h"
 #include "briarspread/gateway/upstream_call.h"
 #include "briarspread/gateway/upstream_monitor.h"
+#include "briarspread/gateway/weights_agent.h"
 #include "briarspread/routing/two_choices_router.h"
 #include "briarspread/settings/entry_settings.h"
 #include "briarspread/transport/consul_store.h"
@@ -32,8 +37,37 @@
  private:
   void AddOperatorRoutes();
 
+  /// Says which engines refuse old fencing numbers, by the rules in force.
+  class RulesOnFencing final : public FencingRules {
+   public:
+    explicit RulesOnFencing(const ControlState& state) : state_(state) {}
+    bool ChecksFencing(const std::string& model) const override {
+      return state_.rules.Read()->ChecksFencing(model);
+    }
+
+   private:
+    const ControlState& state_;
+  };
+
+  /// Passes what peers report on to the parts that want it.
+  class PeerReports final : public MembershipObserver {
+   public:
+    explicit PeerReports(RulesAgent& rules) : rules_(rules) {}
+    void OnPeerReport(const PeerReport& report) override {
+      rules_.OnAnnouncement(report.peer, report.rules_revision);
+    }
+    void OnNotice(const Notice& /*notice*/) override {}
+
+   private:
+    RulesAgent& rules_;
+  };
+
+  void OnList(const std::vector<ListedInstance>& listed);
+
   const EntrySettings settings_;
   SystemClock clock_;
+  /// Tells this start of the process from earlier ones.
+  const Incarnation incarnation_;
   /// Seeded by the operating system.
   SeededRandom random_;
   ControlState state_;
@@ -43,13 +77,21 @@
   HttpUpstreamClient client_;
   ConsulStore store_;
   ConsulInstanceList list_;
+  PeerDirectory peers_;
   TwoChoicesRouter router_;
   PoolGates gates_;
   UpstreamMonitor monitor_;
   UpstreamCaller caller_;
+  HomeAgent homes_;
+  KeyedRequests keyed_;
   LiveHandler live_;
   TrainerHandler trainers_;
   RulesAgent rules_;
+  PeerReports reports_;
+  MembershipAgent membership_;
+  RulesOnFencing fencing_;
+  HttpEngineOrders orders_;
+  WeightsAgent weights_;
   HttpServer server_;
 };
 
--- /dev/null
+++ b/briarspread/gateway/http_claim_witness.h
@@ -0,0 +1,32 @@
+#ifndef BRIARSPREAD_GATEWAY_HTTP_CLAIM_WITNESS_H_
+#define BRIARSPREAD_GATEWAY_HTTP_CLAIM_WITNESS_H_
+
+#include "briarspread/contracts/claim_witness.h"
+#include "briarspread/core/upstream_client.h"
+#include "briarspread/gateway/peer_directory.h"
+
+namespace briarspread {
+
+/// The path at which an instance takes batches of claims.
+inline constexpr char kWitnessPath[] = "/peer/v1/witness";
+
+/// Carries batches of claims to standbys over HTTP. Thread-safe.
+class HttpClaimWitness final : public ClaimWitness {
+ public:
+  /// Precondition: references outlive this object. `timeout` is well below the
+  /// takeover right.
+  HttpClaimWitness(const PeerDirectory& peers, UpstreamClient& client,
+                   milliseconds timeout);
+
+  WitnessAnswer Send(const InstanceId& standby,
+                     const WitnessBatch& batch) override;
+
+ private:
+  const PeerDirectory& peers_;
+  UpstreamClient& client_;
+  const milliseconds timeout_;
+};
+
+}  // namespace briarspread
+
+#endif  // BRIARSPREAD_GATEWAY_HTTP_CLAIM_WITNESS_H_
--- a/briarspread/gateway/live_handler.cc
+++ b/briarspread/gateway/live_handler.cc
@@ -63,8 +63,9 @@
 
 }  // namespace
 
-LiveHandler::LiveHandler(const GatewayContext& context, UpstreamCaller& caller)
-    : context_(context), caller_(caller) {}
+LiveHandler::LiveHandler(const GatewayContext& context, UpstreamCaller& caller,
+                         KeyedRequests& keyed, const PeerDirectory& peers)
+    : context_(context), caller_(caller), keyed_(keyed), peers_(peers) {}
 
 void LiveHandler::AddRoutes(httplib::Server& routes) {
   routes.Post("/v1/completions",
@@ -144,10 +145,12 @@
   const std::string prompt = body["prompt"].get<std::string>();
   call.route.prefix_hash =
       StableHash(std::string_view{prompt}.substr(0, kPrefixBytes));
-  if (call.stream) {
+  const bool is_keyed =
+      !call.idempotent && in.has_header(headers::kIdempotencyKey);
+  if (call.stream && !is_keyed) {
     AnswerStream(call, out);
   } else {
-    Answer(call, out);
+    Answer(call, in, out);
   }
 }
 
@@ -160,7 +163,7 @@
     return;
   }
   ValueOf(spec).path = in.matches[2];
-  Answer(ValueOf(spec), out);
+  Answer(ValueOf(spec), in, out);
 }
 
 void LiveHandler::Finish(const CallSpec& spec, const CallResult& result,
@@ -172,12 +175,45 @@
                                 result.verdict, context_.clock.Now() - start);
 }
 
-void LiveHandler::Answer(CallSpec spec, httplib::Response& out) {
+KeyedRequest LiveHandler::MakeKeyed(const CallSpec& spec,
+                                    const httplib::Request& in) const {
+  KeyedRequest request;
+  request.spec = spec;
+  request.key = RequestKey(in.get_header_value(headers::kIdempotencyKey));
+  const std::string created_in = in.get_header_value(headers::kCreatedIn);
+  std::uint64_t epoch = 0;
+  std::from_chars(created_in.data(), created_in.data() + created_in.size(),
+                  epoch);
+  request.created_in = Epoch(epoch);
+  request.entry_path = in.target.empty() ? in.path : in.target;
+  request.entry_body = in.body;
+  for (const char* name : {headers::kIdempotencyKey, headers::kCustomer,
+                           headers::kRequestClass, headers::kCreatedIn}) {
+    if (!in.has_header(name)) continue;
+    request.entry_headers.push_back({name, in.get_header_value(name)});
+  }
+  request.is_forwarded =
+      in.has_header(headers::kForwardedBy) &&
+      peers_.IsSigned(request.entry_path, in.body,
+                      in.get_header_value(headers::kPeerSignature));
+  return request;
+}
+
+CallResult LiveHandler::RunWhole(const CallSpec& spec,
+                                 const httplib::Request& in) {
+  if (spec.idempotent || !in.has_header(headers::kIdempotencyKey)) {
+    return caller_.Run(spec, {});
+  }
+  return keyed_.Run(MakeKeyed(spec, in));
+}
+
+void LiveHandler::Answer(CallSpec spec, const httplib::Request& in,
+                         httplib::Response& out) {
   const InFlight in_flight(context_.state);
   const TimePoint start = context_.clock.Now();
   Span span = context_.tracer.Start("request", spec.trace);
   spec.trace = span.context();
-  const CallResult result = caller_.Run(spec, {});
+  const CallResult result = RunWhole(spec, in);
   Finish(spec, result, start, span);
   out.set_header(headers::kInstance, context_.self.value());
   if (result.verdict != Verdict::kAnswered) {
@@ -186,10 +222,11 @@
   }
   out.set_header(headers::kVerdict, std::string(ToString(result.verdict)));
   out.set_header(headers::kUpstream, result.upstream.value());
-  if (!result.versions.empty()) {
-    out.set_header(headers::kWeightVersions, FormatVersions(result.versions));
+  if (!result.version_names.empty()) {
+    out.set_header(headers::kWeightVersions, result.version_names);
   }
-  RespondJson(out, result.status, result.body);
+  out.status = result.status;
+  out.set_content(result.body, result.content_type.c_str());
 }
 
 void LiveHandler::AnswerStream(const CallSpec& call, httplib::Response& out) {
--- a/briarspread/gateway/live_handler.h
+++ b/briarspread/gateway/live_handler.h
@@ -3,6 +3,7 @@
 
 #include <httplib.h>
 
+#include "briarspread/gateway/keyed_requests.h"
 #include "briarspread/gateway/upstream_call.h"
 
 namespace briarspread {
@@ -12,7 +13,8 @@
 class LiveHandler {
  public:
   /// Precondition: all arguments outlive this object.
-  LiveHandler(const GatewayContext& context, UpstreamCaller& caller);
+  LiveHandler(const GatewayContext& context, UpstreamCaller& caller,
+              KeyedRequests& keyed, const PeerDirectory& peers);
 
   /// Adds the routes. Call before the server starts.
   void AddRoutes(httplib::Server& routes);
@@ -20,7 +22,12 @@
  private:
   void ServeCompletion(const httplib::Request& in, httplib::Response& out);
   void ServeService(const httplib::Request& in, httplib::Response& out);
-  void Answer(CallSpec spec, httplib::Response& out);
+  void Answer(CallSpec spec, const httplib::Request& in,
+              httplib::Response& out);
+  /// Runs a request that is answered whole; one with a key, at its home.
+  CallResult RunWhole(const CallSpec& spec, const httplib::Request& in);
+  KeyedRequest MakeKeyed(const CallSpec& spec,
+                         const httplib::Request& in) const;
   void AnswerStream(const CallSpec& call, httplib::Response& out);
   /// Fills in class, deadline, idempotency and headers by the rules. The error
   /// names a header that cannot be read.
@@ -35,6 +42,8 @@
 
   const GatewayContext context_;
   UpstreamCaller& caller_;
+  KeyedRequests& keyed_;
+  const PeerDirectory& peers_;
 };
 
 }  // namespace briarspread
--- a/briarspread/gateway/upstream_call.cc
+++ b/briarspread/gateway/upstream_call.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "briarspread/contracts/exchange_verdict.h"
 #include "briarspread/core/http_headers.h"
 #include "briarspread/routing/load_view.h"
 
@@ -12,7 +13,6 @@
 using Json = nlohmann::json;
 
 constexpr int kMaxAttempts = 3;
-constexpr int kHttpServerError = 500;
 constexpr int kHttpTooManyRequests = 429;
 constexpr int kHttpUnavailable = 503;
 constexpr milliseconds kRetryAfterNoUpstream{1000};
@@ -68,14 +68,6 @@
   const bool is_rollout_;
 };
 
-Verdict VerdictOf(const ExchangeOutcome& outcome) {
-  if (outcome.stage <= ExchangeStage::kConnecting) return Verdict::kNotRun;
-  if (outcome.stage != ExchangeStage::kEnded) return Verdict::kMayHaveRun;
-  if (IsRefusal(outcome.status)) return Verdict::kNotRun;
-  if (outcome.status >= kHttpServerError) return Verdict::kMayHaveRun;
-  return Verdict::kAnswered;
-}
-
 /// The request that continues a cut stream at its next token.
 std::string ResumeBody(const std::string& body,
                        const CompletionStream& stream) {
@@ -180,7 +172,10 @@
     result.has_all_versions = stream.has_all_versions();
   } else {
     ReadVersions(result.body, result);
+    const std::string type = FindHeader(outcome.headers, "Content-Type");
+    if (!type.empty()) result.content_type = type;
   }
+  result.version_names = FormatVersions(result.versions);
   return result;
 }
 
--- a/briarspread/gateway/upstream_call.h
+++ b/briarspread/gateway/upstream_call.h
@@ -46,7 +46,10 @@
   Verdict verdict = Verdict::kNotRun;
   /// The answer's status and body, where `kAnswered`.
   int status = 0;
+  std::string content_type = "application/json";
   std::string body;
+  /// The names of the versions that produced it, as the header lists them.
+  std::string version_names;
   /// The versions that produced it, by token, for completions.
   std::vector<VersionSpan> versions;
   /// Whether every token named its version.
--- a/briarspread/settings/entry_settings.cc
+++ b/briarspread/settings/entry_settings.cc
@@ -37,6 +37,8 @@
       ReadTime(json, "poll_interval_ms", settings.poll_interval);
   settings.heartbeat_interval =
       ReadTime(json, "heartbeat_interval_ms", settings.heartbeat_interval);
+  settings.store_region =
+      RegionId(json.value("store_region", settings.locality.region.value()));
   settings.peer_key = json.value("peer_key", "");
   settings.peer_authentication = json.value("peer_authentication", true);
   settings.trace_file = json.value("trace_file", "");
--- a/briarspread/settings/entry_settings.h
+++ b/briarspread/settings/entry_settings.h
@@ -20,6 +20,8 @@
   Endpoint listen;
   /// Where the platform's services listen.
   Endpoint platform;
+  /// The region that the weight store is in; this instance's own by default.
+  RegionId store_region;
   /// Threads that serve connections, one each.
   std::size_t http_threads = 512;
   /// The largest body taken, in bytes.
--- a/briarspread/settings/entry_settings_schema.h
+++ b/briarspread/settings/entry_settings_schema.h
@@ -26,6 +26,7 @@
     "region": {"type": "string", "minLength": 1, "maxLength": 64},
     "listen": {"$ref": "#/definitions/endpoint"},
     "platform": {"$ref": "#/definitions/endpoint"},
+    "store_region": {"type": "string", "minLength": 1, "maxLength": 64},
     "http_threads": {"type": "integer", "minimum": 8, "maximum": 4096},
     "max_body_bytes": {"type": "integer", "minimum": 1024,
                        "maximum": 67108864},
--- a/briarspread/transport/http_upstream_client.cc
+++ b/briarspread/transport/http_upstream_client.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "briarspread/transport/connect_probe.h"
+
 namespace briarspread {
 namespace {
 
@@ -122,6 +124,10 @@
   outcome.stage = StageOf(error, head_arrived);
   if (outcome.stage != ExchangeStage::kEnded) {
     outcome.failure = timed_out ? "timed out" : httplib::to_string(error);
+    // The library does not tell a refused connection from other failures.
+    outcome.refused =
+        error == httplib::Error::Connection &&
+        IsConnectionRefused(request.endpoint, request.connect_timeout);
     return outcome;
   }
   if (request.may_reuse_connection) {
--- a/scenarios/instance_killed.lua
+++ b/scenarios/instance_killed.lua
@@ -1,6 +1,6 @@
 -- Entry instances are killed and started again under re-sent quotes and orders.
 calls{kind="quote", target="desk", rate=60, seconds=14, twice=0.2, impatient=0.2}
-calls{kind="order", target="stock", rate=60, seconds=14, twice=0.2, impatient=0.2}
+calls{kind="order", target="orders", rate=60, seconds=14, twice=0.2, impatient=0.2}
 for _ = 1, 3 do
   local name = "entry-" .. random(4)
   sleep(2)
--- a/scripts/lib/processes.sh
+++ b/scripts/lib/processes.sh
@@ -13,7 +13,7 @@
     kill -CONT "$pid" 2>/dev/null || true
     kill "$pid" 2>/dev/null || true
   done
-  for _ in $(seq 50); do
+  for _ in $(seq 120); do
     [ -n "$(jobs -rp)" ] || break
     sleep 0.1
   done
@@ -103,6 +103,8 @@
   engine desk-2 $((base + 22)) desk aqp-a aqp 16
   service stock-1 $((base + 31)) stock lim-a lim
   service stock-2 $((base + 32)) stock aqp-a aqp
+  service orders-1 $((base + 41)) orders lim-b lim
+  service orders-2 $((base + 42)) orders aqp-a aqp
   "$bin/briarspread-rules" --platform_port="$base" apply examples/demo/rules.txt
   local zones=("lim-a lim" "lim-b lim" "aqp-a aqp") i
   for i in $(seq "$1"); do
