Rules: peers' news is heard while a call to the store hangs

The distributor now decides about the store and about peers apart, and the agent has a thread for each. A watcher leaves an announcement to its watch for 200 ms, and a call to the store that is 500 ms late counts as silence. An instance tells a few others at once of a revision that came into force (RulesAgent::SetAnnouncer; the digests carry it).

--- a/bench/rules_bench/fleet_model.h
+++ b/bench/rules_bench/fleet_model.h
@@ -35,6 +35,9 @@
   milliseconds call_timeout{2000};
   /// How often an instance sends its revision to one other, chosen at random.
   milliseconds digest_interval{500};
+  /// Instances, chosen at random, that an instance tells at once of a revision
+  /// that came into force there.
+  int announce_to = 3;
   /// Time between two changes.
   milliseconds change_interval{4000};
   /// Changes.
@@ -57,7 +60,8 @@
   int unfinished = 0;
   /// Store calls of the whole fleet in a minute without changes.
   double calls_per_idle_minute = 0;
-  /// Store calls of the whole fleet for each change, idle ones taken off.
+  /// Store calls of the whole fleet for each change, idle ones taken off; zero
+  /// where the store has outages.
   double calls_per_change = 0;
   /// Store calls of the whole fleet in a second while changes come in.
   double calls_per_second = 0;
--- a/briarspread/gateway/rules_agent.cc
+++ b/briarspread/gateway/rules_agent.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr int kHttpOk = 200;
-/// The thread looks at least this often whether something changed.
+/// The threads look at least this often whether something changed.
 constexpr milliseconds kLongestWait{1000};
 
 Revision ReadAbove(const httplib::Request& in) {
@@ -49,7 +49,8 @@
 }
 
 void RulesAgent::Start() {
-  thread_ = std::thread([this] { Run(); });
+  store_thread_ = std::thread([this] { RunStore(); });
+  peer_thread_ = std::thread([this] { RunPeers(); });
 }
 
 void RulesAgent::Stop() {
@@ -58,15 +59,27 @@
     stopping_ = true;
   }
   wake_.notify_all();
-  if (thread_.joinable()) thread_.join();
+  if (store_thread_.joinable()) store_thread_.join();
+  if (peer_thread_.joinable()) peer_thread_.join();
 }
 
-void RulesAgent::Run() {
+void RulesAgent::RunStore() {
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    lock.unlock();
+    const milliseconds wait = StepStore();
+    lock.lock();
+    wake_.wait_for(lock, std::min(wait, kLongestWait),
+                   [this] { return stopping_; });
+  }
+}
+
+void RulesAgent::RunPeers() {
   std::unique_lock lock(mutex_);
   while (!stopping_) {
     announced_ = false;
     lock.unlock();
-    const milliseconds wait = Step();
+    const milliseconds wait = StepPeers();
     lock.lock();
     wake_.wait_for(lock, std::min(wait, kLongestWait),
                    [this] { return stopping_ || announced_; });
@@ -96,6 +109,7 @@
   const Revision revision = rules.revision;
   state_.rules.Publish(std::make_unique<const RuleSet>(std::move(rules)));
   state_.has_rules = true;
+  if (announcer_) announcer_(revision);
   LOG(INFO) << "event=rules_in_force revision=" << revision;
 }
 
--- a/briarspread/gateway/rules_agent.h
+++ b/briarspread/gateway/rules_agent.h
@@ -2,9 +2,11 @@
 #define BRIARSPREAD_GATEWAY_RULES_AGENT_H_
 
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "briarspread/core/key_value_store.h"
@@ -27,10 +29,14 @@
 };
 
 /// Keeps the rules in force on this instance: performs what a
-/// `RuleDistributor` decides on one thread of its own, publishes new rules to
-/// the path of a request, and offers them to peers.
+/// `RuleDistributor` decides, on a thread for the store and one for peers,
+/// publishes new rules to the path of a request, and offers them to peers.
 class RulesAgent final : private RuleSink {
  public:
+  /// Tells some peers at once which revision came into force here. Called
+  /// while the agent's state is locked: must neither block nor call the agent.
+  using Announcer = std::function<void(Revision)>;
+
   /// Precondition: all arguments outlive this object.
   RulesAgent(const RulesAgentSettings& settings, KeyValueStore& store,
              UpstreamClient& client, ControlState& state, const Clock& clock,
@@ -41,9 +47,12 @@
 
   /// Adds `GET /v1/rules`. Precondition: the server has not started.
   void AddRoutes(httplib::Server& routes);
-  /// Starts the thread.
+  /// Sets what is called with each revision that comes into force.
+  /// Precondition: not started.
+  void SetAnnouncer(Announcer announcer) { announcer_ = std::move(announcer); }
+  /// Starts the threads.
   void Start();
-  /// Ends it; waits for a call to the store or a peer that is under way.
+  /// Ends them; waits for calls to the store or a peer that are under way.
   void Stop();
 
   /// What the platform's list shows. Safe to call from any thread.
@@ -51,15 +60,17 @@
   /// What a peer's digest says. Safe to call from any thread.
   void OnAnnouncement(const InstanceId& peer, Revision revision);
 
-  /// Performs one action; returns how long to wait for the next. Called by the
-  /// thread, or by a test in its place.
-  milliseconds Step() { return sync_.Step(); }
+  /// Performs one action about the store, or about peers; returns how long to
+  /// wait for the next. Called by the threads, or by a test in their place.
+  milliseconds StepStore() { return sync_.StepStore(); }
+  milliseconds StepPeers() { return sync_.StepPeers(); }
   /// Decides for this instance. Thread-safe.
   const RuleDistributor& distributor() const { return distributor_; }
 
  private:
   void Publish(RuleSet rules) override;
-  void Run();
+  void RunStore();
+  void RunPeers();
 
   /// As given.
   const RulesAgentSettings settings_;
@@ -75,14 +86,18 @@
   RuleSync sync_;
   /// Guards the two below.
   std::mutex mutex_;
-  /// Whether the thread is to end.
+  /// Whether the threads are to end.
   bool stopping_ = false;
   /// Whether something was announced since the last step.
   bool announced_ = false;
-  /// Wakes the thread.
+  /// Wakes the threads.
   std::condition_variable wake_;
-  /// Runs `Run`.
-  std::thread thread_;
+  /// Told of each revision that comes into force; may be empty.
+  Announcer announcer_;
+  /// Runs `RunStore`.
+  std::thread store_thread_;
+  /// Runs `RunPeers`.
+  std::thread peer_thread_;
 };
 
 }  // namespace briarspread
--- a/briarspread/rules/rule_distributor.cc
+++ b/briarspread/rules/rule_distributor.cc
@@ -39,53 +39,81 @@
       random_(random),
       store_retry_(settings.store_retry) {}
 
-RuleAction RuleDistributor::NextAction() {
+RuleAction RuleDistributor::NextStoreAction() {
   std::lock_guard lock(mutex_);
   const TimePoint now = clock_.Now();
-  if (const InstanceId* peer = PeerToAsk(now)) {
-    next_peer_call_ = now + Jittered(settings_.peer_poll);
-    return {RuleAction::Kind::kAskPeer, milliseconds(0), *peer};
+  if (now < next_store_call_) {
+    return {RuleAction::Kind::kWait, Until(next_store_call_, now), {}};
   }
-  if (now >= next_store_call_) {
-    store_call_started_ = now;
-    const bool watch =
-        is_watcher_ && !store_failing_ && known_.index > StoreIndex(0);
-    if (watch) return {RuleAction::Kind::kWatchStore, WatchWait(), {}};
-    return {RuleAction::Kind::kReadStore, milliseconds(0), {}};
-  }
-  TimePoint next = next_store_call_;
-  const bool asks_peers = store_failing_ || HighestAnnouncer() != nullptr;
-  if (asks_peers && !peers_.empty()) next = std::min(next, next_peer_call_);
-  return {RuleAction::Kind::kWait, Until(next, now), {}};
-}
-
-/// A peer that announced more than is in force; any peer while the store does
-/// not answer. Null where none is to be asked now.
-const InstanceId* RuleDistributor::PeerToAsk(TimePoint now) {
-  if (now < next_peer_call_) return nullptr;
-  const InstanceId* announcer = HighestAnnouncer();
-  // A watcher whose store answers hears of the change from there.
-  if (announcer != nullptr && (!is_watcher_ || store_failing_)) {
-    return announcer;
+  store_call_started_ = now;
+  store_call_due_ = now + settings_.store_grace;
+  const bool watch =
+      is_watcher_ && !store_failing_ && known_.index > StoreIndex(0);
+  if (!watch) return {RuleAction::Kind::kReadStore, milliseconds(0), {}};
+  const milliseconds wait = WatchWait();
+  store_call_due_ = now + wait + settings_.store_grace;
+  return {RuleAction::Kind::kWatchStore, wait, {}};
+}
+
+RuleAction RuleDistributor::NextPeerAction() {
+  std::lock_guard lock(mutex_);
+  const TimePoint now = clock_.Now();
+  if (const InstanceId* announcer = AnnouncerToAsk(now)) {
+    return {RuleAction::Kind::kAskPeer, milliseconds(0), *announcer};
   }
-  if (!store_failing_ || peers_.empty()) return nullptr;
-  return &peers_[random_.Below(peers_.size())].instance;
+  const bool asks_any =
+      IsStoreSilent(now) && !peers_.empty() && now >= next_peer_call_;
+  if (!asks_any) return {RuleAction::Kind::kWait, PeerWait(now), {}};
+  next_peer_call_ = now + Jittered(settings_.peer_poll);
+  const InstanceId& peer = peers_[random_.Below(peers_.size())].instance;
+  return {RuleAction::Kind::kAskPeer, milliseconds(0), peer};
+}
+
+bool RuleDistributor::IsStoreSilent(TimePoint now) const {
+  const bool late = store_call_due_.has_value() && now >= *store_call_due_;
+  return store_failing_ || late;
 }
 
-const InstanceId* RuleDistributor::HighestAnnouncer() const {
+/// When to act on an announcement: a watcher most likely hears from the store
+/// by then.
+TimePoint RuleDistributor::DueOf(const Announcement& announcement) const {
+  const bool leave_to_watch = is_watcher_ && !store_failing_;
+  if (!leave_to_watch) return announcement.since;
+  return announcement.since + settings_.watch_grace;
+}
+
+/// The one of the highest revision among those that are due, or null.
+const InstanceId* RuleDistributor::AnnouncerToAsk(TimePoint now) const {
   const InstanceId* highest = nullptr;
   Revision most = in_force_.revision;
-  for (const auto& [peer, revision] : announced_) {
-    if (revision <= most) continue;
-    most = revision;
+  for (const auto& [peer, announcement] : announced_) {
+    if (announcement.revision <= most || DueOf(announcement) > now) continue;
+    most = announcement.revision;
     highest = &peer;
   }
   return highest;
 }
 
+/// How long until there may be something to ask a peer for.
+milliseconds RuleDistributor::PeerWait(TimePoint now) const {
+  TimePoint next = now + settings_.peer_poll;
+  for (const auto& [peer, announcement] : announced_) {
+    next = std::min(next, DueOf(announcement));
+  }
+  if (IsStoreSilent(now)) {
+    next = std::min(next, std::max(next_peer_call_, now));
+  } else if (store_call_due_.has_value()) {
+    next = std::min(next, *store_call_due_);
+  }
+  // With no peer to ask, looking again at once would change nothing.
+  constexpr milliseconds kLeastWait{1};
+  return std::max(Until(next, now), kLeastWait);
+}
+
 void RuleDistributor::OnStoreAnswer(const Result<StoredRules>& answer) {
   std::lock_guard lock(mutex_);
   const TimePoint now = clock_.Now();
+  store_call_due_.reset();
   if (!IsOk(answer)) {
     ++counts_.store_failures;
     store_failing_ = true;
@@ -117,8 +145,7 @@
   // Whatever it answered, its announcement is used up: one that stays higher
   // comes with its next digest.
   announced_.erase(peer);
-  if (!IsOk(answer)) return;
-  if (Offer(ValueOf(answer))) next_peer_call_ = clock_.Now();
+  if (IsOk(answer)) Offer(ValueOf(answer));
 }
 
 bool RuleDistributor::OnAnnouncement(const InstanceId& peer,
@@ -126,10 +153,12 @@
   std::lock_guard lock(mutex_);
   if (revision <= in_force_.revision) return false;
   if (announced_.size() >= kMaxAnnouncements) announced_.clear();
-  Revision& known = announced_[peer];
-  if (known >= revision) return false;
-  known = revision;
-  return !is_watcher_ || store_failing_;
+  Announcement& known = announced_[peer];
+  if (known.revision >= revision) return false;
+  // A peer that moves on while it waits to be asked keeps its place.
+  if (known.revision <= in_force_.revision) known.since = clock_.Now();
+  known.revision = revision;
+  return true;
 }
 
 void RuleDistributor::OnMembers(std::vector<RuleMember> members) {
@@ -197,7 +226,7 @@
   in_force_ = offered;
   ++counts_.published;
   std::erase_if(announced_, [&](const auto& announcement) {
-    return announcement.second <= offered.revision;
+    return announcement.second.revision <= offered.revision;
   });
   sink_.Publish(std::move(*rules));
   return true;
--- a/briarspread/rules/rule_distributor.h
+++ b/briarspread/rules/rule_distributor.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 #include "briarspread/core/clock.h"
@@ -40,6 +41,10 @@
   milliseconds max_store_retry{4000};
   /// How often a peer is asked while the store does not answer.
   milliseconds peer_poll{1000};
+  /// How late a call to the store may be before peers are asked meanwhile.
+  milliseconds store_grace{500};
+  /// How long a watcher leaves a peer's announcement to its watch.
+  milliseconds watch_grace{200};
   /// Turned off only by tests that show what it protects from.
   bool only_higher_revisions = true;
 };
@@ -91,23 +96,28 @@
 /// watch the store, by rendezvous hashing; the others ask a peer that announces
 /// a higher revision. While the store does not answer, every instance also
 /// asks peers in turn, so that one that starts then gets rules too.
-/// Holds no thread: a caller performs `NextAction` and reports what came of it.
-/// Thread-safe; announcements may arrive while an action is under way.
+/// Holds no thread: a caller performs the next actions and reports what came of
+/// them, one about the store and one about peers at a time.
+/// Thread-safe; announcements may arrive while actions are under way.
 class RuleDistributor {
  public:
   /// Precondition: `sink`, `clock` and `random` outlive this object.
   RuleDistributor(const RuleDistributorSettings& settings, RuleSink& sink,
                   const Clock& clock, RandomSource& random);
 
-  /// What to do now. Precondition: the previous action was reported.
-  RuleAction NextAction();
+  /// What to do now about the store: a read, a watch or a wait.
+  /// Precondition: the previous such action was reported.
+  RuleAction NextStoreAction();
+  /// What to do now about peers: to ask one, or a wait. Goes on while a call to
+  /// the store hangs. Precondition: the previous such action was reported.
+  RuleAction NextPeerAction();
   /// What a read or a watch of the store gave.
   void OnStoreAnswer(const Result<StoredRules>& answer);
   /// What a peer gave.
   void OnPeerAnswer(const InstanceId& peer, const Result<RuleText>& answer);
 
   /// A peer's digest says that `revision` is in force there. Returns whether it
-  /// is news, so that a waiting caller should act.
+  /// is news, so that whoever waits for `NextPeerAction` should ask again.
   bool OnAnnouncement(const InstanceId& peer, Revision revision);
   /// The live instances, this one included or not.
   void OnMembers(std::vector<RuleMember> members);
@@ -122,6 +132,14 @@
   RuleDistributorCounts counts() const;
 
  private:
+  /// What a peer announced.
+  struct Announcement {
+    /// The revision in force there.
+    Revision revision;
+    /// When it was announced.
+    TimePoint since{};
+  };
+
   bool Offer(const RuleText& offered);
   void ChooseRole();
   std::size_t WatchersOfLargeFleet() const;
@@ -129,8 +147,10 @@
   milliseconds WatchWait() const;
   milliseconds LeastStoreInterval() const;
   milliseconds Jittered(milliseconds wait);
-  const InstanceId* PeerToAsk(TimePoint now);
-  const InstanceId* HighestAnnouncer() const;
+  bool IsStoreSilent(TimePoint now) const;
+  TimePoint DueOf(const Announcement& announcement) const;
+  const InstanceId* AnnouncerToAsk(TimePoint now) const;
+  milliseconds PeerWait(TimePoint now) const;
 
   /// As given.
   const RuleDistributorSettings settings_;
@@ -152,9 +172,11 @@
   TimePoint next_store_call_{};
   /// When the last call to the store started.
   TimePoint store_call_started_{};
+  /// When the call under way should have ended; empty: none is under way.
+  std::optional<TimePoint> store_call_due_;
   /// How long the next failed call is waited out.
   milliseconds store_retry_;
-  /// When a peer may be asked again.
+  /// When a peer that announced nothing may be asked again.
   TimePoint next_peer_call_{};
   /// The other live instances.
   std::vector<RuleMember> peers_;
@@ -163,7 +185,7 @@
   /// Whether this one does.
   bool is_watcher_ = true;
   /// Higher revisions that peers announced.
-  std::map<InstanceId, Revision> announced_;
+  std::map<InstanceId, Announcement> announced_;
   /// See `counts`.
   RuleDistributorCounts counts_;
 };
--- a/briarspread/rules/rule_sync.h
+++ b/briarspread/rules/rule_sync.h
@@ -8,18 +8,20 @@
 
 namespace briarspread {
 
-/// Performs the actions of a `RuleDistributor` with a store and peers. One
-/// thread at a time.
+/// Performs the actions of a `RuleDistributor` with a store and peers. Each of
+/// the two methods is for one thread at a time; they may run side by side.
 class RuleSync {
  public:
   /// Precondition: all arguments outlive this object.
   RuleSync(RuleDistributor& distributor, RuleStore& store, PeerRules& peers)
       : distributor_(distributor), store_(store), peers_(peers) {}
 
-  /// Performs one action, which may block as the store and the peers do.
-  /// Returns how long to wait before the next step; an announcement that is
-  /// news ends the wait early.
-  milliseconds Step();
+  /// Performs one action about the store, which may block as the store does.
+  /// Returns how long to wait before the next one.
+  milliseconds StepStore();
+  /// As `StepStore`, about peers; an announcement that is news ends the wait
+  /// early.
+  milliseconds StepPeers();
 
  private:
   /// Decides.
