--- a/briarspread/core/rcu_cell.h
+++ b/briarspread/core/rcu_cell.h
@@ -19,6 +19,9 @@
   RcuReadSection& operator=(const RcuReadSection&) = delete;
 };
 
+/// Whether the calling thread is in a read section.
+bool IsInRcuReadSection();
+
 /// Waits until every read section that was open at the call has been left.
 /// Precondition: the calling thread is in no read section.
 void RcuSynchronize();
@@ -62,6 +65,7 @@
   /// thread holds no guard. Safe from any thread.
   void Publish(std::unique_ptr<const T> value) {
     assert(value != nullptr);
+    assert(!IsInRcuReadSection());
     const T* old = nullptr;
     {
       std::lock_guard lock(publish_mutex_);
--- a/briarspread/gateway/entry.cc
+++ b/briarspread/gateway/entry.cc
@@ -10,7 +10,6 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t kTrainerWorkers = 64;
 /// How long the balancer may still send new work once readiness has dropped.
 constexpr milliseconds kBalancerLag{1000};
 constexpr milliseconds kDrainCheck{20};
@@ -30,12 +29,6 @@
   return platform;
 }
 
-PlatformPollerSettings PollerSettings(const EntrySettings& settings) {
-  PlatformPollerSettings poller;
-  poller.interval = settings.poll_interval;
-  return poller;
-}
-
 RulesAgentSettings RulesSettings(const EntrySettings& settings) {
   RulesAgentSettings rules;
   rules.distributor.self = settings.instance;
@@ -44,21 +37,35 @@
   return rules;
 }
 
+UpstreamMonitorSettings MonitorSettings(const EntrySettings& settings) {
+  UpstreamMonitorSettings monitor;
+  monitor.self = settings.locality;
+  monitor.interval = settings.poll_interval;
+  return monitor;
+}
+
 }  // namespace
 
 Entry::Entry(const EntrySettings& settings)
     : settings_(settings),
       random_(std::random_device{}()),
+      tracer_(settings.instance.value(), clock_, random_),
+      context_{settings.instance, state_, clock_, random_, metrics_, tracer_},
       client_(HttpUpstreamClientSettings{}, clock_),
       store_(PlatformSettings(settings), client_),
       list_(PlatformSettings(settings), client_),
-      caller_(state_, router_, client_, clock_),
-      live_(settings.instance, state_, caller_, clock_),
-      trainers_(state_, caller_, clock_, kTrainerWorkers),
+      router_(TwoChoicesSettings{}, random_, clock_),
+      gates_(clock_),
       rules_(RulesSettings(settings), store_, client_, state_, clock_, random_),
-      poller_(PollerSettings(settings), list_, client_, state_, clock_,
-              [this](const auto& listed) { rules_.OnInstances(listed); }),
-      server_(ServerSettings(settings)) {}
+      monitor_(MonitorSettings(settings), context_, list_, client_, gates_),
+      caller_(context_, router_, client_, gates_, monitor_.refusals()),
+      live_(context_, caller_),
+      trainers_(TrainerHandlerSettings{}, settings.peer_key, state_, caller_,
+                clock_),
+      server_(ServerSettings(settings)) {
+  monitor_.SetListObserver(
+      [this](const auto& listed) { rules_.OnInstances(listed); });
+}
 
 void Entry::AddOperatorRoutes() {
   httplib::Server& routes = server_.routes();
@@ -68,6 +75,9 @@
     const bool ready = state_.has_rules.load() && !state_.draining.load();
     RespondJson(out, ready ? 200 : 503, Json{{"ready", ready}}.dump());
   });
+  routes.Get("/metrics", [this](const auto&, auto& out) {
+    out.set_content(metrics_.ToPrometheus(), "text/plain; version=0.0.4");
+  });
   routes.Get("/v1/status", [this](const auto&, auto& out) {
     RespondJson(out, 200,
                 Json{{"instance", settings_.instance.value()},
@@ -80,6 +90,8 @@
 }
 
 Status Entry::Start() {
+  Status traced = tracer_.Open(settings_.trace_file);
+  if (!IsOk(traced)) return traced;
   AddOperatorRoutes();
   live_.AddRoutes(server_.routes());
   trainers_.AddRoutes(server_.routes());
@@ -87,7 +99,7 @@
   Status started = server_.Start();
   if (!IsOk(started)) return started;
   rules_.Start();
-  poller_.Start();
+  monitor_.Start();
   LOG(INFO) << "event=started instance=" << settings_.instance
             << " port=" << settings_.listen.port;
   return OkStatus();
@@ -104,8 +116,8 @@
   }
   const bool finished = state_.in_flight == 0;
   trainers_.Stop();
-  poller_.Stop();
   rules_.Stop();
+  monitor_.Stop();
   server_.Stop();
   LOG(INFO) << "event=drained finished=" << finished;
   return finished;
