--- a/tests/gateway/rules_agent_test.cc
+++ b/tests/gateway/rules_agent_test.cc
@@ -102,18 +102,18 @@
 }
 
 TEST_CASE("a malformed offer is refused") {
-  const char* const kBodies[] = {"",
-                                 "{]",
-                                 "[]",
-                                 "{}",
-                                 R"({"revision":-1})",
-                                 R"({"revision":"1"})",
-                                 R"({"revision":1,"text":2})"};
-  for (const std::string body : kBodies) {
+  const char* const bodies[] = {"",
+                                "{]",
+                                "[]",
+                                "{}",
+                                R"({"revision":-1})",
+                                R"({"revision":"1"})",
+                                R"({"revision":1,"text":2})"};
+  for (const std::string body : bodies) {
     INFO(body);
     REQUIRE_FALSE(IsOk(ParseOffer(body)));
   }
-  REQUIRE_FALSE(IsOk(ParseOffer(std::string(10'000'000, ' '))));
+  REQUIRE_FALSE(IsOk(ParseOffer(std::string(1'000'000, ' '))));
   const RuleText rules{Revision(3), kText};
   REQUIRE(ValueOf(ParseOffer(FormatOffer(rules, Revision(2)))) == rules);
   REQUIRE(ValueOf(ParseOffer(FormatOffer(rules, Revision(3)))).text.empty());
--- a/tests/rules/rule_distributor_test.cc
+++ b/tests/rules/rule_distributor_test.cc
@@ -226,7 +226,7 @@
   REQUIRE(fleet.Lowest() == Revision(1));
   const std::uint64_t before = fleet.memory.calls();
   const Revision revision = Accept(fleet);
-  int rounds = 0;
+  std::uint64_t rounds = 0;
   while (fleet.Lowest() < revision && rounds < 38) {
     fleet.ExchangeDigests();
     fleet.Run(milliseconds(500));
@@ -234,7 +234,7 @@
   }
   REQUIRE(fleet.Lowest() == revision);
   // A tenth of the store's 2000 reads a second, over those rounds.
-  REQUIRE(fleet.memory.calls() - before < 100U * rounds);
+  REQUIRE(fleet.memory.calls() - before < 100 * rounds);
 }
 
 TEST_CASE("all watchers of a zone die: another one takes over") {
@@ -247,6 +247,7 @@
   testing::RecordingSink sink;
   RuleDistributor distributor(settings, sink, clock, random);
   std::vector<RuleMember> members;
+  members.reserve(40);
   for (int i = 0; i < 40; ++i) {
     members.push_back({InstanceId("peer-" + std::to_string(i)), ZoneId("a")});
   }
--- a/tests/rules/rule_fuzz_test.cc
+++ b/tests/rules/rule_fuzz_test.cc
@@ -45,8 +45,9 @@
     RC_ASSERT(std::get<RuleSet>(ParseRules(formatted)) ==
               std::get<RuleSet>(ParseRules(text)));
     std::string plain;
-    for (const RuleLine& rule : document.rules)
+    for (const RuleLine& rule : document.rules) {
       plain += FormatRule(rule) + "\n";
+    }
     RC_ASSERT(std::get<RuleSet>(ParseRules(plain)) ==
               std::get<RuleSet>(ParseRules(text)));
   });
--- a/tests/rules/rules_fleet.h
+++ b/tests/rules/rules_fleet.h
@@ -96,7 +96,7 @@
 
   /// Replaces an instance by a new one, which knows nothing.
   void Replace(std::size_t i) {
-    reversals_of_replaced += instances[i]->sink.reversals;
+    reversals_of_replaced_ += instances[i]->sink.reversals;
     instances[i] = Make(i);
     TellMembers();
   }
@@ -112,7 +112,7 @@
 
   /// How often any instance went back.
   int Reversals() const {
-    int reversals = reversals_of_replaced;
+    int reversals = reversals_of_replaced_;
     for (const auto& instance : instances) {
       reversals += instance->sink.reversals;
     }
@@ -166,7 +166,7 @@
   }
 
   const RuleDistributorSettings settings_;
-  int reversals_of_replaced = 0;
+  int reversals_of_replaced_ = 0;
 };
 
 }  // namespace briarspread::testing
