--- a/briarspread/gateway/entry.h
+++ b/briarspread/gateway/entry.h
@@ -80,15 +80,16 @@
   PeerDirectory peers_;
   TwoChoicesRouter router_;
   PoolGates gates_;
+  RulesAgent rules_;
+  PeerReports reports_;
+  MembershipAgent membership_;
+  HomeAgent homes_;
+  /// Declared after all that it tells of a list.
   UpstreamMonitor monitor_;
   UpstreamCaller caller_;
-  HomeAgent homes_;
   KeyedRequests keyed_;
   LiveHandler live_;
   TrainerHandler trainers_;
-  RulesAgent rules_;
-  PeerReports reports_;
-  MembershipAgent membership_;
   RulesOnFencing fencing_;
   HttpEngineOrders orders_;
   WeightsAgent weights_;
--- a/tests/rules/rule_distributor_test.cc
+++ b/tests/rules/rule_distributor_test.cc
@@ -97,12 +97,49 @@
   // The next watch of the instance ends with nothing new: its event was lost.
   auto& victim = *fleet.instances[4];
   const StoredRules old = victim.distributor.Known();
-  victim.distributor.NextAction();
+  victim.distributor.NextStoreAction();
   victim.distributor.OnStoreAnswer(old);
   fleet.Run(seconds(2));
   REQUIRE(fleet.Lowest() == revision);
 }
 
+TEST_CASE("a call to the store that hangs does not keep peers' news away") {
+  RulesFleet fleet(kToday, {});
+  Accept(fleet);
+  fleet.Run(seconds(3));
+  const Revision revision = Accept(fleet);
+  auto& first = *fleet.instances[0];
+  auto& hung = *fleet.instances[1];
+  first.distributor.OnStoreAnswer(first.store.Read());
+  fleet.clock.Advance(seconds(2));
+  REQUIRE(hung.distributor.NextStoreAction().kind ==
+          RuleAction::Kind::kWatchStore);
+  REQUIRE(hung.distributor.OnAnnouncement(RulesFleet::Name(0), revision));
+  // For a moment it leaves the news to its watch, then it asks the peer.
+  REQUIRE(hung.distributor.NextPeerAction().kind == RuleAction::Kind::kWait);
+  fleet.clock.Advance(milliseconds(200));
+  hung.sync.StepPeers();
+  REQUIRE(hung.distributor.InForce().revision == revision);
+}
+
+TEST_CASE("a starting instance asks peers while its first read hangs") {
+  RulesFleet fleet(kToday, {});
+  Accept(fleet);
+  fleet.Run(seconds(3));
+  fleet.Replace(3);
+  auto& starting = *fleet.instances[3];
+  REQUIRE(starting.distributor.NextStoreAction().kind ==
+          RuleAction::Kind::kReadStore);
+  REQUIRE(starting.distributor.NextPeerAction().kind ==
+          RuleAction::Kind::kWait);
+  fleet.clock.Advance(milliseconds(500));
+  for (int i = 0; i < 4; ++i) {
+    starting.sync.StepPeers();
+    fleet.clock.Advance(seconds(1));
+  }
+  REQUIRE(starting.distributor.InForce().revision == Revision(1));
+}
+
 TEST_CASE("a peer's old revision is refused") {
   RulesFleet fleet(kToday, {});
   for (int i = 0; i < 5; ++i) Accept(fleet);
@@ -189,7 +226,7 @@
   REQUIRE(fleet.Lowest() == Revision(1));
   const std::uint64_t before = fleet.memory.calls();
   const Revision revision = Accept(fleet);
-  int rounds = 0;
+  std::uint64_t rounds = 0;
   while (fleet.Lowest() < revision && rounds < 38) {
     fleet.ExchangeDigests();
     fleet.Run(milliseconds(500));
@@ -197,7 +234,7 @@
   }
   REQUIRE(fleet.Lowest() == revision);
   // A tenth of the store's 2000 reads a second, over those rounds.
-  REQUIRE(fleet.memory.calls() - before < 100U * rounds);
+  REQUIRE(fleet.memory.calls() - before < 100 * rounds);
 }
 
 TEST_CASE("all watchers of a zone die: another one takes over") {
@@ -210,6 +247,7 @@
   testing::RecordingSink sink;
   RuleDistributor distributor(settings, sink, clock, random);
   std::vector<RuleMember> members;
+  members.reserve(40);
   for (int i = 0; i < 40; ++i) {
     members.push_back({InstanceId("peer-" + std::to_string(i)), ZoneId("a")});
   }
--- a/tests/rules/rules_fleet.h
+++ b/tests/rules/rules_fleet.h
@@ -45,8 +45,10 @@
   RecordingSink sink;
   RuleDistributor distributor;
   RuleSync sync;
-  /// When it acts next.
+  /// When it next acts about the store.
   TimePoint next{};
+  /// When it next acts about peers.
+  TimePoint next_peer{};
   /// Until when it is paused.
   TimePoint paused_until{};
 };
@@ -87,14 +89,14 @@
       if (instances[i]->paused_until > clock.Now()) continue;
       const Revision revision = instances[i]->distributor.InForce().revision;
       if (instance->distributor.OnAnnouncement(Name(i), revision)) {
-        instance->next = clock.Now();
+        instance->next_peer = clock.Now();
       }
     }
   }
 
   /// Replaces an instance by a new one, which knows nothing.
   void Replace(std::size_t i) {
-    reversals_of_replaced += instances[i]->sink.reversals;
+    reversals_of_replaced_ += instances[i]->sink.reversals;
     instances[i] = Make(i);
     TellMembers();
   }
@@ -110,7 +112,7 @@
 
   /// How often any instance went back.
   int Reversals() const {
-    int reversals = reversals_of_replaced;
+    int reversals = reversals_of_replaced_;
     for (const auto& instance : instances) {
       reversals += instance->sink.reversals;
     }
@@ -156,12 +158,15 @@
   void Act(FleetInstance& instance) {
     if (instance.paused_until > clock.Now()) return;
     for (int i = 0; i < kMaxSteps && instance.next <= clock.Now(); ++i) {
-      instance.next = clock.Now() + instance.sync.Step();
+      instance.next = clock.Now() + instance.sync.StepStore();
+    }
+    for (int i = 0; i < kMaxSteps && instance.next_peer <= clock.Now(); ++i) {
+      instance.next_peer = clock.Now() + instance.sync.StepPeers();
     }
   }
 
   const RuleDistributorSettings settings_;
-  int reversals_of_replaced = 0;
+  int reversals_of_replaced_ = 0;
 };
 
 }  // namespace briarspread::testing
