Keyed requests: the standby is asked where the owner is gone; epochs reach callers

Cause: after a takeover in memory the other instances still sent to the dead owner, and a key made after a takeover with a gap ended may-have-run. Change: forwards go to the standby of a home whose owner refuses connections, answers name the epoch and the client stamps its new keys with it. Left: homes whose commit waits are not refused at once.

--- a/briarspread/client/caller_client.cc
+++ b/briarspread/client/caller_client.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <thread>
 #include <utility>
@@ -47,7 +48,8 @@
 }
 
 CallerAnswer CallerClient::SendOnce(const CallerRequest& request,
-                                    const Endpoint& entry, milliseconds left) {
+                                    const Endpoint& entry, Epoch created_in,
+                                    milliseconds left) {
   UpstreamRequest sent;
   sent.endpoint = entry;
   sent.method = request.method;
@@ -60,8 +62,11 @@
                   {headers::kDeadline, std::to_string(left.count())}};
   if (!request.key.value().empty()) {
     sent.headers.push_back({headers::kIdempotencyKey, request.key.value()});
+    sent.headers.push_back(
+        {headers::kCreatedIn, std::to_string(created_in.value())});
   }
   ExchangeOutcome outcome = client_.Exchange(sent, nullptr);
+  NoteEpoch(outcome.headers);
   CallerAnswer answer;
   answer.status = outcome.status;
   answer.headers = std::move(outcome.headers);
@@ -77,6 +82,15 @@
   return answer;
 }
 
+void CallerClient::NoteEpoch(const std::vector<Header>& answer_headers) {
+  const std::string text = FindHeader(answer_headers, headers::kCreatedIn);
+  std::uint64_t epoch = 0;
+  std::from_chars(text.data(), text.data() + text.size(), epoch);
+  std::uint64_t known = epoch_.load();
+  while (epoch > known && !epoch_.compare_exchange_weak(known, epoch)) {
+  }
+}
+
 void CallerClient::Pause(const CallerAnswer& answer, milliseconds left) {
   const milliseconds jitter(
       static_cast<std::int64_t>(random_.Below(kShortestPause.count())));
@@ -86,6 +100,7 @@
 
 CallerAnswer CallerClient::Call(const CallerRequest& request) {
   const TimePoint deadline = clock_.Now() + request.deadline;
+  const Epoch created_in(epoch_.load());
   CallerAnswer answer;
   Verdict combined = Verdict::kNotRun;
   int sends = 0;
@@ -94,7 +109,7 @@
         std::chrono::duration_cast<milliseconds>(deadline - clock_.Now());
     if (left.count() <= 0) break;
     const Endpoint& entry = entries_[next_entry_++ % entries_.size()];
-    answer = SendOnce(request, entry, left);
+    answer = SendOnce(request, entry, created_in, left);
     ++sends;
     combined = Combine(combined, answer.verdict);
     // With a key, the service itself tells a re-send from a new request.
--- a/briarspread/client/caller_client.h
+++ b/briarspread/client/caller_client.h
@@ -55,7 +55,8 @@
 
  private:
   CallerAnswer SendOnce(const CallerRequest& request, const Endpoint& entry,
-                        milliseconds left);
+                        Epoch created_in, milliseconds left);
+  void NoteEpoch(const std::vector<Header>& answer_headers);
   /// Waits before a re-send: `Retry-After` if given, else a jittered pause.
   void Pause(const CallerAnswer& answer, milliseconds left);
 
@@ -65,6 +66,9 @@
   RandomSource& random_;
   /// Spreads calls over the instances in turn.
   std::atomic<std::size_t> next_entry_{0};
+  /// The highest epoch of the homes that an answer named. A key made now can't
+  /// have run under an earlier one.
+  std::atomic<std::uint64_t> epoch_{0};
 };
 
 }  // namespace briarspread
--- a/briarspread/contracts/at_most_once.cc
+++ b/briarspread/contracts/at_most_once.cc
@@ -169,6 +169,11 @@
   return it->second.claims.Claims();
 }
 
+bool AtMostOnce::IsServing(const HomeName& home) const {
+  const auto service = ServiceOf(home);
+  return service != nullptr && !service->is_deposed();
+}
+
 StandbyEvidence AtMostOnce::EvidenceOf(const SealedLog& log, bool has_copy,
                                        bool is_standby_dead) const {
   if (!log.standby.has_value()) return StandbyEvidence::kNone;
--- a/briarspread/contracts/at_most_once.h
+++ b/briarspread/contracts/at_most_once.h
@@ -65,6 +65,10 @@
   /// there. Refused where the copy is not in sync or the right has lapsed.
   Status TakeOverInMemory(const HomeName& home);
 
+  /// Whether this process serves the home, as its owner or after a takeover
+  /// without the store.
+  bool IsServing(const HomeName& home) const;
+
   /// Runs the heartbeats of all own homes.
   void Heartbeat();
   /// Writes the logs of all own homes.
--- a/briarspread/core/http_headers.h
+++ b/briarspread/core/http_headers.h
@@ -18,7 +18,8 @@
 inline constexpr char kUpstream[] = "Briarspread-Upstream";
 /// The instance that forwards a request to its key's home.
 inline constexpr char kForwardedBy[] = "Briarspread-Forwarded-By";
-/// The epoch under which the caller made its idempotency key.
+/// In answers, the epoch of the table of homes; in requests, the epoch that the
+/// caller knew when it made its idempotency key.
 inline constexpr char kCreatedIn[] = "Briarspread-Created-In";
 /// Authenticates calls between instances.
 inline constexpr char kPeerSignature[] = "Briarspread-Peer-Signature";
--- a/briarspread/gateway/home_agent.cc
+++ b/briarspread/gateway/home_agent.cc
@@ -192,18 +192,15 @@
 void HomeAgent::CreateFirstTable() {
   const TakeoverView view = View();
   std::vector<ProcessId> owners = {self_};
-  bool all_answered = true;
   for (const auto& [id, probed] : view.others) {
     if (probed.state == ProbeState::kAlive &&
         probed.incarnation != Incarnation(0)) {
       owners.push_back({id, probed.incarnation});
-    } else {
-      all_answered = false;
     }
   }
-  const bool waited =
-      context_.clock.Now() - started_ >= settings_.first_table_wait;
-  if (!waited && (!all_answered || owners.size() == 1)) return;
+  // The other instances of a new site start at about the same time.
+  const Duration waited = context_.clock.Now() - started_;
+  if (waited < settings_.first_table_wait) return;
   std::sort(owners.begin(), owners.end());
   const std::size_t n = std::min(settings_.max_homes,
                                  owners.size() * settings_.homes_per_instance);
@@ -236,6 +233,7 @@
   std::string way = "store";
   const bool is_store_out =
       !IsOk(taken) && ErrorOf(taken).code == ErrorCode::kUnavailable;
+  if (is_store_out && at_most_once_.IsServing(takeover.home)) return;
   if (is_store_out && takeover.is_owner_dead) {
     taken = at_most_once_.TakeOverInMemory(takeover.home);
     way = "memory";
--- a/briarspread/gateway/keyed_requests.cc
+++ b/briarspread/gateway/keyed_requests.cc
@@ -160,12 +160,23 @@
   return result;
 }
 
+std::optional<InstanceId> KeyedRequests::ServerOf(const Home& home) const {
+  // A silent instance might run the request later, so it is not even sent.
+  const InstanceId& owner = home.owner.instance;
+  const auto state = homes_.StateOf(owner);
+  if (state == ProbeState::kAlive) return owner;
+  const bool is_owner_gone = state == ProbeState::kGone;
+  if (is_owner_gone && homes_.StateOf(home.standby) == ProbeState::kAlive) {
+    return home.standby;
+  }
+  return std::nullopt;
+}
+
 CallResult KeyedRequests::Forward(const KeyedRequest& request,
                                   const Home& home) {
-  const auto address = peers_.Find(home.owner.instance);
-  const auto state = homes_.StateOf(home.owner.instance);
-  // A silent instance might run the request later, so it is not even sent.
-  if (!address.has_value() || state != ProbeState::kAlive) {
+  const auto server = ServerOf(home);
+  const auto address = server.has_value() ? peers_.Find(*server) : std::nullopt;
+  if (!address.has_value()) {
     return Failed(HomeUnavailable(home, kRetryAfterSilence));
   }
   ++context_.metrics.forwarded;
--- a/briarspread/gateway/keyed_requests.h
+++ b/briarspread/gateway/keyed_requests.h
@@ -41,6 +41,9 @@
   /// Blocks until about the deadline at most.
   CallResult Run(const KeyedRequest& request);
 
+  /// The epoch of the newest table of homes known. Thread-safe.
+  Epoch epoch() const { return homes_.at_most_once().table().epoch; }
+
  private:
   /// Runs a claimed request on a thread of its own, and waits for it until the
   /// caller's deadline. The run goes on beyond that: it can't be run again, so
@@ -48,6 +51,9 @@
   CallResult RunHere(const KeyedRequest& request);
   CallResult RunToEnd(const KeyedRequest& request);
   CallResult Forward(const KeyedRequest& request, const Home& home);
+  /// The instance that serves the home now: its owner, or its standby where the
+  /// owner's process is gone. Nothing where neither answers.
+  std::optional<InstanceId> ServerOf(const Home& home) const;
 
   const GatewayContext context_;
   UpstreamCaller& caller_;
--- a/briarspread/gateway/live_handler.cc
+++ b/briarspread/gateway/live_handler.cc
@@ -216,6 +216,7 @@
   const CallResult result = RunWhole(spec, in);
   Finish(spec, result, start, span);
   out.set_header(headers::kInstance, context_.self.value());
+  out.set_header(headers::kCreatedIn, std::to_string(keyed_.epoch().value()));
   if (result.verdict != Verdict::kAnswered) {
     RespondError(out, HttpStatusOf(result.error.code), result.error);
     return;
@@ -226,7 +227,7 @@
     out.set_header(headers::kWeightVersions, result.version_names);
   }
   out.status = result.status;
-  out.set_content(result.body, result.content_type.c_str());
+  out.set_content(result.body, result.content_type);
 }
 
 void LiveHandler::AnswerStream(const CallSpec& call, httplib::Response& out) {
--- a/briarspread/gateway/upstream_call.cc
+++ b/briarspread/gateway/upstream_call.cc
@@ -186,8 +186,9 @@
   if (outcome.stage == ExchangeStage::kEnded && IsRefusal(outcome.status)) {
     refusals_.OnRefusal(target.id, *target.counters, now);
   }
-  if (verdict == Verdict::kAnswered)
+  if (verdict == Verdict::kAnswered) {
     RecordServiceTime(*target.counters, latency);
+  }
   if (target.breaker == nullptr || outcome.cancelled) return;
   if (verdict == Verdict::kAnswered) {
     target.breaker->OnSuccess(now);
--- a/programs/scenario/live_callers.cc
+++ b/programs/scenario/live_callers.cc
@@ -22,6 +22,16 @@
   return RequestKey(body.value(field, ""));
 }
 
+/// Why there was no answer, in the words of the error.
+std::string ReasonOf(const CallerAnswer& answer) {
+  const Json body = Json::parse(answer.body, nullptr, false);
+  const std::string verdict(ToString(answer.verdict));
+  if (!body.is_object() || !body.contains("error")) {
+    return verdict + ": no whole answer";
+  }
+  return verdict + ": " + body["error"].value("message", "");
+}
+
 /// Whether the answer holds all that its kind owes.
 bool IsWhole(const CallerPlan& plan, const CallerAnswer& answer) {
   const Json body = Json::parse(answer.body, nullptr, false);
@@ -74,6 +84,11 @@
   return records_;
 }
 
+std::map<std::string, std::uint64_t> LiveCallers::reasons() const {
+  std::lock_guard lock(mutex_);
+  return reasons_;
+}
+
 CallerRequest LiveCallers::MakeRequest(const CallerPlan& plan,
                                        const std::string& key) const {
   CallerRequest request;
@@ -131,6 +146,7 @@
     record.whole = IsWhole(plan, answer);
   }
   std::lock_guard lock(mutex_);
+  if (record.verdict != Verdict::kAnswered) ++reasons_[ReasonOf(answer)];
   records_.push_back(std::move(record));
 }
 
--- a/programs/scenario/live_callers.h
+++ b/programs/scenario/live_callers.h
@@ -2,6 +2,7 @@
 #define PROGRAMS_SCENARIO_LIVE_CALLERS_H_
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -45,6 +46,8 @@
   void Wait();
   /// All calls that have ended.
   std::vector<CallRecord> records() const;
+  /// How many calls ended without an answer, by the error's message.
+  std::map<std::string, std::uint64_t> reasons() const;
 
  private:
   void CallOnce(const CallerPlan& plan, std::uint64_t plan_number,
@@ -64,6 +67,7 @@
   mutable std::mutex mutex_;
   std::vector<std::unique_ptr<PacedCalls>> running_;
   std::vector<CallRecord> records_;
+  std::map<std::string, std::uint64_t> reasons_;
 };
 
 }  // namespace briarspread
--- a/programs/scenario/main.cc
+++ b/programs/scenario/main.cc
@@ -89,6 +89,9 @@
   history.leaves = runner.leaves();
   const auto reports = CheckHistory(history, {});
   Print(reports, history);
+  for (const auto& [reason, n] : callers.reasons()) {
+    std::cout << "  unanswered " << n << ": " << reason << "\n";
+  }
   return HasViolations(reports) ? kExitBroken : kExitKept;
 }
 
--- /dev/null
+++ b/scenarios/outage_and_kill.lua
@@ -0,0 +1,11 @@
+-- The key-value service goes out; an entry instance is killed meanwhile.
+sleep(4)
+calls{kind="quote", target="desk", rate=60, seconds=16, twice=0.2, impatient=0.2}
+calls{kind="order", target="orders", rate=60, seconds=16, twice=0.2, impatient=0.2}
+sleep(2)
+fault("platform", {outage=true})
+sleep(3)
+kill("entry-" .. random(4))
+sleep(6)
+fault("platform", {outage=false})
+wait()
