Claims: an answer made up by the network names its batch

Ruled out by timing each step: slow store calls, slow standby calls, slow commits. Change: HttpClaimWitness copies the sequence; test first seen with the fault in the scenario.

--- a/briarspread/gateway/http_claim_witness.cc
+++ b/briarspread/gateway/http_claim_witness.cc
@@ -5,9 +5,12 @@
 
 constexpr int kHttpOk = 200;
 
-WitnessAnswer AnswerOf(WitnessOutcome outcome) {
+/// What the network made of `batch`. Names its sequence, without which the home
+/// would take it for an answer to another batch and wait on.
+WitnessAnswer AnswerOf(const WitnessBatch& batch, WitnessOutcome outcome) {
   WitnessAnswer answer;
   answer.outcome = outcome;
+  answer.sequence = batch.sequence;
   return answer;
 }
 
@@ -20,7 +23,7 @@
 WitnessAnswer HttpClaimWitness::Send(const InstanceId& standby,
                                      const WitnessBatch& batch) {
   const auto address = peers_.Find(standby);
-  if (!address.has_value()) return AnswerOf(WitnessOutcome::kNoAnswer);
+  if (!address.has_value()) return AnswerOf(batch, WitnessOutcome::kNoAnswer);
   UpstreamRequest request;
   request.endpoint = address->endpoint;
   request.path = kWitnessPath;
@@ -29,12 +32,13 @@
   request.timeout = timeout_;
   peers_.Sign(request);
   const ExchangeOutcome outcome = client_.Exchange(request, nullptr);
-  if (outcome.refused) return AnswerOf(WitnessOutcome::kProcessDead);
+  if (outcome.refused) return AnswerOf(batch, WitnessOutcome::kProcessDead);
   if (outcome.stage != ExchangeStage::kEnded || outcome.status != kHttpOk) {
-    return AnswerOf(WitnessOutcome::kNoAnswer);
+    return AnswerOf(batch, WitnessOutcome::kNoAnswer);
   }
   const auto answer = ParseWitnessAnswer(outcome.body);
-  return IsOk(answer) ? ValueOf(answer) : AnswerOf(WitnessOutcome::kNoAnswer);
+  return IsOk(answer) ? ValueOf(answer)
+                      : AnswerOf(batch, WitnessOutcome::kNoAnswer);
 }
 
 }  // namespace briarspread
--- /dev/null
+++ b/tests/gateway/http_claim_witness_test.cc
@@ -0,0 +1,77 @@
+#include "briarspread/gateway/http_claim_witness.h"
+
+#include <catch2/catch.hpp>
+
+#include "tests/support/manual_clock.h"
+
+namespace briarspread {
+namespace {
+
+/// Ends each exchange as told.
+class ScriptedClient final : public UpstreamClient {
+ public:
+  ExchangeOutcome Exchange(const UpstreamRequest& /*request*/,
+                           ResponseReceiver* /*receiver*/) override {
+    return next;
+  }
+  ExchangeOutcome next;
+};
+
+ListedInstance Standby() {
+  ListedInstance listed;
+  listed.name = "b";
+  listed.endpoint = {"127.0.0.1", 1};
+  return listed;
+}
+
+TEST_CASE("an answer that the network makes up names the batch") {
+  testing::ManualClock clock;
+  PeerDirectory peers(InstanceId("a"), "0123456789abcdef", clock);
+  ScriptedClient client;
+  HttpClaimWitness witness(peers, client, milliseconds(100));
+  WitnessBatch batch;
+  batch.sequence = 7;
+
+  // Not listed: nobody was asked.
+  WitnessAnswer answer = witness.Send(InstanceId("b"), batch);
+  REQUIRE(answer.outcome == WitnessOutcome::kNoAnswer);
+  REQUIRE(answer.sequence == 7);
+
+  peers.OnList({Standby()});
+  SECTION("refused: the process is gone") {
+    client.next.stage = ExchangeStage::kConnecting;
+    client.next.refused = true;
+    answer = witness.Send(InstanceId("b"), batch);
+    REQUIRE(answer.outcome == WitnessOutcome::kProcessDead);
+  }
+  SECTION("cut: no answer") {
+    client.next.stage = ExchangeStage::kSent;
+    answer = witness.Send(InstanceId("b"), batch);
+    REQUIRE(answer.outcome == WitnessOutcome::kNoAnswer);
+  }
+  SECTION("malformed: no answer") {
+    client.next.stage = ExchangeStage::kEnded;
+    client.next.status = 200;
+    client.next.body = "{}";
+    answer = witness.Send(InstanceId("b"), batch);
+    REQUIRE(answer.outcome == WitnessOutcome::kNoAnswer);
+  }
+  REQUIRE(answer.sequence == 7);
+}
+
+TEST_CASE("only a call signed with the key is an instance's") {
+  testing::ManualClock clock;
+  const PeerDirectory peers(InstanceId("a"), "0123456789abcdef", clock);
+  UpstreamRequest request;
+  request.path = "/peer/v1/witness";
+  request.body = "{}";
+  peers.Sign(request);
+  const std::string signature = request.headers.at(0).value;
+  REQUIRE(peers.IsSigned(request.path, request.body, signature));
+  REQUIRE_FALSE(peers.IsSigned(request.path, "{ }", signature));
+  REQUIRE_FALSE(peers.IsSigned("/peer/v1/other", request.body, signature));
+  REQUIRE_FALSE(peers.IsSigned(request.path, request.body, ""));
+}
+
+}  // namespace
+}  // namespace briarspread
--- a/tests/observe/observe_test.cc
+++ b/tests/observe/observe_test.cc
@@ -29,6 +29,7 @@
 TEST_CASE("threads count the same labels without losing any") {
   EntryMetrics metrics;
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int t = 0; t < 4; ++t) {
     threads.emplace_back([&metrics] {
       for (int i = 0; i < 1000; ++i) {
--- a/tests/transport/connect_probe_test.cc
+++ b/tests/transport/connect_probe_test.cc
@@ -21,7 +21,7 @@
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t n = sizeof(address);
   auto* generic = reinterpret_cast<sockaddr*>(&address);
-  bind(fd, generic, n);
+  REQUIRE(bind(fd, generic, n) == 0);
   getsockname(fd, generic, &n);
   close(fd);
   return ntohs(address.sin_port);
