--- a/briarspread/core/result.cc
+++ b/briarspread/core/result.cc
@@ -8,6 +8,8 @@
       return "invalid-argument";
     case ErrorCode::kUnauthenticated:
       return "unauthenticated";
+    case ErrorCode::kForbidden:
+      return "forbidden";
     case ErrorCode::kNotFound:
       return "not-found";
     case ErrorCode::kConflict:
--- a/briarspread/core/result.h
+++ b/briarspread/core/result.h
@@ -17,6 +17,7 @@
 enum class ErrorCode {
   kInvalidArgument,
   kUnauthenticated,
+  kForbidden,
   kNotFound,
   kConflict,
   kOverloaded,
--- a/briarspread/gateway/control_state.h
+++ b/briarspread/gateway/control_state.h
@@ -20,6 +20,8 @@
   std::atomic<bool> has_rules{false};
   /// Whether the instance is shutting down and refuses new work.
   std::atomic<bool> draining{false};
+  /// Entry instances listed; the fleet's limits are shared out by it.
+  std::atomic<std::uint32_t> instances{1};
   /// Requests in flight, all kinds.
   std::atomic<std::int64_t> in_flight{0};
 };
--- a/briarspread/gateway/error_body.cc
+++ b/briarspread/gateway/error_body.cc
@@ -10,9 +10,10 @@
 ErrorCode ParseCode(const std::string& name) {
   for (const ErrorCode code :
        {ErrorCode::kInvalidArgument, ErrorCode::kUnauthenticated,
-        ErrorCode::kNotFound, ErrorCode::kConflict, ErrorCode::kOverloaded,
-        ErrorCode::kUnavailable, ErrorCode::kDeadlineExceeded,
-        ErrorCode::kStale, ErrorCode::kRefusedForGood}) {
+        ErrorCode::kForbidden, ErrorCode::kNotFound, ErrorCode::kConflict,
+        ErrorCode::kOverloaded, ErrorCode::kUnavailable,
+        ErrorCode::kDeadlineExceeded, ErrorCode::kStale,
+        ErrorCode::kRefusedForGood}) {
     if (ToString(code) == name) return code;
   }
   return ErrorCode::kInternal;
--- a/briarspread/gateway/live_handler.cc
+++ b/briarspread/gateway/live_handler.cc
@@ -65,7 +65,11 @@
 
 LiveHandler::LiveHandler(const GatewayContext& context, UpstreamCaller& caller,
                          KeyedRequests& keyed, const PeerDirectory& peers)
-    : context_(context), caller_(caller), keyed_(keyed), peers_(peers) {}
+    : context_(context),
+      caller_(caller),
+      keyed_(keyed),
+      peers_(peers),
+      limits_(RateLimiterSettings{}, context.clock) {}
 
 void LiveHandler::AddRoutes(httplib::Server& routes) {
   routes.Post("/v1/completions",
@@ -100,6 +104,11 @@
   const CustomerId customer(in.get_header_value(headers::kCustomer));
   const RequestClass request_class(in.get_header_value(headers::kRequestClass));
   const auto rules = context_.state.rules.Read();
+  if (!rules->MayUse(request_class, serves)) {
+    return Error{ErrorCode::kForbidden, Verdict::kNotRun,
+                 "the rules do not let class '" + request_class.value() +
+                     "' use '" + serves + "'"};
+  }
   const PriorityRule priority = rules->PriorityOf(customer, request_class);
   CallSpec spec;
   spec.route.kind = kind;
@@ -148,7 +157,7 @@
   const bool is_keyed =
       !call.idempotent && in.has_header(headers::kIdempotencyKey);
   if (call.stream && !is_keyed) {
-    AnswerStream(call, out);
+    AnswerStream(call, in, out);
   } else {
     Answer(call, in, out);
   }
@@ -166,6 +175,18 @@
   Answer(ValueOf(spec), in, out);
 }
 
+Result<RatePermit> LiveHandler::EnterLimit(const CallSpec& spec,
+                                           const httplib::Request& in) {
+  if (in.has_header(headers::kForwardedBy)) return RatePermit();
+  const CustomerId customer(in.get_header_value(headers::kCustomer));
+  const RequestClass& request_class = spec.route.request_class;
+  const auto limit =
+      context_.state.rules.Read()->LimitOf(customer, request_class);
+  const std::uint32_t instances = context_.state.instances.load();
+  limits_.SetInstances(instances);
+  return limits_.Enter(customer, request_class, limit);
+}
+
 void LiveHandler::Finish(const CallSpec& spec, const CallResult& result,
                          TimePoint start, Span& span) {
   span.Set("class", spec.route.request_class.value());
@@ -213,7 +234,13 @@
   const TimePoint start = context_.clock.Now();
   Span span = context_.tracer.Start("request", spec.trace);
   spec.trace = span.context();
-  const CallResult result = RunWhole(spec, in);
+  const auto permit = EnterLimit(spec, in);
+  CallResult result;
+  if (IsOk(permit)) {
+    result = RunWhole(spec, in);
+  } else {
+    result.error = ErrorOf(permit);
+  }
   Finish(spec, result, start, span);
   out.set_header(headers::kInstance, context_.self.value());
   out.set_header(headers::kCreatedIn, std::to_string(keyed_.epoch().value()));
@@ -230,12 +257,18 @@
   out.set_content(result.body, result.content_type);
 }
 
-void LiveHandler::AnswerStream(const CallSpec& call, httplib::Response& out) {
+void LiveHandler::AnswerStream(const CallSpec& call, const httplib::Request& in,
+                               httplib::Response& out) {
+  const auto permit = EnterLimit(call, in);
+  if (!IsOk(permit)) {
+    RespondError(out, HttpStatusOf(ErrorOf(permit).code), ErrorOf(permit));
+    return;
+  }
   out.set_header(headers::kInstance, context_.self.value());
   out.set_chunked_content_provider(
       "text/event-stream",
-      [this, spec = call](std::size_t /*offset*/,
-                          httplib::DataSink& sink) mutable {
+      [this, spec = call, permit](std::size_t /*offset*/,
+                                  httplib::DataSink& sink) mutable {
         const InFlight in_flight(context_.state);
         const TimePoint start = context_.clock.Now();
         Span span = context_.tracer.Start("request", spec.trace);
--- a/briarspread/gateway/live_handler.h
+++ b/briarspread/gateway/live_handler.h
@@ -3,6 +3,7 @@
 
 #include <httplib.h>
 
+#include "briarspread/admission/rate_limiter.h"
 #include "briarspread/gateway/keyed_requests.h"
 #include "briarspread/gateway/upstream_call.h"
 
@@ -28,7 +29,8 @@
   CallResult RunWhole(const CallSpec& spec, const httplib::Request& in);
   KeyedRequest MakeKeyed(const CallSpec& spec,
                          const httplib::Request& in) const;
-  void AnswerStream(const CallSpec& call, httplib::Response& out);
+  void AnswerStream(const CallSpec& call, const httplib::Request& in,
+                    httplib::Response& out);
   /// Fills in class, deadline, idempotency and headers by the rules. The error
   /// names a header that cannot be read.
   Result<CallSpec> MakeSpec(const httplib::Request& in, InstanceKind kind,
@@ -36,6 +38,10 @@
   /// Refuses at once where the instance cannot serve now.
   bool RefuseWhereUnready(httplib::Response& out) const;
 
+  /// Admits a caller's request by the `limit` rule; one that another instance
+  /// forwards was counted there.
+  Result<RatePermit> EnterLimit(const CallSpec& spec,
+                                const httplib::Request& in);
   /// Counts the request and ends its span.
   void Finish(const CallSpec& spec, const CallResult& result, TimePoint start,
               Span& span);
@@ -44,6 +50,8 @@
   UpstreamCaller& caller_;
   KeyedRequests& keyed_;
   const PeerDirectory& peers_;
+  /// Holds customers to their limits.
+  RateLimiter limits_;
 };
 
 }  // namespace briarspread
--- a/briarspread/gateway/trainer_handler.h
+++ b/briarspread/gateway/trainer_handler.h
@@ -66,6 +66,9 @@
     TrainerRule RuleOf(const TrainerId& trainer) const override {
       return state_.rules.Read()->TrainerRuleOf(trainer);
     }
+    std::optional<double> StalenessWeight() const override {
+      return state_.rules.Read()->StalenessWeight();
+    }
 
    private:
     const ControlState& state_;
--- a/briarspread/gateway/upstream_monitor.cc
+++ b/briarspread/gateway/upstream_monitor.cc
@@ -131,6 +131,7 @@
   }
   breakers_.SetListed(listed_);
   const InstanceShare share = ShareOfEntries();
+  context_.state.instances = share.count;
   std::vector<UpstreamView> views;
   for (const ListedInstance& listed : listed_) {
     if (listed.kind == InstanceKind::kEntry) continue;
--- a/briarspread/rollout/lead_policy.h
+++ b/briarspread/rollout/lead_policy.h
@@ -1,6 +1,8 @@
 #ifndef BRIARSPREAD_ROLLOUT_LEAD_POLICY_H_
 #define BRIARSPREAD_ROLLOUT_LEAD_POLICY_H_
 
+#include <optional>
+
 #include "briarspread/core/clock.h"
 
 namespace briarspread {
@@ -24,7 +26,9 @@
 
   /// Whether work that is expected to take `work` and is needed in
   /// `until_need` starts now.
-  bool StartsNow(Duration until_need, Duration work) const;
+  /// `staleness_weight`, in [0, 1], goes before the settings' where given.
+  bool StartsNow(Duration until_need, Duration work,
+                 std::optional<double> staleness_weight = std::nullopt) const;
 
  private:
   const LeadSettings settings_;
--- a/briarspread/rollout/rollout_scheduler.h
+++ b/briarspread/rollout/rollout_scheduler.h
@@ -39,6 +39,8 @@
   virtual ~TrainerRules() = default;
   /// The trainer's share and bound, or the defaults.
   virtual TrainerRule RuleOf(const TrainerId& trainer) const = 0;
+  /// The objective in force, in [0, 1]; empty leaves it to the settings.
+  virtual std::optional<double> StalenessWeight() const { return std::nullopt; }
 };
 
 /// A free slot on the engines.
--- a/briarspread/transport/http_server.cc
+++ b/briarspread/transport/http_server.cc
@@ -106,6 +106,8 @@
       return 400;
     case ErrorCode::kUnauthenticated:
       return 401;
+    case ErrorCode::kForbidden:
+      return 403;
     case ErrorCode::kNotFound:
       return 404;
     case ErrorCode::kConflict:
--- /dev/null
+++ b/tests/gateway/rules_in_force_test.cc
@@ -0,0 +1,176 @@
+// Shows that a changed rule line changes what the data path does.
+
+#include <catch2/catch.hpp>
+#include <mutex>
+
+#include "briarspread/core/http_headers.h"
+#include "briarspread/gateway/live_handler.h"
+#include "briarspread/gateway/upstream_monitor.h"
+#include "briarspread/routing/two_choices_router.h"
+#include "briarspread/rules/rule_parser.h"
+#include "briarspread/transport/http_server.h"
+#include "tests/support/free_port.h"
+#include "tests/support/memory_store.h"
+
+namespace briarspread {
+namespace {
+
+/// An upstream that keeps what it is sent and answers as told.
+class RecordingClient final : public UpstreamClient {
+ public:
+  ExchangeOutcome Exchange(const UpstreamRequest& request,
+                           ResponseReceiver* /*receiver*/) override {
+    std::lock_guard lock(mutex_);
+    sent.push_back(request);
+    return answer;
+  }
+  /// What it was sent.
+  std::vector<UpstreamRequest> sent;
+  ExchangeOutcome answer;
+
+ private:
+  std::mutex mutex_;
+};
+
+/// The data path of one entry instance before one engine of the model `desk`.
+class DataPath {
+ public:
+  DataPath() {
+    client.answer.stage = ExchangeStage::kEnded;
+    client.answer.status = 200;
+    client.answer.body = "{}";
+    HttpServerSettings settings;
+    settings.listen = endpoint_;
+    settings.threads = 8;
+    server_ = std::make_unique<HttpServer>(settings);
+    live_.AddRoutes(server_->routes());
+    REQUIRE(IsOk(server_->Start()));
+    PublishEngine();
+  }
+
+  /// Puts rules in force.
+  void SetRules(const std::string& text) {
+    const auto parsed = ParseRules(text);
+    REQUIRE(std::holds_alternative<RuleSet>(parsed));
+    state_.rules.Publish(
+        std::make_unique<const RuleSet>(std::get<RuleSet>(parsed)));
+    state_.has_rules = true;
+  }
+
+  /// Calls as a buyer and returns the status.
+  int Call() {
+    httplib::Client caller(endpoint_.host, endpoint_.port);
+    const httplib::Headers headers = {{headers::kCustomer, "andes"},
+                                      {headers::kRequestClass, "quote"}};
+    const auto answer =
+        caller.Post("/v1/completions", headers,
+                    R"({"model":"desk","prompt":"p"})", "application/json");
+    REQUIRE(answer);
+    verdict = answer->get_header_value(headers::kVerdict);
+    retry_after = answer->get_header_value(headers::kRetryAfter);
+    return answer->status;
+  }
+
+  RecordingClient client;
+  /// Headers of the last answer.
+  std::string verdict;
+  std::string retry_after;
+
+ private:
+  void PublishEngine() {
+    UpstreamView engine;
+    engine.listed.name = "desk-1";
+    engine.listed.kind = InstanceKind::kModelEngine;
+    engine.listed.serves = "desk";
+    engine.load.slots = 8;
+    engine.counters = std::make_shared<UpstreamCounters>();
+    auto table = MakeRoutingTable({engine}, Locality{}, links_);
+    gates_.Update(*table, RuleSet{});
+    state_.routing.Publish(std::move(table));
+  }
+
+  const Endpoint endpoint_{"127.0.0.1", testing::FreePort()};
+  const InstanceId self_{"entry-1"};
+  SystemClock clock_;
+  SeededRandom random_{1};
+  ControlState state_;
+  EntryMetrics metrics_;
+  Tracer tracer_{"entry-1", clock_, random_};
+  const GatewayContext context_{self_,   state_,   clock_,
+                                random_, metrics_, tracer_};
+  testing::MemoryStore store_;
+  LinkBudget links_;
+  TwoChoicesRouter router_{TwoChoicesSettings{}, random_, clock_};
+  PoolGates gates_{clock_};
+  RefusalWatch refusals_{RefusalWatchSettings{}};
+  UpstreamCaller caller_{context_, router_, client, gates_, refusals_};
+  PeerDirectory peers_{self_, "", clock_};
+  HomeAgent homes_{
+      HomeAgentSettings{}, context_, Incarnation(1), store_, client, peers_};
+  KeyedRequests keyed_{context_, caller_, homes_, peers_, client};
+  LiveHandler live_{context_, caller_, keyed_, peers_};
+  std::unique_ptr<HttpServer> server_;
+};
+
+TEST_CASE("nothing is served before rules are there") {
+  DataPath path;
+  REQUIRE(path.Call() == 503);
+  REQUIRE(path.verdict == "not-run");
+  path.SetRules("priority # Rosa\n");
+  REQUIRE(path.Call() == 200);
+}
+
+TEST_CASE("an access line keeps a class from a model") {
+  DataPath path;
+  path.SetRules("access class=quote serves=rollout # Rosa\n");
+  REQUIRE(path.Call() == 403);
+  REQUIRE(path.verdict == "not-run");
+  REQUIRE(path.client.sent.empty());
+  path.SetRules("access class=quote serves=rollout,desk # Rosa\n");
+  REQUIRE(path.Call() == 200);
+}
+
+TEST_CASE("a limit line refuses what is beyond it, with a time to come back") {
+  DataPath path;
+  path.SetRules("limit customer=andes class=quote rate=1/s # Rosa\n");
+  REQUIRE(path.Call() == 200);
+  REQUIRE(path.Call() == 429);
+  REQUIRE(path.verdict == "not-run");
+  REQUIRE(path.retry_after == "1");
+  REQUIRE(path.client.sent.size() == 1);
+  path.SetRules("limit customer=other class=quote rate=1/s # Rosa\n");
+  REQUIRE(path.Call() == 200);
+}
+
+TEST_CASE("a drain line keeps new work from an upstream") {
+  DataPath path;
+  path.SetRules("drain upstream=desk-1 # Rosa\n");
+  REQUIRE(path.Call() == 503);
+  REQUIRE(path.verdict == "not-run");
+  path.SetRules("drain upstream=desk-2 # Rosa\n");
+  REQUIRE(path.Call() == 200);
+}
+
+TEST_CASE("a priority line reaches the engine") {
+  DataPath path;
+  path.SetRules("priority class=quote level=2 # Rosa\n");
+  REQUIRE(path.Call() == 200);
+  REQUIRE(path.client.sent.back().body.find("\"priority\":2") !=
+          std::string::npos);
+}
+
+TEST_CASE("only an idempotent line lets a request that may have run go again") {
+  DataPath path;
+  path.client.answer.stage = ExchangeStage::kSent;
+  path.SetRules("idempotent service=desk value=no # Rosa\n");
+  REQUIRE(path.Call() == 503);
+  REQUIRE(path.verdict == "may-have-run");
+  REQUIRE(path.client.sent.size() == 1);
+  REQUIRE_FALSE(path.client.sent.back().may_reuse_connection);
+  path.SetRules("idempotent service=desk value=yes # Rosa\n");
+  REQUIRE(path.Call() == 503);
+  REQUIRE(path.client.sent.back().may_reuse_connection);
+}
+
+}  // namespace
+}  // namespace briarspread
--- a/tests/settings/entry_settings_test.cc
+++ b/tests/settings/entry_settings_test.cc
@@ -1,6 +1,7 @@
 #include "briarspread/settings/entry_settings.h"
 
 #include <catch2/catch.hpp>
+#include <filesystem>
 
 namespace briarspread {
 namespace {
@@ -47,5 +48,22 @@
   REQUIRE(MessageOf(text).find("/peer_key") != std::string::npos);
 }
 
+TEST_CASE("the ready settings of both deployments are good") {
+  const std::filesystem::path examples =
+      std::filesystem::path(BRIARSPREAD_SOURCE_DIR) / "examples";
+  int n = 0;
+  for (const char* site : {"mantaro", "caledonian"}) {
+    for (const auto& file :
+         std::filesystem::directory_iterator(examples / site)) {
+      if (file.path().extension() != ".json") continue;
+      const auto settings = LoadEntrySettings(file.path().string());
+      INFO(file.path());
+      REQUIRE(IsOk(settings));
+      ++n;
+    }
+  }
+  REQUIRE(n == 6);
+}
+
 }  // namespace
 }  // namespace briarspread
