--- a/bench/entry_cost.sh
+++ b/bench/entry_cost.sh
@@ -10,6 +10,7 @@
 base="${BRIARSPREAD_BASE_PORT:-23000}"
 out="$(mktemp -d)"
 length="${1:-10}"
+export BRIARSPREAD_POLL_MS="${BRIARSPREAD_POLL_MS:-1000}" # the default
 . scripts/lib/processes.sh
 trap stop_all EXIT
 site 3 >/dev/null
--- a/scripts/lib/processes.sh
+++ b/scripts/lib/processes.sh
@@ -82,7 +82,7 @@
 {"instance": "$1", "zone": "$3", "region": "$4",
  "listen": {"host": "127.0.0.1", "port": $2},
  "platform": {"host": "127.0.0.1", "port": $base},
- "poll_interval_ms": 200, "peer_key": "demonstration-key-of-the-demo"}
+ "poll_interval_ms": ${BRIARSPREAD_POLL_MS:-200}, "peer_key": "demonstration-key-of-the-demo"}
 JSON
   start "$1" "$2" "$bin/briarspread-entry" --settings="$out/$1.json"
   # The platform's part: the instance list shows the new instance.
