Limits: only a signed forward passes a limit by

Cause, found by reading: EnterLimit took the header Briarspread-Forwarded-By at its word, so any caller that sent it passed its limit, while MakeKeyed beside it checked the signature. Change: one IsForwarded, with the signature, serves both. No bound is loosened. Test: a caller with the header and no signature gets 429.

--- a/briarspread/gateway/live_handler.cc
+++ b/briarspread/gateway/live_handler.cc
@@ -175,9 +175,15 @@
   Answer(ValueOf(spec), in, out);
 }
 
+bool LiveHandler::IsForwarded(const httplib::Request& in) const {
+  return in.has_header(headers::kForwardedBy) &&
+         peers_.IsSigned(in.target, in.body,
+                         in.get_header_value(headers::kPeerSignature));
+}
+
 Result<RatePermit> LiveHandler::EnterLimit(const CallSpec& spec,
                                            const httplib::Request& in) {
-  if (in.has_header(headers::kForwardedBy)) return RatePermit();
+  if (IsForwarded(in)) return RatePermit();
   const CustomerId customer(in.get_header_value(headers::kCustomer));
   const RequestClass& request_class = spec.route.request_class;
   const auto limit =
@@ -206,17 +212,14 @@
   std::from_chars(created_in.data(), created_in.data() + created_in.size(),
                   epoch);
   request.created_in = Epoch(epoch);
-  request.entry_path = in.target.empty() ? in.path : in.target;
+  request.entry_path = in.target;
   request.entry_body = in.body;
   for (const char* name : {headers::kIdempotencyKey, headers::kCustomer,
                            headers::kRequestClass, headers::kCreatedIn}) {
     if (!in.has_header(name)) continue;
     request.entry_headers.push_back({name, in.get_header_value(name)});
   }
-  request.is_forwarded =
-      in.has_header(headers::kForwardedBy) &&
-      peers_.IsSigned(request.entry_path, in.body,
-                      in.get_header_value(headers::kPeerSignature));
+  request.is_forwarded = IsForwarded(in);
   return request;
 }
 
--- a/briarspread/gateway/live_handler.h
+++ b/briarspread/gateway/live_handler.h
@@ -38,6 +38,8 @@
   /// Refuses at once where the instance cannot serve now.
   bool RefuseWhereUnready(httplib::Response& out) const;
 
+  /// Whether another instance sent the request here, by its signature.
+  bool IsForwarded(const httplib::Request& in) const;
   /// Admits a caller's request by the `limit` rule; one that another instance
   /// forwards was counted there.
   Result<RatePermit> EnterLimit(const CallSpec& spec,
--- a/tests/gateway/rules_in_force_test.cc
+++ b/tests/gateway/rules_in_force_test.cc
@@ -58,12 +58,15 @@
   }
 
   /// Calls as a buyer and returns the status.
-  int Call() {
+  int Call(const std::string& forwarded_by = "") {
     httplib::Client caller(endpoint_.host, endpoint_.port);
-    const httplib::Headers headers = {{headers::kCustomer, "andes"},
-                                      {headers::kRequestClass, "quote"}};
+    httplib::Headers sent_headers = {{headers::kCustomer, "andes"},
+                                     {headers::kRequestClass, "quote"}};
+    if (!forwarded_by.empty()) {
+      sent_headers.emplace(headers::kForwardedBy, forwarded_by);
+    }
     const auto answer =
-        caller.Post("/v1/completions", headers,
+        caller.Post("/v1/completions", sent_headers,
                     R"({"model":"desk","prompt":"p"})", "application/json");
     REQUIRE(answer);
     verdict = answer->get_header_value(headers::kVerdict);
@@ -104,7 +107,7 @@
   PoolGates gates_{clock_};
   RefusalWatch refusals_{RefusalWatchSettings{}};
   UpstreamCaller caller_{context_, router_, client, gates_, refusals_};
-  PeerDirectory peers_{self_, "", clock_};
+  PeerDirectory peers_{self_, "0123456789abcdef", clock_};
   HomeAgent homes_{
       HomeAgentSettings{}, context_, Incarnation(1), store_, client, peers_};
   KeyedRequests keyed_{context_, caller_, homes_, peers_, client};
@@ -138,6 +141,8 @@
   REQUIRE(path.verdict == "not-run");
   REQUIRE(path.retry_after == "1");
   REQUIRE(path.client.sent.size() == 1);
+  // A caller that claims to be an instance, without its signature.
+  REQUIRE(path.Call("entry-2") == 429);
   path.SetRules("limit customer=other class=quote rate=1/s # Rosa\n");
   REQUIRE(path.Call() == 200);
 }
