--- /dev/null
+++ b/briarspread/batch/engine_placement.h
@@ -0,0 +1,85 @@
+#ifndef BRIARSPREAD_BATCH_ENGINE_PLACEMENT_H_
+#define BRIARSPREAD_BATCH_ENGINE_PLACEMENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "briarspread/core/clock.h"
+#include "briarspread/core/ids.h"
+
+namespace briarspread::batch {
+
+/// An engine as placement sees it.
+struct EngineView {
+  UpstreamId id;
+  std::uint32_t slots = 1;
+  /// Items of this instance that run or wait there.
+  std::uint32_t own_in_flight = 0;
+  /// Requests of all instances there, as last reported; zero where unknown or
+  /// too old.
+  std::uint32_t reported = 0;
+  /// Own items there at the time of that report.
+  std::uint32_t own_at_report = 0;
+  /// The version of the item's model that it has.
+  WeightVersion version;
+  /// Whether it takes requests now: not leaving, not refusing, not failing.
+  bool is_open = true;
+  bool is_same_region = true;
+  /// Time between two events of its streams; zero where unknown.
+  Duration event_interval{0};
+};
+
+/// What an item needs.
+struct EngineNeed {
+  WeightVersion oldest_allowed;
+  /// Where it must not go: it was slow or broke there.
+  std::vector<UpstreamId> avoid;
+  /// Where others of its group run, whose prompt is cached; empty for none.
+  UpstreamId preferred;
+};
+
+/// Settings of placement, in units of load: 1 is an engine's whole batch.
+struct EnginePlacementSettings {
+  /// An engine in another region counts as so much fuller.
+  double other_region = 0.1;
+  /// An engine that has the prompt cached counts as so much emptier.
+  double cached_prompt = 0.1;
+  /// An engine that is this many times slower than the fastest counts as slow.
+  double slow_ratio = 1.8;
+};
+
+/// Decides which engine runs an item. Answers the load in which every instance
+/// fills the same engines at once while some of them are several times slower
+/// than others: an engine is filled to its batch and no further, so that the
+/// rest waits where it can still go elsewhere; slow engines are taken only
+/// while no sound one has room. Holds no state; thread-safe.
+class EnginePlacement final {
+ public:
+  explicit EnginePlacement(const EnginePlacementSettings& settings)
+      : settings_(settings) {}
+
+  /// The index of the engine; nothing where none has room.
+  std::optional<std::size_t> Choose(
+      const EngineNeed& need, const std::vector<EngineView>& engines) const;
+
+  /// Whether an item on `engines[at]` is to be moved because the engine is slow
+  /// while a sound one has room.
+  bool IsWorthMoving(std::size_t at, const EngineNeed& need,
+                     const std::vector<EngineView>& engines) const;
+
+ private:
+  bool IsFit(const EngineNeed& need, const EngineView& engine) const;
+  bool IsSlow(const EngineView& engine, Duration fastest) const;
+  double CostOf(const EngineNeed& need, const EngineView& engine) const;
+
+  const EnginePlacementSettings settings_;
+};
+
+/// Requests at an engine as best known: its last report, corrected by the own
+/// change since. Thread-safe.
+std::uint32_t EstimatedLoad(const EngineView& engine);
+
+}  // namespace briarspread::batch
+
+#endif  // BRIARSPREAD_BATCH_ENGINE_PLACEMENT_H_
--- /dev/null
+++ b/briarspread/batch/event_stream_reader.cc
@@ -0,0 +1,53 @@
+#include "briarspread/batch/event_stream_reader.h"
+
+#include <utility>
+
+#include "briarspread/proxy/http_message.h"
+
+namespace briarspread::batch {
+
+EventStreamReader::EventStreamReader(std::string version_field)
+    : version_field_(std::move(version_field)) {}
+
+std::vector<StreamEvent> EventStreamReader::Feed(std::string_view bytes) {
+  std::vector<StreamEvent> events;
+  while (!bytes.empty()) {
+    const std::size_t end = bytes.find('\n');
+    line_.append(bytes.substr(0, end));
+    if (end == std::string_view::npos) break;
+    bytes.remove_prefix(end + 1);
+    if (!line_.empty() && line_.back() == '\r') line_.pop_back();
+    TakeLine(events);
+    line_.clear();
+  }
+  return events;
+}
+
+void EventStreamReader::TakeLine(std::vector<StreamEvent>& events) {
+  if (line_.empty()) {
+    if (has_field_) events.push_back(std::exchange(event_, {}));
+    has_field_ = false;
+    return;
+  }
+  // A line that begins with a colon is a comment.
+  if (line_.front() == ':') return;
+  has_field_ = true;
+  const std::string_view line(line_);
+  const std::size_t colon = line.find(':');
+  const std::string_view name = line.substr(0, colon);
+  std::string_view value =
+      colon == std::string_view::npos ? "" : line.substr(colon + 1);
+  if (!value.empty() && value.front() == ' ') value.remove_prefix(1);
+  if (name == "data") {
+    if (event_.has_data) event_.data.push_back('\n');
+    event_.has_data = true;
+    event_.data.append(value);
+  } else if (name == "id") {
+    event_.id = proxy::ParseNumber(value);
+  } else if (proxy::IsSameName(name, version_field_)) {
+    const auto version = proxy::ParseNumber(value);
+    if (version.has_value()) event_.version = WeightVersion(*version);
+  }
+}
+
+}  // namespace briarspread::batch
--- /dev/null
+++ b/briarspread/batch/event_stream_reader.h
@@ -0,0 +1,48 @@
+#ifndef BRIARSPREAD_BATCH_EVENT_STREAM_READER_H_
+#define BRIARSPREAD_BATCH_EVENT_STREAM_READER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "briarspread/core/ids.h"
+
+namespace briarspread::batch {
+
+/// One whole event of a stream.
+struct StreamEvent {
+  std::optional<std::uint64_t> id;
+  /// The event's data lines, separated by line feeds.
+  std::string data;
+  bool has_data = false;
+  /// The version of the weights from this event on, where it changes here.
+  std::optional<WeightVersion> version;
+};
+
+/// Cuts a `text/event-stream` into events. An event counts once its empty line
+/// came; the rest of a stream that stops midway is no event. Not thread-safe.
+class EventStreamReader final {
+ public:
+  /// `version_field` names the field that tells a change of version.
+  explicit EventStreamReader(std::string version_field);
+
+  /// Takes bytes and returns the events that they complete.
+  std::vector<StreamEvent> Feed(std::string_view bytes);
+  /// Whether bytes of an event without its end are held.
+  bool has_partial() const { return !line_.empty() || has_field_; }
+
+ private:
+  void TakeLine(std::vector<StreamEvent>& events);
+
+  const std::string version_field_;
+  /// The line being read.
+  std::string line_;
+  StreamEvent event_;
+  bool has_field_ = false;
+};
+
+}  // namespace briarspread::batch
+
+#endif  // BRIARSPREAD_BATCH_EVENT_STREAM_READER_H_
--- /dev/null
+++ b/briarspread/batch/item_progress.cc
@@ -0,0 +1,27 @@
+#include "briarspread/batch/item_progress.h"
+
+#include <algorithm>
+
+namespace briarspread::batch {
+
+ItemProgress::Outcome ItemProgress::Add(const StreamEvent& event,
+                                        WeightVersion version) {
+  if (!event.id.has_value()) return Outcome::kGap;
+  if (has_events() && *event.id <= last_event_id_) return Outcome::kRepeated;
+  if (has_events() && *event.id != last_event_id_ + 1) return Outcome::kGap;
+  if (has_events()) text_.push_back('\n');
+  text_ += event.data;
+  last_event_id_ = *event.id;
+  ++events_;
+  const auto at = std::lower_bound(versions_.begin(), versions_.end(), version);
+  if (at == versions_.end() || *at != version) versions_.insert(at, version);
+  return Outcome::kAdded;
+}
+
+bool ItemProgress::Fits(WeightVersion oldest, bool wants_single_version) const {
+  if (versions_.empty()) return true;
+  if (wants_single_version && versions_.size() > 1) return false;
+  return versions_.front() >= oldest;
+}
+
+}  // namespace briarspread::batch
--- /dev/null
+++ b/briarspread/batch/item_run.cc
@@ -0,0 +1,178 @@
+#include "briarspread/batch/item_run.h"
+
+#include <glog/logging.h>
+
+#include <cassert>
+#include <utility>
+
+namespace briarspread::batch {
+namespace {
+
+/// How long an engine that refused is left alone.
+constexpr milliseconds kRefusalPause{150};
+/// The newest interval weighs one part in this many of the moving average.
+constexpr std::int64_t kAverageParts = 8;
+
+}  // namespace
+
+std::string_view ToString(RunOutcome outcome) {
+  switch (outcome) {
+    case RunOutcome::kComplete:
+      return "complete";
+    case RunOutcome::kRefused:
+      return "refused";
+    case RunOutcome::kFailed:
+      return "failed";
+    case RunOutcome::kImpossible:
+      return "impossible";
+    case RunOutcome::kBroken:
+      return "broken";
+    case RunOutcome::kTooOld:
+      return "too_old";
+  }
+  return "unknown";
+}
+
+ItemRun::ItemRun(forward::ForwardContext& context, ItemRunSpec spec,
+                 ItemRunListener& listener)
+    : context_(context),
+      spec_(std::move(spec)),
+      listener_(listener),
+      reader_(context.headers.weight_version) {}
+
+ItemRun::~ItemRun() { Cancel(); }
+
+void ItemRun::Start() {
+  forward::KnownUpstream* engine = context_.directory.Find(spec_.engine);
+  assert(engine != nullptr);
+  counters_ = engine->counters;
+  counters_->in_flight.fetch_add(1);
+  counters_->rollouts_in_flight.fetch_add(1);
+  started_ = context_.clock.Now();
+  last_event_ = started_;
+  proxy::RequestHead head = spec_.request.head;
+  head.headers.Set(context_.headers.expected_upstream, spec_.engine.value());
+  if (spec_.last_event_id.has_value()) {
+    head.headers.Set(context_.headers.last_event_id,
+                     std::to_string(*spec_.last_event_id));
+  }
+  proxy::ExchangeOrder order;
+  order.to = spec_.endpoint;
+  order.bytes = proxy::Serialize(head, spec_.request.body);
+  order.echo_name = context_.headers.attempt_id;
+  order.echo_value = spec_.attempt_id;
+  exchange_ = context_.pool.Start(std::move(order), *this);
+}
+
+void ItemRun::ReleaseSlot() {
+  if (counters_ == nullptr) return;
+  counters_->in_flight.fetch_sub(1);
+  counters_->rollouts_in_flight.fetch_sub(1);
+  counters_.reset();
+}
+
+void ItemRun::Cancel() {
+  if (has_ended_) return;
+  has_ended_ = true;
+  if (exchange_ != nullptr) exchange_->Cancel();
+  exchange_.reset();
+  ReleaseSlot();
+}
+
+RunOutcome ItemRun::OutcomeOf(const proxy::ResponseHead& head) const {
+  if (head.status == 421 ||
+      head.headers.Find(context_.headers.not_run) != nullptr) {
+    return RunOutcome::kRefused;
+  }
+  if (head.status == 422) return RunOutcome::kImpossible;
+  if (head.status == 500) return RunOutcome::kFailed;
+  const bool is_signed =
+      head.headers.Find(context_.headers.signature) != nullptr;
+  if (head.status != 200 || !is_signed) return RunOutcome::kBroken;
+  return RunOutcome::kComplete;
+}
+
+void ItemRun::OnHead(const proxy::ResponseHead& head) {
+  has_head_ = true;
+  last_event_ = context_.clock.Now();
+  const std::string* load = head.headers.Find(context_.headers.load);
+  if (load != nullptr) context_.directory.NoteLoad(spec_.engine, *load);
+  expected_ = OutcomeOf(head);
+  if (expected_ != RunOutcome::kComplete) return;
+  const auto version = head.headers.FindNumber(context_.headers.weight_version);
+  if (!version.has_value()) {
+    expected_ = RunOutcome::kBroken;
+    return;
+  }
+  version_ = WeightVersion(*version);
+  context_.directory.NoteVersion(spec_.engine, spec_.model, version_);
+  if (version_ < spec_.oldest_allowed) {
+    End(RunOutcome::kTooOld);
+    return;
+  }
+  listener_.OnRunStarted(*this, version_);
+}
+
+void ItemRun::NoteInterval(TimePoint now) {
+  forward::KnownUpstream* engine = context_.directory.Find(spec_.engine);
+  if (engine == nullptr) return;
+  const Duration taken = now - last_event_;
+  const Duration old = engine->event_interval;
+  engine->event_interval =
+      old.count() == 0 ? taken : old + (taken - old) / kAverageParts;
+  engine->interval_measured = now;
+}
+
+void ItemRun::OnBody(std::string_view data) {
+  if (expected_ != RunOutcome::kComplete) return;
+  for (const StreamEvent& event : reader_.Feed(data)) {
+    if (event.version.has_value()) {
+      version_ = *event.version;
+      context_.directory.NoteVersion(spec_.engine, spec_.model, version_);
+    }
+    const TimePoint now = context_.clock.Now();
+    // The first interval includes the wait for a slot and the prompt.
+    if (events_ > 0) NoteInterval(now);
+    ++events_;
+    last_event_ = now;
+    if (!listener_.OnRunEvent(*this, event, version_)) {
+      End(RunOutcome::kBroken);
+      return;
+    }
+    if (has_ended_) return;
+  }
+}
+
+void ItemRun::OnEnd() {
+  exchange_.reset();
+  if (expected_ == RunOutcome::kComplete && reader_.has_partial()) {
+    expected_ = RunOutcome::kBroken;
+  }
+  if (expected_ == RunOutcome::kRefused) {
+    forward::KnownUpstream* engine = context_.directory.Find(spec_.engine);
+    if (engine != nullptr) {
+      engine->refuses_until = context_.clock.Now() + kRefusalPause;
+    }
+  } else if (expected_ == RunOutcome::kBroken) {
+    context_.directory.NoteFailure(spec_.engine);
+  } else {
+    context_.directory.NoteSuccess(spec_.engine);
+  }
+  End(expected_);
+}
+
+void ItemRun::OnFailure(const proxy::ExchangeFailure& failure) {
+  exchange_.reset();
+  ++context_.metrics.faults[std::string(ToString(failure.fault))];
+  if (!failure.was_kept_connection) {
+    context_.directory.NoteFailure(spec_.engine);
+  }
+  End(RunOutcome::kBroken);
+}
+
+void ItemRun::End(RunOutcome outcome) {
+  Cancel();
+  listener_.OnRunEnded(*this, outcome);
+}
+
+}  // namespace briarspread::batch
--- /dev/null
+++ b/briarspread/batch/job_gateway.cc
@@ -0,0 +1,526 @@
+#include "briarspread/batch/job_gateway.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "briarspread/batch/home_planner.h"
+
+namespace briarspread::batch {
+namespace {
+
+constexpr int kOk = 200;
+
+Error UnavailableError(const std::string& why) {
+  return Error{ErrorCode::kUnavailable, Verdict::kNotRun, why};
+}
+
+std::string JobTarget(const JobId& id) {
+  return "/v1/jobs/" + proxy::EncodeParameter(id.value());
+}
+
+}  // namespace
+
+JobGateway::JobGateway(asio::io_context& loop, JobStore& store,
+                       InstanceRegistry& registry, PeerClient& peers,
+                       const Clock& clock, const JobGatewaySettings& settings)
+    : store_(store),
+      registry_(registry),
+      peers_(peers),
+      clock_(clock),
+      settings_(settings),
+      index_(settings.max_indexed_jobs),
+      review_timer_(loop),
+      relist_timer_(loop) {}
+
+void JobGateway::Start(JobRunner& runner) {
+  runner_ = &runner;
+  review_timer_.Every(settings_.takeover_interval, [this] { ReviewOwners(); });
+  relist_timer_.Every(settings_.relist_interval, [this] {
+    // One instance asks for all; it adopts only what is its own to adopt, and
+    // tells the others.
+    const auto peers = registry_.Peers();
+    const bool is_first = std::none_of(
+        peers.begin(), peers.end(),
+        [this](const auto& peer) { return peer.name < registry_.self().name; });
+    if (is_first) Relist();
+  });
+}
+
+// --- Submitting
+
+void JobGateway::Submit(JobSpec spec, Done<std::monostate> done) {
+  if (runner_->Owns(spec.id) || index_.Find(spec.id) != nullptr) {
+    done(OkStatus());
+    return;
+  }
+  const std::string home_key = spec.host + spec.model.value();
+  std::vector<InstanceRecord> candidates = registry_.Peers();
+  candidates.push_back(registry_.self());
+  const auto order =
+      HomeOrder(home_key, registry_.self().locality, std::move(candidates));
+  const bool is_home = order.front().name == registry_.self().name;
+  if (is_home && !is_stopping_) {
+    runner_->Accept(std::move(spec), home_key, std::move(done));
+    return;
+  }
+  const auto home =
+      std::find_if(order.begin(), order.end(), [this](const auto& instance) {
+        return instance.name != registry_.self().name;
+      });
+  if (home == order.end()) {
+    done(UnavailableError("stopping"));
+    return;
+  }
+  SubmitToPeer(std::move(spec), *home, std::move(done));
+}
+
+void JobGateway::SubmitToPeer(JobSpec spec, const InstanceRecord& home,
+                              Done<std::monostate> done) {
+  PeerCall call;
+  call.method = "POST";
+  call.target = "/v1/jobs";
+  call.body = Encode(spec);
+  call.timeout = settings_.accept_timeout;
+  const std::string home_key = spec.host + spec.model.value();
+  peers_.Call(home.peer_endpoint, std::move(call),
+              [this, spec = std::move(spec), home_key, home,
+               done = std::move(done)](const Result<proxy::Response>& answer) {
+                if (IsOk(answer) && ValueOf(answer).head.status == kOk) {
+                  const auto record = DecodeJobRecord(ValueOf(answer).body);
+                  if (record.has_value()) {
+                    index_.Put(StoredRecord{spec.id, *record, StoreIndex(1)});
+                  }
+                  done(OkStatus());
+                  return;
+                }
+                LOG(INFO) << "event=home_refused job=" << spec.id
+                          << " home=" << home.name;
+                // The store lets one of both accept it, so trying here is safe.
+                runner_->Accept(spec, home_key, done);
+              });
+}
+
+void JobGateway::OnJobRecord(const StoredRecord& stored) {
+  const StoredRecord* known = index_.Find(stored.id);
+  const bool is_news = known == nullptr || known->index < stored.index;
+  index_.Put(stored);
+  orphans_.erase(stored.id);
+  if (!is_news || !IsOwnRecord(stored.record)) return;
+  for (const InstanceRecord& peer : registry_.Peers()) {
+    PeerCall notice;
+    notice.method = "POST";
+    notice.target =
+        "/v1/job-notices?id=" + proxy::EncodeParameter(stored.id.value()) +
+        "&index=" + std::to_string(stored.index.value());
+    notice.body = Encode(stored.record);
+    peers_.Call(peer.peer_endpoint, std::move(notice),
+                [](const Result<proxy::Response>&) {
+                  // A lost notice costs the peer one read of the store.
+                });
+  }
+}
+
+// --- Reading
+
+bool JobGateway::IsOwnRecord(const JobRecord& record) const {
+  return record.owner == registry_.self().name &&
+         record.incarnation == registry_.self().incarnation;
+}
+
+bool JobGateway::IsOwnerRegistered(const JobRecord& record) const {
+  return registry_.IsRegistered(record.owner, record.incarnation);
+}
+
+void JobGateway::FindRecord(const JobId& id, Done<StoredRecord> done) {
+  if (const StoredRecord* known = index_.Find(id)) {
+    done(*known);
+    return;
+  }
+  store_.ReadRecord(
+      id, [this, done = std::move(done)](const Result<StoredRecord>& read) {
+        if (IsOk(read)) index_.Put(ValueOf(read));
+        done(read);
+      });
+}
+
+void JobGateway::Recover(const StoredRecord& stored) {
+  // The record names this instance, which has not loaded the job: its accept
+  // or takeover lost an answer.
+  Orphan& orphan = orphans_[stored.id];
+  if (orphan.is_adopting || runner_->Owns(stored.id)) return;
+  orphan.is_adopting = true;
+  store_.ReadRecord(
+      stored.id, [this, id = stored.id](const Result<StoredRecord>& read) {
+        if (!IsOk(read)) {
+          orphans_.erase(id);
+          return;
+        }
+        runner_->Adopt(
+            ValueOf(read), JobHandover{},
+            [this, id](const Result<std::monostate>&) { orphans_.erase(id); });
+      });
+}
+
+void JobGateway::Read(const JobId& id, std::uint64_t after, milliseconds wait,
+                      Done<ResultPage> done) {
+  if (runner_->Owns(id)) {
+    runner_->Read(id, after, wait, std::move(done));
+    return;
+  }
+  FindRecord(id, [this, id, after, wait,
+                  done = std::move(done)](const Result<StoredRecord>& found) {
+    if (!IsOk(found)) {
+      done(ErrorOf(found));
+      return;
+    }
+    const StoredRecord& stored = ValueOf(found);
+    if (IsOwnRecord(stored.record)) {
+      if (!stored.record.is_ended) Recover(stored);
+      ReadAtStore(stored, after, done);
+      return;
+    }
+    ReadAtOwner(stored, after, wait, done);
+  });
+}
+
+void JobGateway::ReadAtOwner(const StoredRecord& stored, std::uint64_t after,
+                             milliseconds wait, Done<ResultPage> done) {
+  PeerCall call;
+  call.target = JobTarget(stored.id) +
+                "/results?after=" + std::to_string(after) +
+                "&wait=" + std::to_string(wait.count());
+  call.timeout = wait + settings_.call_timeout;
+  peers_.Call(stored.record.owner_endpoint, std::move(call),
+              [this, stored, after,
+               done = std::move(done)](const Result<proxy::Response>& answer) {
+                if (IsOk(answer) && ValueOf(answer).head.status == kOk) {
+                  auto page = DecodeResultPage(ValueOf(answer).body);
+                  if (page.has_value()) {
+                    done(std::move(*page));
+                    return;
+                  }
+                }
+                // The owner may be another by now; the store has what was
+                // listed in any case.
+                index_.Erase(stored.id);
+                FindRecord(stored.id, [this, after, done](
+                                          const Result<StoredRecord>& found) {
+                  if (!IsOk(found)) {
+                    done(ErrorOf(found));
+                    return;
+                  }
+                  ReadAtStore(ValueOf(found), after, done);
+                });
+              });
+}
+
+void JobGateway::ReadAtStore(const StoredRecord& stored, std::uint64_t after,
+                             Done<ResultPage> done) {
+  store_.ReadResults(
+      stored.id, [stored, after, done = std::move(done)](
+                     const Result<std::vector<ItemResult>>& listed) {
+        if (!IsOk(listed)) {
+          done(ErrorOf(listed));
+          return;
+        }
+        done(MakePage(ValueOf(listed), stored.record.total, after));
+      });
+}
+
+void JobGateway::ReadBody(const JobId& id, const ItemId& item,
+                          Done<std::string> done) {
+  if (runner_->Owns(id)) {
+    done(runner_->ReadBody(id, item));
+    return;
+  }
+  FindRecord(id, [this, item,
+                  done = std::move(done)](const Result<StoredRecord>& found) {
+    if (!IsOk(found)) {
+      done(ErrorOf(found));
+      return;
+    }
+    const StoredRecord stored = ValueOf(found);
+    if (IsOwnRecord(stored.record)) {
+      ReadBodyAtStore(stored, item, done);
+      return;
+    }
+    PeerCall call;
+    call.target = JobTarget(stored.id) +
+                  "/bodies?item=" + proxy::EncodeParameter(item.value());
+    call.timeout = settings_.call_timeout;
+    peers_.Call(
+        stored.record.owner_endpoint, std::move(call),
+        [this, stored, item, done](const Result<proxy::Response>& answer) {
+          if (IsOk(answer) && ValueOf(answer).head.status == kOk) {
+            done(ValueOf(answer).body);
+            return;
+          }
+          ReadBodyAtStore(stored, item, done);
+        });
+  });
+}
+
+void JobGateway::ReadBodyAtStore(const StoredRecord& stored, const ItemId& item,
+                                 Done<std::string> done) {
+  store_.ReadSpec(
+      stored, [item, done = std::move(done)](const Result<JobSpec>& spec) {
+        if (!IsOk(spec)) {
+          done(ErrorOf(spec));
+          return;
+        }
+        const auto& items = ValueOf(spec).items;
+        const auto it =
+            std::find_if(items.begin(), items.end(),
+                         [&](const ItemSpec& each) { return each.id == item; });
+        if (it == items.end()) {
+          done(Error{ErrorCode::kNotFound, Verdict::kNotRun, "no such item"});
+          return;
+        }
+        done(it->body);
+      });
+}
+
+// --- Ending
+
+void JobGateway::End(const JobId& id, Done<std::monostate> done) {
+  if (runner_->Owns(id)) {
+    runner_->End(id, std::move(done));
+    return;
+  }
+  FindRecord(id, [this, id,
+                  done = std::move(done)](const Result<StoredRecord>& found) {
+    if (!IsOk(found)) {
+      done(ErrorOf(found));
+      return;
+    }
+    const StoredRecord stored = ValueOf(found);
+    if (stored.record.is_ended) {
+      done(OkStatus());
+      return;
+    }
+    if (IsOwnRecord(stored.record)) {
+      Recover(stored);
+      done(UnavailableError("the job is being loaded"));
+      return;
+    }
+    PeerCall call;
+    call.method = "DELETE";
+    call.target = JobTarget(id);
+    call.timeout = settings_.adoption_timeout;
+    peers_.Call(stored.record.owner_endpoint, std::move(call),
+                [this, id, done](const Result<proxy::Response>& answer) {
+                  if (IsOk(answer) && ValueOf(answer).head.status == kOk) {
+                    done(OkStatus());
+                    return;
+                  }
+                  EndAtStore(id, done);
+                });
+  });
+}
+
+void JobGateway::EndAtStore(const JobId& id, Done<std::monostate> done) {
+  store_.ReadRecord(
+      id, [this, id, done = std::move(done)](const Result<StoredRecord>& read) {
+        if (!IsOk(read)) {
+          done(ErrorOf(read));
+          return;
+        }
+        StoredRecord stored = ValueOf(read);
+        index_.Put(stored);
+        if (stored.record.is_ended) {
+          done(OkStatus());
+          return;
+        }
+        if (IsOwnerRegistered(stored.record)) {
+          // An owner that lives would go on with the items.
+          done(UnavailableError("the owner does not answer"));
+          return;
+        }
+        stored.record.is_ended = true;
+        store_.Rewrite(
+            id, stored.record, stored.index,
+            [this, stored, done](const Result<RecordOutcome>& outcome) {
+              if (!IsOk(outcome)) {
+                done(ErrorOf(outcome));
+                return;
+              }
+              const auto* ok = std::get_if<RecordWritten>(&ValueOf(outcome));
+              if (ok == nullptr) {
+                index_.Erase(stored.id);
+                done(UnavailableError("the job has a new owner"));
+                return;
+              }
+              index_.Put(StoredRecord{stored.id, stored.record, ok->index});
+              orphans_.erase(stored.id);
+              done(OkStatus());
+            });
+      });
+}
+
+// --- Taking over
+
+void JobGateway::Relist() {
+  store_.ListRecords([this](const Result<std::vector<StoredRecord>>& records) {
+    if (!IsOk(records)) return;
+    has_relisted_ = true;
+    for (const StoredRecord& stored : ValueOf(records)) index_.Put(stored);
+  });
+}
+
+void JobGateway::ReviewOwners() {
+  if (is_stopping_ || !registry_.has_listed()) return;
+  if (!has_relisted_) {
+    // Jobs that were accepted before this start.
+    has_relisted_ = true;
+    Relist();
+  }
+  std::vector<StoredRecord> lost;
+  for (const auto& [id, stored] : index_.all()) {
+    const bool is_open = !stored.record.is_ended && !runner_->Owns(id);
+    if (is_open && !IsOwnerRegistered(stored.record)) lost.push_back(stored);
+  }
+  std::erase_if(orphans_, [&](const auto& entry) {
+    return !entry.second.is_adopting &&
+           std::none_of(lost.begin(), lost.end(), [&](const auto& stored) {
+             return stored.id == entry.first;
+           });
+  });
+  for (const StoredRecord& stored : lost) {
+    const auto [it, is_new] = orphans_.try_emplace(stored.id);
+    Orphan& orphan = it->second;
+    if (is_new) orphan.since = clock_.Now();
+    if (orphan.is_adopting || orphan.is_probing) continue;
+    if (!orphan.is_confirmed) {
+      Probe(stored);
+    } else {
+      AdoptOrphan(stored);
+    }
+  }
+}
+
+void JobGateway::Probe(const StoredRecord& stored) {
+  // A registration may lapse while its instance lives and works.
+  orphans_[stored.id].is_probing = true;
+  PeerCall call;
+  call.target = "/v1/ping";
+  call.timeout = settings_.call_timeout;
+  peers_.Call(stored.record.owner_endpoint, std::move(call),
+              [this, stored](const Result<proxy::Response>& answer) {
+                const auto it = orphans_.find(stored.id);
+                if (it == orphans_.end()) return;
+                it->second.is_probing = false;
+                const std::string expected =
+                    stored.record.owner.value() + "/" +
+                    std::to_string(stored.record.incarnation.value());
+                const bool lives =
+                    IsOk(answer) && ValueOf(answer).body == expected;
+                it->second.is_confirmed = !lives;
+                if (!lives) AdoptOrphan(stored);
+              });
+}
+
+void JobGateway::AdoptOrphan(const StoredRecord& stored) {
+  std::vector<InstanceRecord> candidates = registry_.Peers();
+  candidates.push_back(registry_.self());
+  Locality near = registry_.self().locality;
+  const auto owner = registry_.instances().find(stored.record.owner);
+  if (owner != registry_.instances().end()) near = owner->second.locality;
+  const auto order =
+      HomeOrder(stored.record.home_key, near, std::move(candidates));
+  const auto self =
+      std::find_if(order.begin(), order.end(), [this](const auto& instance) {
+        return instance.name == registry_.self().name;
+      });
+  Orphan& orphan = orphans_[stored.id];
+  const auto rank = self - order.begin();
+  if (clock_.Now() - orphan.since < rank * settings_.takeover_stagger) return;
+  orphan.is_adopting = true;
+  LOG(INFO) << "event=takeover job=" << stored.id
+            << " owner=" << stored.record.owner;
+  store_.ReadRecord(
+      stored.id, [this, id = stored.id](const Result<StoredRecord>& read) {
+        if (!IsOk(read)) {
+          orphans_.erase(id);
+          if (ErrorOf(read).code == ErrorCode::kNotFound) index_.Erase(id);
+          return;
+        }
+        const StoredRecord& current = ValueOf(read);
+        index_.Put(current);
+        if (current.record.is_ended || IsOwnerRegistered(current.record)) {
+          orphans_.erase(id);
+          return;
+        }
+        runner_->Adopt(
+            current, JobHandover{},
+            [this, id](const Result<std::monostate>&) { orphans_.erase(id); });
+      });
+}
+
+// --- Handing over
+
+void JobGateway::OnHandover(const StoredRecord& stored,
+                            const JobHandover& handover,
+                            Done<std::monostate> done) {
+  if (is_stopping_) {
+    done(UnavailableError("stopping"));
+    return;
+  }
+  runner_->Adopt(stored, handover, std::move(done));
+}
+
+void JobGateway::HandOverAll(std::function<void()> done) {
+  is_stopping_ = true;
+  const std::vector<JobId> open = runner_->OpenJobs();
+  if (open.empty()) {
+    done();
+    return;
+  }
+  const auto left = std::make_shared<int>(static_cast<int>(open.size()));
+  for (const JobId& id : open) {
+    HandOver(id,
+             HomeOrder(runner_->RecordOf(id).record.home_key,
+                       registry_.self().locality, registry_.Peers()),
+             left, done);
+  }
+}
+
+void JobGateway::HandOver(const JobId& id,
+                          std::vector<InstanceRecord> candidates,
+                          std::shared_ptr<int> left,
+                          std::function<void()> done) {
+  if (!runner_->Owns(id) || candidates.empty()) {
+    // Without a taker it goes on here until the process ends.
+    runner_->Resume(id);
+    if (--*left == 0) done();
+    return;
+  }
+  const InstanceRecord taker = candidates.front();
+  candidates.erase(candidates.begin());
+  PeerCall call;
+  call.method = "POST";
+  const StoredRecord stored = runner_->RecordOf(id);
+  call.target =
+      JobTarget(id) + "/adoption?index=" + std::to_string(stored.index.value());
+  const std::string handover = Encode(runner_->PrepareHandover(id));
+  const std::string record = Encode(stored.record);
+  call.target += "&record_bytes=" + std::to_string(record.size());
+  call.body = record + handover;
+  call.timeout = settings_.adoption_timeout;
+  peers_.Call(
+      taker.peer_endpoint, std::move(call),
+      [this, id, candidates = std::move(candidates), left,
+       done = std::move(done), taker](const Result<proxy::Response>& answer) {
+        if (IsOk(answer) && ValueOf(answer).head.status == kOk) {
+          LOG(INFO) << "event=job_handed_over job=" << id
+                    << " to=" << taker.name;
+          runner_->Forget(id);
+          if (--*left == 0) done();
+          return;
+        }
+        HandOver(id, candidates, left, done);
+      });
+}
+
+}  // namespace briarspread::batch
--- /dev/null
+++ b/briarspread/batch/job_ledger.cc
@@ -0,0 +1,197 @@
+#include "briarspread/batch/job_ledger.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace briarspread::batch {
+namespace {
+
+/// Bytes of results in one page.
+constexpr std::size_t kMaxPageBytes = 800 * 1024;
+
+bool IsFinal(ItemPhase phase) {
+  return phase == ItemPhase::kFinished || phase == ItemPhase::kListed;
+}
+
+}  // namespace
+
+JobLedger::JobLedger(JobSpec spec, const JobTerms& terms, TimePoint now)
+    : spec_(std::move(spec)), terms_(terms), states_(spec_.items.size()) {
+  for (std::size_t i = 0; i < spec_.items.size(); ++i) {
+    index_.emplace(spec_.items[i].id, i);
+    groups_[spec_.items[i].group].push_back(i);
+    states_[i].waiting_since = now;
+  }
+}
+
+std::optional<std::size_t> JobLedger::FindItem(const ItemId& id) const {
+  const auto it = index_.find(id);
+  if (it == index_.end()) return std::nullopt;
+  return it->second;
+}
+
+void JobLedger::Restore(std::vector<ItemResult> listed) {
+  assert(listed_.empty());
+  MarkListed(listed);
+}
+
+void JobLedger::Carry(std::size_t i, const ItemProgress& progress) {
+  if (!progress.Fits(spec_.oldest_allowed, terms_.wants_single_version)) return;
+  states_[i].progress = progress;
+  states_[i].is_carried = true;
+}
+
+void JobLedger::StartRun(std::size_t i) {
+  assert(states_[i].phase == ItemPhase::kWaiting);
+  states_[i].phase = ItemPhase::kRunning;
+}
+
+ItemProgress::Outcome JobLedger::AddEvent(std::size_t i,
+                                          const StreamEvent& event,
+                                          WeightVersion version) {
+  assert(states_[i].phase == ItemPhase::kRunning);
+  return states_[i].progress.Add(event, version);
+}
+
+void JobLedger::RunBroken(std::size_t i, TimePoint now) {
+  if (states_[i].phase != ItemPhase::kRunning) return;
+  states_[i].phase = ItemPhase::kWaiting;
+  states_[i].waiting_since = now;
+}
+
+void JobLedger::RunFailed(std::size_t i, TimePoint now) {
+  if (++states_[i].failures >= terms_.max_attempts) {
+    GiveUp(i, now);
+    return;
+  }
+  RunBroken(i, now);
+}
+
+void JobLedger::GiveUp(std::size_t i, TimePoint now) {
+  states_[i].is_given_up = true;
+  Finish(i, now);
+}
+
+void JobLedger::Finish(std::size_t i, TimePoint now) {
+  states_[i].phase = ItemPhase::kFinished;
+  states_[i].finished = now;
+}
+
+void JobLedger::RunComplete(std::size_t i, TimePoint now) {
+  assert(states_[i].phase == ItemPhase::kRunning);
+  if (spec_.items[i].reward.has_value()) {
+    states_[i].phase = ItemPhase::kScoring;
+    return;
+  }
+  Finish(i, now);
+}
+
+void JobLedger::Scored(std::size_t i, std::string score, TimePoint now) {
+  if (states_[i].phase != ItemPhase::kScoring) return;
+  states_[i].score = std::move(score);
+  Finish(i, now);
+}
+
+void JobLedger::RewardFailed(std::size_t i, std::uint32_t answers,
+                             std::uint32_t limit, TimePoint now) {
+  if (states_[i].phase != ItemPhase::kScoring) return;
+  states_[i].reward_failures += answers;
+  if (states_[i].reward_failures >= limit) GiveUp(i, now);
+}
+
+void JobLedger::Expire(TimePoint now) {
+  if (now < terms_.gives_up) return;
+  for (std::size_t i = 0; i < states_.size(); ++i) {
+    if (!IsFinal(states_[i].phase)) GiveUp(i, now);
+  }
+}
+
+void JobLedger::DropText(std::size_t i) { states_[i].progress = {}; }
+
+bool JobLedger::CompletesGroup(std::size_t i) const {
+  const auto& members = groups_.at(spec_.items[i].group);
+  return std::all_of(members.begin(), members.end(), [this](std::size_t k) {
+    return IsFinal(states_[k].phase);
+  });
+}
+
+std::vector<ItemResult> JobLedger::TakeDue(TimePoint now,
+                                           Duration longest_wait) const {
+  bool is_due = false;
+  std::vector<std::size_t> final_items;
+  for (std::size_t i = 0; i < states_.size(); ++i) {
+    if (states_[i].phase != ItemPhase::kFinished) continue;
+    final_items.push_back(i);
+    is_due = is_due || CompletesGroup(i) ||
+             now - states_[i].finished >= longest_wait;
+  }
+  if (!is_due) return {};
+  std::sort(final_items.begin(), final_items.end(),
+            [this](std::size_t a, std::size_t b) {
+              return states_[a].finished < states_[b].finished;
+            });
+  std::vector<ItemResult> results;
+  std::size_t bytes = 0;
+  for (const std::size_t i : final_items) {
+    results.push_back(ResultOf(i));
+    bytes += results.back().text.size();
+    // One value of the store holds a chunk.
+    if (bytes > kMaxStoreValueBytes / 2) break;
+  }
+  return results;
+}
+
+ItemResult JobLedger::ResultOf(std::size_t i) const {
+  ItemResult result;
+  result.id = spec_.items[i].id;
+  if (states_[i].is_given_up) return result;
+  result.is_complete = true;
+  result.text = states_[i].progress.text();
+  result.versions = states_[i].progress.versions();
+  result.score = states_[i].score;
+  return result;
+}
+
+void JobLedger::MarkListed(const std::vector<ItemResult>& results) {
+  for (const ItemResult& result : results) {
+    const auto i = FindItem(result.id);
+    if (!i.has_value() || states_[*i].phase == ItemPhase::kListed) continue;
+    states_[*i].phase = ItemPhase::kListed;
+    // The list holds the text from now on.
+    states_[*i].progress = {};
+    states_[*i].is_given_up = !result.is_complete;
+    listed_.push_back(result);
+  }
+}
+
+ResultPage JobLedger::Page(std::uint64_t after) const {
+  return MakePage(listed_, item_count(), after);
+}
+
+ResultPage MakePage(const std::vector<ItemResult>& listed, std::uint64_t total,
+                    std::uint64_t after) {
+  ResultPage page;
+  page.total = total;
+  page.next = after;
+  std::size_t bytes = 0;
+  for (std::size_t i = after; i < listed.size(); ++i) {
+    bytes += listed[i].text.size();
+    if (!page.results.empty() && bytes > kMaxPageBytes) break;
+    page.results.push_back(listed[i]);
+    page.next = i + 1;
+  }
+  return page;
+}
+
+std::size_t JobLedger::CompleteGroups() const {
+  std::size_t n = 0;
+  for (const auto& [group, members] : groups_) {
+    n += std::all_of(members.begin(), members.end(), [this](std::size_t i) {
+      return states_[i].phase == ItemPhase::kListed && !states_[i].is_given_up;
+    });
+  }
+  return n;
+}
+
+}  // namespace briarspread::batch
--- /dev/null
+++ b/briarspread/batch/job_listing.cc
@@ -0,0 +1,248 @@
+// The part of `JobRunner` that writes results and ends to the store and serves
+// reads.
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "briarspread/batch/job_runner.h"
+
+namespace briarspread::batch {
+
+void JobRunner::Read(const JobId& id, std::uint64_t after, milliseconds wait,
+                     Done<ResultPage> done) {
+  OwnedJob& job = jobs_.at(id);
+  const bool has_more = after < job.ledger.listed().size();
+  if (has_more || wait.count() <= 0 || job.ledger.is_all_listed() ||
+      job.record.is_ended) {
+    done(job.ledger.Page(after));
+    return;
+  }
+  job.readers.push_back(
+      Waiter{after, context_.clock.Now() + wait, std::move(done)});
+}
+
+Result<std::string> JobRunner::ReadBody(const JobId& id,
+                                        const ItemId& item) const {
+  const JobLedger& ledger = jobs_.at(id).ledger;
+  const auto i = ledger.FindItem(item);
+  if (!i.has_value()) {
+    return Error{ErrorCode::kNotFound, Verdict::kNotRun, "no such item"};
+  }
+  return ledger.spec().items[*i].body;
+}
+
+void JobRunner::ServeReaders(OwnedJob& job) {
+  const TimePoint now = context_.clock.Now();
+  const std::size_t listed = job.ledger.listed().size();
+  const bool is_final = job.record.is_ended || job.ledger.is_all_listed();
+  std::vector<Waiter> served;
+  std::vector<Waiter> left;
+  for (Waiter& waiter : job.readers) {
+    const bool is_due =
+        waiter.after < listed || now >= waiter.deadline || is_final;
+    (is_due ? served : left).push_back(std::move(waiter));
+  }
+  job.readers = std::move(left);
+  for (const Waiter& waiter : served) {
+    waiter.done(job.ledger.Page(waiter.after));
+  }
+}
+
+void JobRunner::ScheduleListing(const JobId& id, Duration delay) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || it->second.is_writing) return;
+  if (it->second.listing_timer.is_set()) return;
+  it->second.listing_timer.After(delay, [this, id] { WriteNext(id); });
+}
+
+void JobRunner::WriteNext(const JobId& id) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  OwnedJob& job = it->second;
+  if (job.is_writing || job.record.is_ended) return;
+  if (job.chunk.empty() && job.is_ending) {
+    WriteEnd(id);
+    return;
+  }
+  if (job.chunk.empty()) {
+    job.chunk = job.ledger.TakeDue(context_.clock.Now(),
+                                   settings_.longest_listing_wait);
+  }
+  if (job.chunk.empty()) return;
+  job.is_writing = true;
+  store_.Append(id, job.index, job.ledger.listed().size(), job.chunk,
+                [this, id](const Result<RecordOutcome>& outcome) {
+                  OnChunkWritten(id, outcome);
+                });
+}
+
+void JobRunner::OnChunkWritten(const JobId& id,
+                               const Result<RecordOutcome>& outcome) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  OwnedJob& job = it->second;
+  job.is_writing = false;
+  if (!IsOk(outcome)) {
+    LOG(WARNING) << "event=listing_delayed job=" << id << " reason=\""
+                 << ErrorOf(outcome).message << "\"";
+    ScheduleListing(id, settings_.store_retry);
+    return;
+  }
+  if (const auto* changed = std::get_if<RecordChanged>(&ValueOf(outcome))) {
+    TakeLoss(id, *changed);
+    return;
+  }
+  ++metrics_.chunks_written;
+  metrics_.items_listed += job.chunk.size();
+  job.ledger.MarkListed(job.chunk);
+  job.chunk.clear();
+  ServeReaders(job);
+  ScheduleListing(
+      id, job.is_ending ? Duration(0) : Duration(settings_.listing_pause));
+}
+
+void JobRunner::End(const JobId& id, Done<std::monostate> done) {
+  OwnedJob& job = jobs_.at(id);
+  if (job.record.is_ended) {
+    done(OkStatus());
+    return;
+  }
+  job.end_waiters.push_back(std::move(done));
+  if (job.is_ending) return;
+  job.is_ending = true;
+  const auto& items = job.ledger.spec().items;
+  StopWork(id, job);
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    carry_.Put(items[i], job.ledger.item(i).progress);
+  }
+  if (job.is_writing) return;
+  job.listing_timer.Cancel();
+  ScheduleListing(id, Duration(0));
+}
+
+void JobRunner::WriteEnd(const JobId& id) {
+  OwnedJob& job = jobs_.at(id);
+  job.is_writing = true;
+  JobRecord record = job.record;
+  record.is_ended = true;
+  store_.Rewrite(id, record, job.index,
+                 [this, id](const Result<RecordOutcome>& outcome) {
+                   OnEndWritten(id, outcome);
+                 });
+}
+
+void JobRunner::OnEndWritten(const JobId& id,
+                             const Result<RecordOutcome>& outcome) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  OwnedJob& job = it->second;
+  job.is_writing = false;
+  if (!IsOk(outcome)) {
+    LOG(WARNING) << "event=end_delayed job=" << id << " reason=\""
+                 << ErrorOf(outcome).message << "\"";
+    ScheduleListing(id, settings_.store_retry);
+    return;
+  }
+  if (const auto* ok = std::get_if<RecordWritten>(&ValueOf(outcome))) {
+    job.index = ok->index;
+  } else {
+    const auto& changed = std::get<RecordChanged>(ValueOf(outcome));
+    const bool is_own_end =
+        changed.current.has_value() && changed.current->record.is_ended &&
+        changed.current->record.owner == self_.name &&
+        changed.current->record.incarnation == self_.incarnation;
+    if (!is_own_end) {
+      TakeLoss(id, changed);
+      return;
+    }
+    job.index = changed.current->index;
+  }
+  job.record.is_ended = true;
+  job.is_ending = false;
+  job.delete_after = context_.clock.Now() + settings_.status_time;
+  ++metrics_.jobs_ended;
+  metrics_.groups_complete += job.ledger.CompleteGroups();
+  metrics_.groups_wanted += job.ledger.spec().target_groups;
+  LOG(INFO) << "event=job_ended job=" << id
+            << " listed=" << job.ledger.listed().size()
+            << " groups=" << job.ledger.CompleteGroups()
+            << " wanted=" << job.ledger.spec().target_groups;
+  listener_.OnJobRecord(StoredRecord{id, job.record, job.index});
+  const auto waiters = std::move(job.end_waiters);
+  job.end_waiters.clear();
+  ServeReaders(job);
+  for (const auto& done : waiters) done(OkStatus());
+}
+
+// --- Review
+
+bool JobRunner::MustMove(const ItemRun& run, TimePoint now) const {
+  if (now - run.last_event() > settings_.silence) return true;
+  if (run.events() < 2) return false;
+  const auto it = jobs_.find(run.spec().job);
+  if (it == jobs_.end()) return false;
+  const forward::Route* route = RouteOf(it->second, run.spec().item);
+  if (route == nullptr) return false;
+  const forward::KnownUpstream* engine =
+      context_.directory.Find(run.spec().engine);
+  if (engine == nullptr) return false;
+  const EngineViews views =
+      ViewsOf(engine->listed.service, it->second.ledger.spec().model);
+  const auto at = std::find_if(
+      views.begin(), views.end(),
+      [&](const EngineView& view) { return view.id == run.spec().engine; });
+  if (at == views.end()) return false;
+  return placement_.IsWorthMoving(static_cast<std::size_t>(at - views.begin()),
+                                  NeedOf(it->second, run.spec().item), views);
+}
+
+void JobRunner::ReviewRuns(TimePoint now) {
+  std::vector<ItemKey> moved;
+  for (const auto& [key, run] : runs_) {
+    if (MustMove(*run, now)) moved.push_back(key);
+  }
+  for (const ItemKey& key : moved) {
+    const auto it = runs_.find(key);
+    if (it == runs_.end()) continue;
+    ++metrics_.runs_moved;
+    LOG(INFO) << "event=run_moved job=" << key.first
+              << " upstream=" << it->second->spec().engine
+              << " events=" << it->second->events();
+    ItemRun& run = *it->second;
+    run.Cancel();
+    OnRunEnded(run, RunOutcome::kBroken);
+  }
+}
+
+void JobRunner::ReviewJob(const JobId& id, OwnedJob& job, TimePoint now) {
+  if (!job.record.is_ended && !job.is_ending) {
+    job.ledger.Expire(now);
+    ScheduleListing(id, settings_.listing_pause);
+  }
+  ServeReaders(job);
+}
+
+void JobRunner::Review() {
+  const TimePoint now = context_.clock.Now();
+  ReviewRuns(now);
+  std::vector<JobId> all;
+  for (const auto& [id, job] : jobs_) all.push_back(id);
+  for (const JobId& id : all) {
+    const auto it = jobs_.find(id);
+    if (it != jobs_.end()) ReviewJob(id, it->second, now);
+  }
+  for (const JobId& id : all) {
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end() || now < it->second.delete_after) continue;
+    const StoredRecord stored{id, it->second.record, it->second.index};
+    Forget(id);
+    store_.Delete(stored, [this, id](const Result<std::monostate>& deleted) {
+      if (IsOk(deleted)) listener_.OnJobDeleted(id);
+    });
+  }
+  SchedulePump();
+}
+
+}  // namespace briarspread::batch
--- /dev/null
+++ b/briarspread/batch/job_peer_handler.h
@@ -0,0 +1,40 @@
+#ifndef BRIARSPREAD_BATCH_JOB_PEER_HANDLER_H_
+#define BRIARSPREAD_BATCH_JOB_PEER_HANDLER_H_
+
+#include <memory>
+
+#include "briarspread/batch/job_gateway.h"
+#include "briarspread/proxy/request_handler.h"
+
+namespace briarspread::batch {
+
+/// Answers other instances' calls that concern jobs. Loop's thread only.
+class JobPeerHandler final {
+ public:
+  /// Precondition: `gateway` outlives this object and all answers.
+  explicit JobPeerHandler(JobGateway& gateway) : gateway_(gateway) {}
+
+  /// Answers the request if it concerns jobs; false otherwise.
+  bool TryAnswer(const proxy::Request& request,
+                 const std::shared_ptr<proxy::Responder>& responder);
+
+ private:
+  using ResponderPtr = std::shared_ptr<proxy::Responder>;
+
+  void Accept(const proxy::Request& request, const ResponderPtr& responder);
+  void TakeNotice(std::string_view query, const std::string& body,
+                  const ResponderPtr& responder);
+  void Read(const JobId& id, std::string_view query,
+            const ResponderPtr& responder);
+  void ReadBody(const JobId& id, std::string_view query,
+                const ResponderPtr& responder);
+  void End(const JobId& id, const ResponderPtr& responder);
+  void Adopt(const JobId& id, std::string_view query, const std::string& body,
+             const ResponderPtr& responder);
+
+  JobGateway& gateway_;
+};
+
+}  // namespace briarspread::batch
+
+#endif  // BRIARSPREAD_BATCH_JOB_PEER_HANDLER_H_
--- /dev/null
+++ b/briarspread/batch/job_store.cc
@@ -0,0 +1,288 @@
+#include "briarspread/batch/job_store.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <memory>
+#include <utility>
+
+namespace briarspread::batch {
+namespace {
+
+constexpr char kRecordPrefix[] = "job-records/";
+constexpr char kSpecPrefix[] = "job-specs/";
+constexpr char kResultPrefix[] = "job-results/";
+/// The most bytes of one value; the store allows a little more.
+constexpr std::size_t kPartBytes = 900'000;
+
+std::string RecordKey(const JobId& id) { return kRecordPrefix + id.value(); }
+
+std::string SpecPrefix(const JobId& id) {
+  return kSpecPrefix + id.value() + "/";
+}
+
+std::string ResultPrefix(const JobId& id) {
+  return kResultPrefix + id.value() + "/";
+}
+
+/// A key whose order is that of its numbers.
+std::string Numbered(const std::string& prefix, std::uint64_t n) {
+  std::array<char, 24> buf;
+  const int length = std::snprintf(buf.data(), buf.size(), "%08llu",
+                                   static_cast<unsigned long long>(n));
+  return prefix + std::string(buf.data(), static_cast<std::size_t>(length));
+}
+
+Error Malformed(const std::string& key) {
+  return Error{ErrorCode::kInternal, Verdict::kAnswered,
+               "malformed value of " + key};
+}
+
+std::optional<StoredRecord> ParseRecord(const KeyValue& item) {
+  const auto record = DecodeJobRecord(item.value);
+  if (!record.has_value()) {
+    LOG(ERROR) << "event=record_skipped key=" << item.key;
+    return std::nullopt;
+  }
+  return StoredRecord{
+      JobId(item.key.substr(std::string_view(kRecordPrefix).size())), *record,
+      item.index};
+}
+
+/// The record among the keys of a failed condition.
+RecordChanged ChangedTo(const JobId& id, const StoreConflict& conflict) {
+  const std::string key = RecordKey(id);
+  for (const KeyValue& item : conflict.current) {
+    if (item.key == key && item.index.value() != 0) {
+      return RecordChanged{ParseRecord(item)};
+    }
+  }
+  return RecordChanged{};
+}
+
+bool HasKey(const StoreConflict& conflict, const std::string& key) {
+  return std::any_of(conflict.current.begin(), conflict.current.end(),
+                     [&](const KeyValue& item) {
+                       return item.key == key && item.index.value() != 0;
+                     });
+}
+
+/// Turns the outcome of a write to a record into what its caller expects.
+AsyncStore::Done<StoreOutcome> RecordDone(
+    const JobId& id, AsyncStore::Done<RecordOutcome> done) {
+  return [id, done = std::move(done)](const Result<StoreOutcome>& outcome) {
+    if (!IsOk(outcome)) {
+      done(ErrorOf(outcome));
+    } else if (const auto* ok =
+                   std::get_if<StoreCommitted>(&ValueOf(outcome))) {
+      done(RecordOutcome(RecordWritten{ok->index}));
+    } else {
+      done(RecordOutcome(
+          ChangedTo(id, std::get<StoreConflict>(ValueOf(outcome)))));
+    }
+  };
+}
+
+}  // namespace
+
+void JobStore::Accept(const JobSpec& spec, JobRecord record,
+                      Done<RecordOutcome> done) {
+  const std::string bytes = Encode(spec);
+  StoreTransaction put;
+  std::uint32_t parts = 0;
+  for (std::size_t at = 0; at < bytes.size(); at += kPartBytes) {
+    put.writes.push_back({Numbered(SpecPrefix(spec.id), parts++),
+                          bytes.substr(at, kPartBytes), StoreLeaseId()});
+  }
+  record.spec_parts = parts;
+  if (parts + 2 > kMaxTransactionEntries) {
+    done(Error{ErrorCode::kInvalidArgument, Verdict::kNotRun,
+               "the job is too large"});
+    return;
+  }
+  put.conditions.push_back({RecordKey(spec.id), StoreIndex(0)});
+  put.writes.push_back({RecordKey(spec.id), Encode(record), StoreLeaseId()});
+  store_.Commit(std::move(put), RecordDone(spec.id, std::move(done)));
+}
+
+void JobStore::Rewrite(const JobId& id, const JobRecord& record,
+                       StoreIndex index, Done<RecordOutcome> done) {
+  StoreTransaction put;
+  put.conditions.push_back({RecordKey(id), index});
+  put.writes.push_back({RecordKey(id), Encode(record), StoreLeaseId()});
+  store_.Commit(std::move(put), RecordDone(id, std::move(done)));
+}
+
+void JobStore::Append(const JobId& id, StoreIndex index, std::uint64_t position,
+                      const std::vector<ItemResult>& results,
+                      Done<RecordOutcome> done) {
+  const std::string key = Numbered(ResultPrefix(id), position);
+  StoreTransaction put;
+  put.conditions.push_back({RecordKey(id), index});
+  put.conditions.push_back({key, StoreIndex(0)});
+  put.writes.push_back({key, Encode(results), StoreLeaseId()});
+  store_.Commit(std::move(put), [id, index, key, done = std::move(done)](
+                                    const Result<StoreOutcome>& outcome) {
+    if (!IsOk(outcome)) {
+      done(ErrorOf(outcome));
+      return;
+    }
+    if (const auto* ok = std::get_if<StoreCommitted>(&ValueOf(outcome))) {
+      done(RecordOutcome(RecordWritten{ok->index}));
+      return;
+    }
+    const auto& conflict = std::get<StoreConflict>(ValueOf(outcome));
+    const RecordChanged changed = ChangedTo(id, conflict);
+    const bool is_same =
+        changed.current.has_value() && changed.current->index == index;
+    if (is_same && HasKey(conflict, key)) {
+      // Only the owner writes under this index: an earlier try, whose answer
+      // was lost, took effect.
+      done(RecordOutcome(RecordWritten{index}));
+      return;
+    }
+    done(RecordOutcome(changed));
+  });
+}
+
+void JobStore::ReadRecord(const JobId& id, Done<StoredRecord> done) {
+  store_.Get(RecordKey(id), [id, done = std::move(done)](
+                                const Result<std::optional<KeyValue>>& read) {
+    if (!IsOk(read)) {
+      done(ErrorOf(read));
+      return;
+    }
+    if (!ValueOf(read).has_value()) {
+      done(Error{ErrorCode::kNotFound, Verdict::kNotRun, "no such job"});
+      return;
+    }
+    const auto record = ParseRecord(*ValueOf(read));
+    if (!record.has_value()) {
+      done(Malformed(RecordKey(id)));
+      return;
+    }
+    done(*record);
+  });
+}
+
+void JobStore::ReadResults(const JobId& id,
+                           Done<std::vector<ItemResult>> done) {
+  store_.List(ResultPrefix(id),
+              [done = std::move(done)](const Result<StoreListing>& listing) {
+                if (!IsOk(listing)) {
+                  done(ErrorOf(listing));
+                  return;
+                }
+                std::vector<ItemResult> all;
+                for (const KeyValue& item : ValueOf(listing).items) {
+                  auto results = DecodeResults(item.value);
+                  if (!results.has_value()) {
+                    done(Malformed(item.key));
+                    return;
+                  }
+                  for (ItemResult& result : *results)
+                    all.push_back(std::move(result));
+                }
+                done(std::move(all));
+              });
+}
+
+void JobStore::ReadSpec(const StoredRecord& stored, Done<JobSpec> done) {
+  const std::string prefix = SpecPrefix(stored.id);
+  store_.List(
+      prefix, [prefix, parts = stored.record.spec_parts,
+               done = std::move(done)](const Result<StoreListing>& listing) {
+        if (!IsOk(listing)) {
+          done(ErrorOf(listing));
+          return;
+        }
+        std::string bytes;
+        for (const KeyValue& item : ValueOf(listing).items) bytes += item.value;
+        const auto spec = DecodeJobSpec(bytes);
+        if (!spec.has_value() || ValueOf(listing).items.size() != parts) {
+          done(Malformed(prefix));
+          return;
+        }
+        done(*spec);
+      });
+}
+
+void JobStore::ReadJob(const StoredRecord& stored, Done<StoredJob> done) {
+  ReadSpec(stored, [this, stored,
+                    done = std::move(done)](const Result<JobSpec>& spec) {
+    if (!IsOk(spec)) {
+      done(ErrorOf(spec));
+      return;
+    }
+    ReadResults(stored.id, [stored, spec = ValueOf(spec), done](
+                               const Result<std::vector<ItemResult>>& listed) {
+      if (!IsOk(listed)) {
+        done(ErrorOf(listed));
+        return;
+      }
+      done(StoredJob{stored, spec, ValueOf(listed)});
+    });
+  });
+}
+
+void JobStore::ListRecords(Done<std::vector<StoredRecord>> done) {
+  store_.List(kRecordPrefix,
+              [done = std::move(done)](const Result<StoreListing>& listing) {
+                if (!IsOk(listing)) {
+                  done(ErrorOf(listing));
+                  return;
+                }
+                std::vector<StoredRecord> records;
+                for (const KeyValue& item : ValueOf(listing).items) {
+                  const auto record = ParseRecord(item);
+                  if (record.has_value()) records.push_back(*record);
+                }
+                done(std::move(records));
+              });
+}
+
+void JobStore::Delete(const StoredRecord& stored, Done<std::monostate> done) {
+  store_.List(ResultPrefix(stored.id),
+              [this, stored,
+               done = std::move(done)](const Result<StoreListing>& listing) {
+                if (!IsOk(listing)) {
+                  done(ErrorOf(listing));
+                  return;
+                }
+                DeleteKeys(stored, ValueOf(listing).items, done);
+              });
+}
+
+void JobStore::DeleteKeys(const StoredRecord& stored,
+                          const std::vector<KeyValue>& results,
+                          const Done<std::monostate>& done) {
+  StoreTransaction drop;
+  drop.conditions.push_back({RecordKey(stored.id), stored.index});
+  const bool is_last =
+      results.size() + stored.record.spec_parts + 2 <= kMaxTransactionEntries;
+  if (is_last) {
+    for (std::uint32_t i = 0; i < stored.record.spec_parts; ++i) {
+      drop.removals.push_back(Numbered(SpecPrefix(stored.id), i));
+    }
+    for (const KeyValue& item : results) drop.removals.push_back(item.key);
+    drop.removals.push_back(RecordKey(stored.id));
+  } else {
+    const std::size_t n = std::min(results.size(), kMaxTransactionEntries - 2);
+    for (std::size_t i = 0; i < n; ++i) drop.removals.push_back(results[i].key);
+  }
+  store_.Commit(std::move(drop), [this, stored, is_last,
+                                  done](const Result<StoreOutcome>& outcome) {
+    if (!IsOk(outcome)) {
+      done(ErrorOf(outcome));
+    } else if (is_last ||
+               std::holds_alternative<StoreConflict>(ValueOf(outcome))) {
+      done(OkStatus());
+    } else {
+      Delete(stored, done);
+    }
+  });
+}
+
+}  // namespace briarspread::batch
--- /dev/null
+++ b/briarspread/batch/reward_run.cc
@@ -0,0 +1,86 @@
+#include "briarspread/batch/reward_run.h"
+
+#include <utility>
+
+namespace briarspread::batch {
+namespace {
+
+/// The time given to a reward call whose route has no limit.
+constexpr milliseconds kDefaultTime{4000};
+
+}  // namespace
+
+RewardRun::RewardRun(forward::ForwardContext& context, const RewardCall& call,
+                     Done done)
+    : context_(context),
+      call_(call),
+      done_(std::move(done)),
+      timer_(context.loop) {}
+
+RewardRun::~RewardRun() {
+  if (request_ != nullptr) request_->Cancel();
+}
+
+void RewardRun::Start() {
+  const auto& configuration = context_.configuration.current();
+  const forward::Route* route =
+      configuration == nullptr
+          ? nullptr
+          : configuration->FindRoute(call_.host,
+                                     proxy::SplitTarget(call_.path).path);
+  if (route == nullptr) {
+    timer_.After(milliseconds(0), [this] { Finish(); });
+    return;
+  }
+  outcome_.max_attempts = route->max_attempts;
+  forward::LiveRequestSpec spec;
+  spec.request.head.method = "POST";
+  spec.request.head.target = call_.path;
+  spec.request.head.headers.Add("Host", call_.host);
+  spec.request.head.headers.Add(context_.headers.attempt_id, call_.id);
+  spec.request.body = call_.body;
+  spec.route = *route;
+  spec.arrived = context_.clock.Now();
+  spec.deadline = spec.arrived +
+                  (route->timeout.count() > 0 ? route->timeout : kDefaultTime);
+  request_ =
+      std::make_shared<forward::LiveRequest>(context_, std::move(spec), *this);
+  request_->Start();
+}
+
+void RewardRun::OnAnswer(proxy::Response answer) {
+  const std::string* signature =
+      answer.head.headers.Find(context_.headers.signature);
+  if (answer.head.status >= 200 && answer.head.status < 300 &&
+      signature != nullptr) {
+    outcome_.score = *signature;
+  }
+  // The request still uses this object, so that its owner hears from the loop.
+  timer_.After(milliseconds(0), [this] { Finish(); });
+}
+
+void RewardRun::OnAnswerHead(const proxy::ResponseHead& head) {
+  const std::string* signature = head.headers.Find(context_.headers.signature);
+  if (signature != nullptr) outcome_.score = *signature;
+}
+
+void RewardRun::OnAnswerEnd() {
+  timer_.After(milliseconds(0), [this] { Finish(); });
+}
+
+void RewardRun::OnAnswerBroken() {
+  outcome_.score.clear();
+  timer_.After(milliseconds(0), [this] { Finish(); });
+}
+
+void RewardRun::Finish() {
+  if (request_ != nullptr) {
+    outcome_.upstream_errors = request_->upstream_errors();
+  }
+  request_.reset();
+  const Done done = std::move(done_);
+  const RewardOutcome outcome = outcome_;
+  done(outcome);
+}
+
+}  // namespace briarspread::batch
--- /dev/null
+++ b/briarspread/batch/reward_run.h
@@ -0,0 +1,57 @@
+#ifndef BRIARSPREAD_BATCH_REWARD_RUN_H_
+#define BRIARSPREAD_BATCH_REWARD_RUN_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "briarspread/batch/job.h"
+#include "briarspread/forward/live_request.h"
+
+namespace briarspread::batch {
+
+/// How a reward call ended.
+struct RewardOutcome {
+  /// The signature of the answer; empty where there was no success.
+  std::string score;
+  /// Answers of failure that upstreams gave.
+  std::uint32_t upstream_errors = 0;
+  /// Answers of failure after which the item may be given up.
+  std::uint32_t max_attempts = 1;
+};
+
+/// One reward call, sent through the route of its host and path; idempotent.
+/// Loop's thread only.
+class RewardRun final : public forward::AnswerSink {
+ public:
+  using Done = std::function<void(const RewardOutcome&)>;
+
+  /// Precondition: `context` outlives this object. `done` may destroy it.
+  RewardRun(forward::ForwardContext& context, const RewardCall& call,
+            Done done);
+  ~RewardRun() override;
+
+  /// Sends the call. Where no route leads there, `done` is called from the
+  /// loop.
+  void Start();
+
+  void OnAnswer(proxy::Response answer) override;
+  void OnAnswerHead(const proxy::ResponseHead& head) override;
+  void OnAnswerBody(std::string_view) override {}
+  void OnAnswerEnd() override;
+  void OnAnswerBroken() override;
+
+ private:
+  void Finish();
+
+  forward::ForwardContext& context_;
+  const RewardCall call_;
+  Done done_;
+  RewardOutcome outcome_;
+  std::shared_ptr<forward::LiveRequest> request_;
+  LoopTimer timer_;
+};
+
+}  // namespace briarspread::batch
+
+#endif  // BRIARSPREAD_BATCH_REWARD_RUN_H_
--- /dev/null
+++ b/briarspread/fleet/order_right.h
@@ -0,0 +1,73 @@
+#ifndef BRIARSPREAD_FLEET_ORDER_RIGHT_H_
+#define BRIARSPREAD_FLEET_ORDER_RIGHT_H_
+
+#include "briarspread/fleet/instance_registry.h"
+
+namespace briarspread {
+
+/// Settings of the right to order upstreams.
+struct OrderRightSettings {
+  /// Two holders' orders are at least this far apart.
+  milliseconds lease{3000};
+  /// How long the holder relies on the store's last confirmation, counted from
+  /// before it was asked for.
+  milliseconds confidence{1500};
+  /// How old a confirmation may be before the holder asks for another.
+  milliseconds confirm_after{700};
+  /// What a new holder waits beyond the time in which the one before may still
+  /// have sent, for orders under way.
+  milliseconds margin{300};
+  /// Contenders come one after the other, this far apart.
+  milliseconds stagger{400};
+};
+
+/// The right of one instance to send orders to upstreams. The store's record
+/// names the holder; its revision is the fencing number. A holder relies on
+/// the store's confirmation for a short time only, counted on a clock that goes
+/// on during suspension; a new holder waits until the one before can no longer
+/// send. Upstreams need not check the fencing number. Loop's thread only.
+class OrderRight final {
+ public:
+  /// Precondition: references outlive this object.
+  OrderRight(AsyncStore& store, const InstanceRegistry& registry,
+             const OrderRightSettings& settings, const Clock& clock);
+
+  /// Contends for the right where nobody holds it. To be called on each change
+  /// of the registry, and every 200 ms or so.
+  void Step();
+  /// Whether this instance is the holder, as far as it knows.
+  bool is_holder() const { return fencing_.value() != 0; }
+  /// Whether an order may be sent now. Asks the store where the last
+  /// confirmation grows old, so a caller tries again soon.
+  bool MaySend();
+  /// The fencing number. Precondition: `is_holder()`.
+  FencingNumber fencing() const { return fencing_; }
+  /// Gives the right up, for a planned stop.
+  void Release();
+
+ private:
+  void Contend();
+  void Confirm();
+  void TakeRecord(const std::optional<KeyValue>& record, TimePoint asked);
+  bool IsOwn(const KeyValue& record) const;
+  std::size_t Rank() const;
+
+  AsyncStore& store_;
+  const InstanceRegistry& registry_;
+  const OrderRightSettings settings_;
+  const Clock& clock_;
+  /// The record's index while this instance holds the right.
+  FencingNumber fencing_;
+  /// Until when no order may be sent after acquiring.
+  TimePoint wait_until_{};
+  /// When the last confirmation was asked for.
+  TimePoint confirmed_{};
+  /// Since when the record was seen missing; the clock's zero for never.
+  TimePoint missing_since_{};
+  bool is_calling_ = false;
+  bool was_released_ = false;
+};
+
+}  // namespace briarspread
+
+#endif  // BRIARSPREAD_FLEET_ORDER_RIGHT_H_
--- /dev/null
+++ b/briarspread/fleet/peer_client.cc
@@ -0,0 +1,41 @@
+#include "briarspread/fleet/peer_client.h"
+
+#include <utility>
+
+namespace briarspread {
+namespace {
+
+/// A peer that cannot be reached is to be noticed while its callers still wait.
+proxy::UpstreamConnectionSettings PeerSettings() {
+  proxy::UpstreamConnectionSettings settings;
+  settings.connect_timeout = milliseconds(300);
+  settings.dead_peer.unacknowledged = milliseconds(700);
+  return settings;
+}
+
+}  // namespace
+
+PeerClient::PeerClient(asio::io_context& loop) : pool_(loop, PeerSettings()) {}
+
+void PeerClient::Call(const Endpoint& peer, PeerCall call, Done done) {
+  proxy::RequestHead head;
+  head.method = std::move(call.method);
+  head.target = std::move(call.target);
+  head.headers.Add("Host", peer.host);
+  proxy::ExchangeOrder order;
+  order.to = peer;
+  order.bytes = proxy::Serialize(head, call.body);
+  order.timeout = call.timeout;
+  StartCall(pool_, std::move(order),
+            [done = std::move(done)](proxy::CallResult result) {
+              if (auto* response = std::get_if<proxy::Response>(&result)) {
+                done(std::move(*response));
+                return;
+              }
+              const auto& failure = std::get<proxy::ExchangeFailure>(result);
+              done(Error{ErrorCode::kUnavailable, failure.verdict,
+                         "peer: " + std::string(ToString(failure.fault))});
+            });
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/briarspread/fleet/peer_client.h
@@ -0,0 +1,40 @@
+#ifndef BRIARSPREAD_FLEET_PEER_CLIENT_H_
+#define BRIARSPREAD_FLEET_PEER_CLIENT_H_
+
+#include <functional>
+#include <string>
+
+#include "briarspread/core/result.h"
+#include "briarspread/proxy/http_call.h"
+
+namespace briarspread {
+
+/// A call to another instance.
+struct PeerCall {
+  std::string method = "GET";
+  /// Path and query.
+  std::string target;
+  std::string body;
+  milliseconds timeout{1000};
+};
+
+/// Calls other instances' peer interfaces. Loop's thread only.
+class PeerClient final {
+ public:
+  /// Gets a whole answer of any status. Errors: `kNotRun` where no connection
+  /// came about, `kMayHaveRun` where the answer was lost.
+  using Done = std::function<void(Result<proxy::Response>)>;
+
+  /// Precondition: `loop` outlives this object.
+  explicit PeerClient(asio::io_context& loop);
+
+  /// `done` is called once, from the loop.
+  void Call(const Endpoint& peer, PeerCall call, Done done);
+
+ private:
+  proxy::ConnectionPool pool_;
+};
+
+}  // namespace briarspread
+
+#endif  // BRIARSPREAD_FLEET_PEER_CLIENT_H_
--- /dev/null
+++ b/briarspread/fleet/store_watch.cc
@@ -0,0 +1,90 @@
+#include "briarspread/fleet/store_watch.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace briarspread {
+
+StoreWatch::StoreWatch(asio::io_context& loop, AsyncStore& store,
+                       std::string prefix, const StoreWatchSettings& settings,
+                       StoreWatchListener& listener)
+    : store_(store),
+      prefix_(std::move(prefix)),
+      settings_(settings),
+      listener_(listener),
+      timer_(loop),
+      next_retry_(settings.first_retry) {}
+
+void StoreWatch::Start() { Continue(); }
+
+void StoreWatch::Restart() {
+  ++call_;
+  timer_.Cancel();
+  Continue();
+}
+
+void StoreWatch::Continue() {
+  if (must_list_) {
+    List();
+  } else {
+    Watch();
+  }
+}
+
+void StoreWatch::List() {
+  const std::uint64_t call = ++call_;
+  store_.List(prefix_, [this, call](const Result<StoreListing>& listing) {
+    if (!IsCurrent(call)) return;
+    if (!IsOk(listing)) {
+      Retry(ErrorOf(listing));
+      return;
+    }
+    at_ = ValueOf(listing).store_index;
+    must_list_ = false;
+    has_listed_ = true;
+    next_retry_ = settings_.first_retry;
+    last_answer_ = std::chrono::steady_clock::now();
+    listener_.OnListing(ValueOf(listing));
+    Watch();
+  });
+}
+
+void StoreWatch::Watch() {
+  const std::uint64_t call = ++call_;
+  store_.Watch(prefix_, at_, settings_.wait,
+               [this, call](const Result<StoreChanges>& changes) {
+                 if (!IsCurrent(call)) return;
+                 if (!IsOk(changes)) {
+                   if (ErrorOf(changes).code == ErrorCode::kStale)
+                     must_list_ = true;
+                   Retry(ErrorOf(changes));
+                   return;
+                 }
+                 const StoreChanges& got = ValueOf(changes);
+                 at_ = std::max(at_, got.store_index);
+                 next_retry_ = settings_.first_retry;
+                 last_answer_ = std::chrono::steady_clock::now();
+                 if (got.changes.empty()) {
+                   Watch();
+                   return;
+                 }
+                 listener_.OnChanges(got);
+                 timer_.After(settings_.pause, [this] { Watch(); });
+               });
+}
+
+void StoreWatch::Retry(const Error& error) {
+  // Lost history is mended by listing at once.
+  const bool is_stale = error.code == ErrorCode::kStale;
+  if (!is_stale) {
+    LOG_EVERY_N(WARNING, 10) << "event=watch_failed prefix=" << prefix_
+                             << " reason=\"" << error.message << "\"";
+  }
+  timer_.After(is_stale ? milliseconds(0) : next_retry_,
+               [this] { Continue(); });
+  next_retry_ = std::min(next_retry_ * 2, settings_.retry_limit);
+}
+
+}  // namespace briarspread
--- /dev/null
+++ b/briarspread/forward/configuration.cc
@@ -0,0 +1,50 @@
+#include "briarspread/forward/configuration.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace briarspread::forward {
+
+const Route* Configuration::FindRoute(std::string_view host,
+                                      std::string_view path) const {
+  host = host.substr(0, host.find(':'));
+  const Route* best = nullptr;
+  for (const Route& route : routes) {
+    if (route.host != host || !path.starts_with(route.prefix)) continue;
+    if (best == nullptr || route.prefix.size() > best->prefix.size()) {
+      best = &route;
+    }
+  }
+  return best;
+}
+
+const Service* Configuration::FindService(const ServiceName& name) const {
+  const auto it = std::find_if(
+      services.begin(), services.end(),
+      [&](const Service& service) { return service.name == name; });
+  return it == services.end() ? nullptr : &*it;
+}
+
+const ServiceName& ChooseBackend(const Route& route, std::uint64_t draw) {
+  assert(!route.backends.empty());
+  std::uint64_t total = 0;
+  for (const Backend& backend : route.backends) total += backend.weight;
+  if (total == 0) return route.backends.front().service;
+  std::uint64_t at = draw % total;
+  for (const Backend& backend : route.backends) {
+    if (at < backend.weight) return backend.service;
+    at -= backend.weight;
+  }
+  return route.backends.back().service;
+}
+
+bool ConfigurationHolder::Offer(std::shared_ptr<const Configuration> offered) {
+  if (current_ != nullptr && offered->version <= current_->version) {
+    return false;
+  }
+  current_ = std::move(offered);
+  return true;
+}
+
+}  // namespace briarspread::forward
--- /dev/null
+++ b/briarspread/forward/live_request.h
@@ -0,0 +1,104 @@
+#ifndef BRIARSPREAD_FORWARD_LIVE_REQUEST_H_
+#define BRIARSPREAD_FORWARD_LIVE_REQUEST_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "briarspread/fleet/loop_timer.h"
+#include "briarspread/forward/attempt_policy.h"
+#include "briarspread/forward/forward_context.h"
+#include "briarspread/proxy/request_handler.h"
+
+namespace briarspread::forward {
+
+/// Who made a request that is forwarded, and hears of its answer.
+class AnswerSink {
+ public:
+  virtual ~AnswerSink() = default;
+  /// A whole answer, of the upstream or of this system.
+  virtual void OnAnswer(proxy::Response answer) = 0;
+  /// An answer too long to be held: its head, its body part by part, its end,
+  /// or a break in between.
+  virtual void OnAnswerHead(const proxy::ResponseHead& head) = 0;
+  virtual void OnAnswerBody(std::string_view data) = 0;
+  virtual void OnAnswerEnd() = 0;
+  virtual void OnAnswerBroken() = 0;
+  /// Bytes that the maker has not taken yet.
+  virtual std::size_t unsent() const { return 0; }
+};
+
+/// A request as it is to be forwarded.
+struct LiveRequestSpec {
+  proxy::Request request;
+  /// A copy, so that a later configuration does not change it midway.
+  Route route;
+  /// When the request was read whole.
+  TimePoint arrived{};
+  /// When its maker stops waiting, or the route's time is up.
+  TimePoint deadline{};
+};
+
+/// One request on its way: sent to an upstream, and to further ones where that
+/// is allowed, until an answer is whole. Keeps itself while it is under way.
+/// Loop's thread only.
+class LiveRequest final : public proxy::ExchangeListener,
+                          public std::enable_shared_from_this<LiveRequest> {
+ public:
+  /// Precondition: `context` and `sink` outlive the request, or it is cancelled
+  /// first.
+  LiveRequest(ForwardContext& context, LiveRequestSpec spec, AnswerSink& sink);
+
+  void Start();
+  /// The maker has gone: stops the work at the upstream, answers nothing.
+  void Cancel();
+  /// Answers of 500 that upstreams gave.
+  std::uint32_t upstream_errors() const { return upstream_errors_; }
+  /// Goes on reading once the maker has taken what was sent.
+  void OnDrained();
+
+  void OnHead(const proxy::ResponseHead& head) override;
+  void OnBody(std::string_view data) override;
+  void OnEnd() override;
+  void OnFailure(const proxy::ExchangeFailure& failure) override;
+
+ private:
+  void Attempt();
+  std::optional<UpstreamId> ChooseUpstream(const ServiceName& service);
+  std::string MakeBytes(const UpstreamId& upstream, milliseconds left) const;
+  void EndAttempt();
+  void TakeFailure(Verdict verdict, std::string_view reason);
+  void StartStreaming();
+  void OnDeadline();
+  void Refuse(std::string_view reason);
+  void Answer(proxy::Response response);
+  void Finish();
+  milliseconds Left() const;
+  bool IsUnsigned(const proxy::ResponseHead& head) const;
+  bool IsNotRun(const proxy::ResponseHead& head) const;
+
+  ForwardContext& context_;
+  LiveRequestSpec spec_;
+  AnswerSink& sink_;
+  AttemptPolicy policy_;
+  LoopTimer timer_;
+  /// Null once the request has ended.
+  std::shared_ptr<LiveRequest> self_;
+  std::unique_ptr<proxy::Exchange> exchange_;
+  /// Where the request is now, and has been.
+  std::optional<UpstreamId> upstream_;
+  std::shared_ptr<UpstreamCounters> counters_;
+  std::vector<UpstreamId> tried_;
+  TimePoint attempt_started_{};
+  proxy::Response answer_;
+  /// An upstream's own failure, given to the caller where nothing better comes.
+  std::optional<proxy::Response> failure_answer_;
+  std::uint32_t upstream_errors_ = 0;
+  bool is_streaming_ = false;
+};
+
+}  // namespace briarspread::forward
+
+#endif  // BRIARSPREAD_FORWARD_LIVE_REQUEST_H_
--- /dev/null
+++ b/briarspread/forward/upstream_directory.cc
@@ -0,0 +1,209 @@
+#include "briarspread/forward/upstream_directory.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <utility>
+
+#include "briarspread/proxy/http_message.h"
+
+namespace briarspread::forward {
+namespace {
+
+std::optional<std::array<std::uint32_t, 3>> ParseTriple(std::string_view text) {
+  std::array<std::uint32_t, 3> parts{};
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    const std::size_t comma = text.find(',');
+    const auto n = proxy::ParseNumber(text.substr(0, comma));
+    const bool is_last = i + 1 == parts.size();
+    if (!n.has_value() || is_last != (comma == std::string_view::npos)) {
+      return std::nullopt;
+    }
+    parts[i] = static_cast<std::uint32_t>(*n);
+    if (!is_last) text.remove_prefix(comma + 1);
+  }
+  return parts;
+}
+
+}  // namespace
+
+WeightVersion KnownUpstream::VersionOf(const ModelName& model) const {
+  for (const LoadedModel& loaded : listed.models) {
+    if (loaded.name == model) return loaded.version;
+  }
+  return WeightVersion(0);
+}
+
+UpstreamDirectory::UpstreamDirectory(const UpstreamDirectorySettings& settings,
+                                     const Locality& self, const Clock& clock)
+    : settings_(settings), self_(self), clock_(clock) {}
+
+void UpstreamDirectory::ReplaceAll(std::vector<DiscoveredUpstream> listed) {
+  std::set<UpstreamId> present;
+  for (const DiscoveredUpstream& upstream : listed) present.insert(upstream.id);
+  std::vector<UpstreamId> missing;
+  for (const auto& [id, upstream] : known_) {
+    if (!present.contains(id) && !upstream.expires.has_value()) {
+      missing.push_back(id);
+    }
+  }
+  Remove(missing);
+  for (DiscoveredUpstream& upstream : listed) Insert(std::move(upstream));
+}
+
+void UpstreamDirectory::Put(DiscoveredUpstream listed) {
+  Insert(std::move(listed));
+}
+
+void UpstreamDirectory::Insert(DiscoveredUpstream listed) {
+  const auto it = known_.find(listed.id);
+  if (it != known_.end() && it->second.listed.start_id == listed.start_id &&
+      it->second.listed.endpoint == listed.endpoint) {
+    KnownUpstream& upstream = it->second;
+    upstream.expires.reset();
+    // Answers may have told of a later version than the registration yet does.
+    for (LoadedModel& loaded : listed.models) {
+      loaded.version =
+          std::max(loaded.version, upstream.VersionOf(loaded.name));
+    }
+    upstream.listed = std::move(listed);
+    table_.reset();
+    return;
+  }
+  if (it != known_.end()) Drop(listed.id);
+  KnownUpstream upstream;
+  auto& quota = quotas_[listed.service];
+  if (quota == nullptr) quota = std::make_shared<EjectionQuota>();
+  upstream.counters = std::make_shared<UpstreamCounters>();
+  upstream.breaker = std::make_shared<CircuitBreaker>(settings_.breaker, quota);
+  upstream.load.slots = listed.slots;
+  upstream.listed = std::move(listed);
+  const UpstreamId id = upstream.listed.id;
+  known_.insert_or_assign(id, std::move(upstream));
+  table_.reset();
+}
+
+bool UpstreamDirectory::IsMassExpiry(const std::vector<UpstreamId>& ids) const {
+  if (ids.size() < 2) return false;
+  std::map<ServiceName, std::size_t> gone;
+  std::map<ServiceName, std::size_t> all;
+  for (const auto& [id, upstream] : known_) {
+    if (!upstream.listed.is_leaving) ++all[upstream.listed.service];
+  }
+  for (const UpstreamId& id : ids) {
+    const auto it = known_.find(id);
+    if (it != known_.end() && !it->second.listed.is_leaving) {
+      ++gone[it->second.listed.service];
+    }
+  }
+  return std::any_of(gone.begin(), gone.end(), [&](const auto& entry) {
+    return entry.second >= 2 && entry.second * 2 >= all[entry.first];
+  });
+}
+
+void UpstreamDirectory::Remove(const std::vector<UpstreamId>& ids) {
+  const bool has_grace = IsMassExpiry(ids);
+  const TimePoint expires = clock_.Now() + settings_.mass_expiry_grace;
+  for (const UpstreamId& id : ids) {
+    const auto it = known_.find(id);
+    if (it == known_.end()) continue;
+    if (has_grace && !it->second.listed.is_leaving) {
+      if (!it->second.expires.has_value()) it->second.expires = expires;
+      continue;
+    }
+    Drop(id);
+  }
+}
+
+void UpstreamDirectory::Drop(const UpstreamId& id) {
+  const auto it = known_.find(id);
+  if (it == known_.end()) return;
+  const Endpoint endpoint = it->second.listed.endpoint;
+  known_.erase(it);
+  table_.reset();
+  if (on_gone_) on_gone_(endpoint);
+}
+
+void UpstreamDirectory::DropExpired() {
+  std::vector<UpstreamId> expired;
+  for (const auto& [id, upstream] : known_) {
+    if (upstream.expires.has_value() && clock_.Now() >= *upstream.expires) {
+      expired.push_back(id);
+    }
+  }
+  for (const UpstreamId& id : expired) Drop(id);
+}
+
+KnownUpstream* UpstreamDirectory::Find(const UpstreamId& id) {
+  const auto it = known_.find(id);
+  return it == known_.end() ? nullptr : &it->second;
+}
+
+const RoutingTable& UpstreamDirectory::table() {
+  if (table_ != nullptr) return *table_;
+  std::vector<UpstreamView> views;
+  std::map<ServiceName, std::uint32_t> live;
+  for (const auto& [id, upstream] : known_) {
+    const DiscoveredUpstream& listed = upstream.listed;
+    if (!listed.is_leaving) ++live[listed.service];
+    ListedInstance row{
+        id.value(),
+        InstanceKind::kPlainService,
+        listed.service.value(),
+        listed.endpoint,
+        listed.locality,
+        listed.is_leaving ? ListedState::kLeaving : ListedState::kLive};
+    views.push_back(UpstreamView{std::move(row), upstream.load,
+                                 upstream.counters, InstanceShare{},
+                                 upstream.breaker});
+  }
+  for (const auto& [service, n] : live) quotas_[service]->SetLimit(n / 2);
+  table_ = MakeRoutingTable(std::move(views), self_, links_);
+  table_index_.clear();
+  for (std::size_t i = 0; i < table_->upstreams.size(); ++i) {
+    table_index_[UpstreamId(table_->upstreams[i].listed.name)] = i;
+  }
+  return *table_;
+}
+
+void UpstreamDirectory::NoteLoad(const UpstreamId& id,
+                                 const std::string& text) {
+  KnownUpstream* upstream = Find(id);
+  const auto parts = ParseTriple(text);
+  if (upstream == nullptr || !parts.has_value()) return;
+  LoadReport& load = upstream->load;
+  load.running = (*parts)[0];
+  load.queued = (*parts)[1];
+  if ((*parts)[2] > 0) load.slots = (*parts)[2];
+  load.received = clock_.Now();
+  load.own_in_flight = upstream->counters->in_flight.load();
+  const auto it = table_index_.find(id);
+  if (table_ != nullptr && it != table_index_.end()) {
+    table_->upstreams[it->second].load = load;
+  }
+}
+
+void UpstreamDirectory::NoteVersion(const UpstreamId& id,
+                                    const ModelName& model,
+                                    WeightVersion version) {
+  KnownUpstream* upstream = Find(id);
+  if (upstream == nullptr) return;
+  for (LoadedModel& loaded : upstream->listed.models) {
+    if (loaded.name == model)
+      loaded.version = std::max(loaded.version, version);
+  }
+}
+
+void UpstreamDirectory::NoteSuccess(const UpstreamId& id) {
+  if (KnownUpstream* upstream = Find(id)) {
+    upstream->breaker->OnSuccess(clock_.Now());
+  }
+}
+
+void UpstreamDirectory::NoteFailure(const UpstreamId& id) {
+  if (KnownUpstream* upstream = Find(id)) {
+    upstream->breaker->OnFailure(clock_.Now());
+  }
+}
+
+}  // namespace briarspread::forward
--- /dev/null
+++ b/briarspread/proxy/connection_pool.cc
@@ -0,0 +1,84 @@
+#include "briarspread/proxy/connection_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarspread::proxy {
+
+/// Holds the connection while its exchange goes on.
+class ConnectionPool::PooledExchange final : public Exchange {
+ public:
+  explicit PooledExchange(Connection connection)
+      : connection_(std::move(connection)) {}
+  void Cancel() override {
+    if (const auto held = connection_.lock()) held->Close();
+  }
+  void SetPaused(bool is_paused) override {
+    if (const auto held = connection_.lock()) held->SetPaused(is_paused);
+  }
+
+ private:
+  /// The connection serves others once the exchange has ended, so owners drop
+  /// this object then.
+  std::weak_ptr<UpstreamConnection> connection_;
+};
+
+ConnectionPool::ConnectionPool(asio::io_context& loop,
+                               const UpstreamConnectionSettings& settings)
+    : loop_(loop), settings_(settings) {}
+
+ConnectionPool::~ConnectionPool() {
+  const auto all = std::exchange(all_, {});
+  idle_.clear();
+  for (const Connection& connection : all) connection->Close();
+}
+
+ConnectionPool::Connection ConnectionPool::Take(const Endpoint& to) {
+  const auto it = idle_.find(to);
+  if (it == idle_.end()) return nullptr;
+  std::vector<Connection>& kept = it->second;
+  while (!kept.empty()) {
+    Connection connection = std::move(kept.back());
+    kept.pop_back();
+    if (connection->is_usable()) return connection;
+  }
+  idle_.erase(it);
+  return nullptr;
+}
+
+std::unique_ptr<Exchange> ConnectionPool::Start(ExchangeOrder order,
+                                                ExchangeListener& listener,
+                                                bool prefers_new) {
+  Connection connection = prefers_new ? nullptr : Take(order.to);
+  if (connection == nullptr) {
+    connection = std::make_shared<UpstreamConnection>(
+        loop_.get_executor(), settings_, order.to,
+        [this](const Connection& idle) { OnIdle(idle); });
+    all_.insert(connection);
+    ++opened_;
+  }
+  connection->Run(std::move(order), listener);
+  return std::make_unique<PooledExchange>(std::move(connection));
+}
+
+void ConnectionPool::OnIdle(const Connection& connection) {
+  if (connection->is_usable()) {
+    idle_[connection->endpoint()].push_back(connection);
+    return;
+  }
+  all_.erase(connection);
+  const auto it = idle_.find(connection->endpoint());
+  if (it == idle_.end()) return;
+  std::erase(it->second, connection);
+  if (it->second.empty()) idle_.erase(it);
+}
+
+void ConnectionPool::Forget(const Endpoint& to) {
+  const auto it = idle_.find(to);
+  if (it == idle_.end()) return;
+  const std::vector<Connection> kept = std::move(it->second);
+  idle_.erase(it);
+  for (const Connection& connection : kept) connection->Close();
+}
+
+}  // namespace briarspread::proxy
--- /dev/null
+++ b/briarspread/proxy/http_message.cc
@@ -0,0 +1,237 @@
+#include "briarspread/proxy/http_message.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace briarspread::proxy {
+namespace {
+
+constexpr std::array kHopByHop = {
+    std::string_view("Connection"),
+    std::string_view("Keep-Alive"),
+    std::string_view("Transfer-Encoding"),
+    std::string_view("TE"),
+    std::string_view("Trailer"),
+    std::string_view("Upgrade"),
+    std::string_view("Proxy-Connection"),
+    std::string_view("Content-Length"),
+    std::string_view("Expect"),
+};
+
+char ToLower(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+std::string_view Trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+void AppendLines(std::string& out, const HeaderList& headers) {
+  for (const Header& line : headers.lines()) {
+    out.append(line.name).append(": ").append(line.value).append("\r\n");
+  }
+}
+
+void AppendNumber(std::string& out, std::size_t n, int base) {
+  std::array<char, 24> buf;
+  const auto end =
+      std::to_chars(buf.data(), buf.data() + buf.size(), n, base).ptr;
+  out.append(buf.data(), end);
+}
+
+void AppendLength(std::string& out, std::size_t length) {
+  out.append("Content-Length: ");
+  AppendNumber(out, length, 10);
+  out.append("\r\n");
+}
+
+std::string_view ReasonOf(int status) {
+  switch (status) {
+#define BRIARSPREAD_REASON(number, name, text) \
+  case number:                                 \
+    return #text;
+    HTTP_STATUS_MAP(BRIARSPREAD_REASON)
+#undef BRIARSPREAD_REASON
+    default:
+      return "Unknown";
+  }
+}
+
+int HexDigit(char c) {
+  if (c >= '0' && c <= '9') return c - '0';
+  c = ToLower(c);
+  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+  return -1;
+}
+
+std::optional<std::string> Decode(std::string_view text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '%') {
+      out.push_back(text[i] == '+' ? ' ' : text[i]);
+      continue;
+    }
+    if (i + 2 >= text.size()) return std::nullopt;
+    const int high = HexDigit(text[i + 1]);
+    const int low = HexDigit(text[i + 2]);
+    if (high < 0 || low < 0) return std::nullopt;
+    out.push_back(static_cast<char>(high * 16 + low));
+    i += 2;
+  }
+  return out;
+}
+
+bool IsUnreserved(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.' || c == '~';
+}
+
+}  // namespace
+
+bool IsSameName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(),
+                    [](char x, char y) { return ToLower(x) == ToLower(y); });
+}
+
+std::optional<std::uint64_t> ParseNumber(std::string_view text) {
+  std::uint64_t n = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, n);
+  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return n;
+}
+
+void HeaderList::Add(std::string name, std::string value) {
+  lines_.push_back(Header{std::move(name), std::move(value)});
+}
+
+void HeaderList::Set(std::string_view name, std::string value) {
+  Remove(name);
+  Add(std::string(name), std::move(value));
+}
+
+void HeaderList::Remove(std::string_view name) {
+  std::erase_if(lines_, [name](const Header& line) {
+    return IsSameName(line.name, name);
+  });
+}
+
+const std::string* HeaderList::Find(std::string_view name) const {
+  const auto it = std::find_if(
+      lines_.begin(), lines_.end(),
+      [name](const Header& line) { return IsSameName(line.name, name); });
+  return it == lines_.end() ? nullptr : &it->value;
+}
+
+std::optional<std::uint64_t> HeaderList::FindNumber(
+    std::string_view name) const {
+  const std::string* value = Find(name);
+  return value == nullptr ? std::nullopt : ParseNumber(*value);
+}
+
+void HeaderList::RemoveHopByHop() {
+  std::vector<std::string> named;
+  for (const Header& line : lines_) {
+    if (!IsSameName(line.name, "Connection")) continue;
+    std::string_view rest = line.value;
+    while (!rest.empty()) {
+      const std::size_t comma = rest.find(',');
+      named.emplace_back(Trim(rest.substr(0, comma)));
+      rest = comma == std::string_view::npos ? "" : rest.substr(comma + 1);
+    }
+  }
+  for (const std::string& name : named) Remove(name);
+  for (const std::string_view name : kHopByHop) Remove(name);
+}
+
+std::string Serialize(const RequestHead& head, std::string_view body) {
+  std::string out;
+  out.reserve(256 + body.size());
+  out.append(head.method).append(" ").append(head.target);
+  out.append(" HTTP/1.1\r\n");
+  AppendLines(out, head.headers);
+  if (!body.empty() || (head.method != "GET" && head.method != "HEAD")) {
+    AppendLength(out, body.size());
+  }
+  out.append("\r\n").append(body);
+  return out;
+}
+
+std::string SerializeHead(const ResponseHead& head, Framing framing,
+                          std::size_t length, bool keep_alive) {
+  std::string out = "HTTP/1.1 ";
+  AppendNumber(out, static_cast<std::size_t>(head.status), 10);
+  out.append(" ").append(ReasonOf(head.status)).append("\r\n");
+  AppendLines(out, head.headers);
+  if (framing == Framing::kChunked) out += "Transfer-Encoding: chunked\r\n";
+  if (framing == Framing::kLength) AppendLength(out, length);
+  if (!keep_alive) out.append("Connection: close\r\n");
+  out.append("\r\n");
+  return out;
+}
+
+std::string SerializeChunk(std::string_view data) {
+  std::string out;
+  AppendNumber(out, data.size(), 16);
+  out.append("\r\n").append(data).append("\r\n");
+  return out;
+}
+
+Response MakeResponse(int status, std::string json_body) {
+  Response response;
+  response.head.status = status;
+  response.head.headers.Add("Content-Type", "application/json");
+  response.body = std::move(json_body);
+  return response;
+}
+
+Target SplitTarget(std::string_view target) {
+  const std::size_t mark = target.find('?');
+  if (mark == std::string_view::npos) return Target{target, {}};
+  return Target{target.substr(0, mark), target.substr(mark + 1)};
+}
+
+std::optional<std::string> FindParameter(std::string_view query,
+                                         std::string_view name) {
+  while (!query.empty()) {
+    const std::size_t end = query.find('&');
+    const std::string_view pair = query.substr(0, end);
+    const std::size_t equals = pair.find('=');
+    if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
+      return Decode(pair.substr(equals + 1));
+    }
+    query = end == std::string_view::npos ? "" : query.substr(end + 1);
+  }
+  return std::nullopt;
+}
+
+std::string EncodeParameter(std::string_view text) {
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  std::string out;
+  for (const char c : text) {
+    if (IsUnreserved(c)) {
+      out.push_back(c);
+      continue;
+    }
+    const auto n = static_cast<unsigned char>(c);
+    out.push_back('%');
+    out.push_back(kDigits[n >> 4]);
+    out.push_back(kDigits[n & 15]);
+  }
+  return out;
+}
+
+}  // namespace briarspread::proxy
--- /dev/null
+++ b/briarspread/proxy/server_connection.cc
@@ -0,0 +1,298 @@
+#include "briarspread/proxy/server_connection.h"
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <utility>
+
+namespace briarspread::proxy {
+namespace {
+
+/// Bytes that may wait while a request is under way; beyond, reading stops.
+constexpr std::size_t kMaxAhead = 64 * 1024;
+/// Below this many unsent bytes a writer may go on.
+constexpr std::size_t kLowWater = 64 * 1024;
+
+bool HasStatusWithoutBody(int status) { return status == 204 || status == 304; }
+
+}  // namespace
+
+/// The answer to one request of the connection.
+class ServerConnection::Answer final : public Responder {
+ public:
+  Answer(std::shared_ptr<ServerConnection> connection, bool is_head)
+      : connection_(std::move(connection)), is_head_(is_head) {}
+
+  void Send(const Response& response) override {
+    if (connection_ == nullptr) return;
+    const bool keep = !connection_->closes_after_answer_;
+    const bool bare = HasStatusWithoutBody(response.head.status);
+    std::string bytes =
+        SerializeHead(response.head, bare ? Framing::kNoBody : Framing::kLength,
+                      response.body.size(), keep);
+    if (!is_head_ && !bare) bytes += response.body;
+    connection_->Queue(std::move(bytes));
+    Finish();
+  }
+
+  void Start(const ResponseHead& head) override {
+    if (connection_ == nullptr) return;
+    ResponseHead out = head;
+    const auto length = out.headers.FindNumber("Content-Length");
+    out.headers.RemoveHopByHop();
+    is_chunked_ = !length.has_value();
+    connection_->Queue(
+        SerializeHead(out, is_chunked_ ? Framing::kChunked : Framing::kLength,
+                      length.value_or(0), !connection_->closes_after_answer_));
+  }
+
+  void Write(std::string_view data) override {
+    if (connection_ == nullptr || data.empty()) return;
+    connection_->Queue(is_chunked_ ? SerializeChunk(data) : std::string(data));
+  }
+
+  void End() override {
+    if (connection_ == nullptr) return;
+    if (is_chunked_) connection_->Queue(SerializeChunk({}));
+    Finish();
+  }
+
+  void Abort() override {
+    if (connection_ == nullptr) return;
+    const auto connection = std::exchange(connection_, nullptr);
+    on_gone_ = nullptr;
+    connection->responder_ = nullptr;
+    connection->Close();
+  }
+
+  std::size_t unsent() const override {
+    if (connection_ == nullptr) return 0;
+    return connection_->out_.size() + connection_->writing_.size();
+  }
+  void SetOnDrained(std::function<void()> on_drained) override {
+    on_drained_ = std::move(on_drained);
+  }
+  void SetOnGone(std::function<void()> on_gone) override {
+    on_gone_ = std::move(on_gone);
+  }
+
+  /// The connection has ended.
+  void OnGone() {
+    connection_ = nullptr;
+    on_drained_ = nullptr;
+    const auto on_gone = std::exchange(on_gone_, nullptr);
+    if (on_gone) on_gone();
+  }
+  void OnDrained() {
+    if (const auto on_drained = on_drained_) on_drained();
+  }
+
+ private:
+  void Finish() {
+    const auto connection = std::exchange(connection_, nullptr);
+    on_gone_ = nullptr;
+    on_drained_ = nullptr;
+    connection->FinishAnswer();
+  }
+
+  /// Null once the answer has ended or the caller is gone.
+  std::shared_ptr<ServerConnection> connection_;
+  const bool is_head_;
+  bool is_chunked_ = false;
+  std::function<void()> on_gone_;
+  std::function<void()> on_drained_;
+};
+
+ServerConnection::ServerConnection(asio::ip::tcp::socket socket,
+                                   const ServerSettings& settings,
+                                   RequestHandler& handler, OnClosed on_closed)
+    : socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
+      settings_(settings),
+      handler_(handler),
+      on_closed_(std::move(on_closed)),
+      reader_(MessageReader::Kind::kRequest, settings.limits) {
+  SetSocketOptions(socket_, settings.dead_peer);
+}
+
+void ServerConnection::Start() {
+  SetTimer();
+  Read();
+}
+
+void ServerConnection::CloseWhenIdle() {
+  closes_after_answer_ = true;
+  if (responder_ == nullptr && !reader_.has_started() && out_.empty() &&
+      writing_.empty()) {
+    Close();
+  }
+}
+
+void ServerConnection::Close() {
+  if (is_closed_) return;
+  is_closed_ = true;
+  timer_.cancel();
+  asio::error_code ec;
+  socket_.close(ec);
+  NoteGone();
+  if (const auto on_closed = std::exchange(on_closed_, nullptr)) {
+    on_closed(this);
+  }
+}
+
+void ServerConnection::NoteGone() {
+  if (const auto answer = std::exchange(responder_, nullptr)) answer->OnGone();
+}
+
+void ServerConnection::SetTimer() {
+  const bool is_arriving = reader_.has_started() && responder_ == nullptr;
+  timer_.expires_after(is_arriving ? settings_.header_timeout
+                                   : settings_.idle_timeout);
+  timer_.async_wait([self = shared_from_this()](asio::error_code ec) {
+    if (!ec) self->OnTimer();
+  });
+}
+
+void ServerConnection::OnTimer() {
+  if (is_closed_) return;
+  if (responder_ != nullptr || !out_.empty() || !writing_.empty()) {
+    SetTimer();
+    return;
+  }
+  if (reader_.has_started()) {
+    Refuse(408);
+    return;
+  }
+  Close();
+}
+
+void ServerConnection::Read() {
+  if (is_reading_ || is_closed_ || ahead_.size() > kMaxAhead) return;
+  is_reading_ = true;
+  socket_.async_read_some(
+      asio::buffer(buf_),
+      [self = shared_from_this()](asio::error_code ec, std::size_t n) {
+        self->is_reading_ = false;
+        if (self->is_closed_) return;
+        if (ec) {
+          self->Close();
+          return;
+        }
+        self->OnRead(n);
+      });
+}
+
+void ServerConnection::OnRead(std::size_t n) {
+  ahead_.append(buf_.data(), n);
+  Take();
+  Read();
+}
+
+void ServerConnection::Take() {
+  if (responder_ != nullptr || closes_after_write_ || ahead_.empty()) return;
+  const bool was_started = reader_.has_started();
+  const std::size_t n = reader_.Feed(ahead_);
+  ahead_.erase(0, n);
+  if (reader_.error() != ReadError::kNone) {
+    TakeError();
+    return;
+  }
+  if (reader_.is_complete()) {
+    Dispatch();
+    return;
+  }
+  if (reader_.has_head() && !sent_continue_ &&
+      reader_.request().headers.Find("Expect") != nullptr) {
+    sent_continue_ = true;
+    Queue("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  if (!was_started) SetTimer();
+}
+
+void ServerConnection::TakeError() {
+  switch (reader_.error()) {
+    case ReadError::kHeadTooLarge:
+      Refuse(431);
+      return;
+    case ReadError::kBodyTooLarge:
+      Refuse(413);
+      return;
+    default:
+      Refuse(400);
+  }
+}
+
+void ServerConnection::Refuse(int status) {
+  closes_after_write_ = true;
+  Response response = MakeResponse(status, "{\"error\":\"bad request\"}");
+  Queue(SerializeHead(response.head, Framing::kLength, response.body.size(),
+                      false) +
+        response.body);
+}
+
+void ServerConnection::Dispatch() {
+  if (!reader_.keeps_alive()) closes_after_answer_ = true;
+  Request request{std::move(reader_.request()), std::move(reader_.body())};
+  const auto answer = std::make_shared<Answer>(shared_from_this(),
+                                               request.head.method == "HEAD");
+  responder_ = answer;
+  handler_.OnRequest(std::move(request), answer);
+}
+
+void ServerConnection::FinishAnswer() {
+  responder_ = nullptr;
+  if (closes_after_answer_) {
+    closes_after_write_ = true;
+    Flush();
+    return;
+  }
+  reader_.StartNext();
+  sent_continue_ = false;
+  SetTimer();
+  // Bytes that came meanwhile are taken from the loop, not from within the
+  // handler that has just answered.
+  if (!ahead_.empty()) {
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      if (self->is_closed_) return;
+      self->Take();
+      self->Read();
+    });
+  }
+}
+
+void ServerConnection::Queue(std::string bytes) {
+  if (is_closed_) return;
+  out_ += bytes;
+  Flush();
+}
+
+void ServerConnection::Flush() {
+  if (!writing_.empty() || is_closed_) return;
+  if (out_.empty()) {
+    if (closes_after_write_) {
+      asio::error_code ec;
+      socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+      Close();
+    }
+    return;
+  }
+  writing_.swap(out_);
+  asio::async_write(
+      socket_, asio::buffer(writing_),
+      [self = shared_from_this()](asio::error_code ec, std::size_t n) {
+        if (self->is_closed_) return;
+        if (ec) {
+          self->Close();
+          return;
+        }
+        self->OnWritten(n);
+      });
+}
+
+void ServerConnection::OnWritten(std::size_t) {
+  writing_.clear();
+  const auto answer = responder_;
+  if (answer != nullptr && out_.size() < kLowWater) answer->OnDrained();
+  Flush();
+}
+
+}  // namespace briarspread::proxy
--- /dev/null
+++ b/briarspread/proxy/upstream_connection.cc
@@ -0,0 +1,251 @@
+#include "briarspread/proxy/upstream_connection.h"
+
+#include <algorithm>
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <cassert>
+#include <utility>
+
+namespace briarspread::proxy {
+namespace {
+
+/// Taken off an upstream's own idle time, so that a request does not cross its
+/// close.
+constexpr milliseconds kIdleMargin{500};
+
+std::optional<std::uint64_t> KeepAliveSeconds(const ResponseHead& head) {
+  const std::string* line = head.headers.Find("Keep-Alive");
+  if (line == nullptr) return std::nullopt;
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t at = line->find(kName);
+  if (at == std::string::npos) return std::nullopt;
+  const std::string_view rest =
+      std::string_view(*line).substr(at + kName.size());
+  return ParseNumber(rest.substr(0, rest.find_first_not_of("0123456789")));
+}
+
+bool IsInterim(int status) { return status >= 100 && status < 200; }
+
+}  // namespace
+
+UpstreamConnection::UpstreamConnection(
+    const asio::any_io_executor& executor,
+    const UpstreamConnectionSettings& settings, Endpoint to, OnIdle on_idle)
+    : socket_(executor),
+      timer_(executor),
+      settings_(settings),
+      to_(std::move(to)),
+      on_idle_(std::move(on_idle)),
+      reader_(MessageReader::Kind::kResponse, settings.limits),
+      idle_time_(settings.idle_timeout) {}
+
+void UpstreamConnection::Run(ExchangeOrder order, ExchangeListener& listener) {
+  assert(listener_ == nullptr && is_usable());
+  order_ = std::move(order);
+  listener_ = &listener;
+  is_head_taken_ = false;
+  is_paused_ = false;
+  started_ = std::chrono::steady_clock::now();
+  if (order_.is_head) reader_.ExpectNoBody();
+  if (is_connected_) {
+    was_used_ = true;
+    Send();
+    return;
+  }
+  Connect();
+}
+
+void UpstreamConnection::Connect() {
+  asio::error_code ec;
+  const auto address = asio::ip::make_address(to_.host, ec);
+  if (ec) {
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      self->Fail(ExchangeFault::kNotConnected, Verdict::kNotRun);
+    });
+    return;
+  }
+  milliseconds limit = settings_.connect_timeout;
+  if (order_.timeout.count() > 0) limit = std::min(limit, order_.timeout);
+  SetTimer(limit, ExchangeFault::kNotConnected, Verdict::kNotRun);
+  socket_.async_connect(
+      asio::ip::tcp::endpoint(address, to_.port),
+      [self = shared_from_this()](asio::error_code error) {
+        if (self->is_closed_) return;
+        if (error) {
+          self->Fail(ExchangeFault::kNotConnected, Verdict::kNotRun);
+          return;
+        }
+        SetSocketOptions(self->socket_, self->settings_.dead_peer);
+        self->is_connected_ = true;
+        self->Send();
+      });
+}
+
+void UpstreamConnection::SetTimer(milliseconds after, ExchangeFault fault,
+                                  Verdict verdict) {
+  timer_.expires_after(after);
+  timer_.async_wait(
+      [self = shared_from_this(), fault, verdict](asio::error_code ec) {
+        if (!ec && !self->is_closed_) self->Fail(fault, verdict);
+      });
+}
+
+void UpstreamConnection::Send() {
+  if (order_.timeout.count() > 0) {
+    const auto spent = std::chrono::duration_cast<milliseconds>(
+        std::chrono::steady_clock::now() - started_);
+    SetTimer(std::max(order_.timeout - spent, milliseconds(1)),
+             ExchangeFault::kTimedOut, Verdict::kMayHaveRun);
+  } else {
+    timer_.cancel();
+  }
+  asio::async_write(
+      socket_, asio::buffer(order_.bytes),
+      [self = shared_from_this()](asio::error_code ec, std::size_t) {
+        // A response may come before the request is taken whole; the read side
+        // tells how the exchange ends, and ends it also after a failed write.
+        if (ec && !self->is_closed_ && self->listener_ != nullptr &&
+            !self->reader_.has_started()) {
+          self->Fail(ExchangeFault::kBroken, Verdict::kMayHaveRun);
+        }
+      });
+  Read();
+}
+
+void UpstreamConnection::SetPaused(bool is_paused) {
+  is_paused_ = is_paused;
+  if (!is_paused) Read();
+}
+
+void UpstreamConnection::Read() {
+  if (is_reading_ || is_closed_ || is_paused_) return;
+  is_reading_ = true;
+  socket_.async_read_some(
+      asio::buffer(buf_),
+      [self = shared_from_this()](asio::error_code ec, std::size_t n) {
+        self->is_reading_ = false;
+        if (!self->is_closed_) self->OnRead(ec, n);
+      });
+}
+
+void UpstreamConnection::OnRead(asio::error_code ec, std::size_t n) {
+  if (listener_ == nullptr) {
+    // Bytes, or an end, while no request waits: nothing that came can be used.
+    Close();
+    return;
+  }
+  if (!ec) {
+    Take(std::string_view(buf_.data(), n));
+    if (!is_closed_) Read();
+    return;
+  }
+  // A reset cuts a response short even where its end was to delimit it.
+  if (ec == asio::error::eof && reader_.FeedEnd() && TakeHead()) {
+    Deliver();
+    Finish();
+    return;
+  }
+  if (!is_closed_) Fail(ExchangeFault::kBroken, Verdict::kMayHaveRun);
+}
+
+void UpstreamConnection::Take(std::string_view bytes) {
+  while (!bytes.empty() && !is_closed_) {
+    const std::size_t n = reader_.Feed(bytes);
+    bytes.remove_prefix(n);
+    if (reader_.error() != ReadError::kNone) {
+      Fail(ExchangeFault::kGarbled, Verdict::kMayHaveRun);
+      return;
+    }
+    if (reader_.is_complete() && IsInterim(reader_.response().status)) {
+      reader_.StartNext();
+      if (order_.is_head) reader_.ExpectNoBody();
+      continue;
+    }
+    if (reader_.has_head() && !TakeHead()) return;
+    Deliver();
+    if (is_closed_ || listener_ == nullptr) return;
+    if (reader_.is_complete()) {
+      // Bytes after a whole response belong to no request.
+      if (!bytes.empty()) may_be_kept_ = false;
+      Finish();
+      return;
+    }
+    if (n == 0) return;
+  }
+}
+
+bool UpstreamConnection::TakeHead() {
+  if (is_head_taken_) return true;
+  const ResponseHead& head = reader_.response();
+  if (IsInterim(head.status)) return true;
+  const std::string* echo =
+      order_.echo_name.empty() ? nullptr : head.headers.Find(order_.echo_name);
+  if (echo != nullptr && *echo != order_.echo_value) {
+    Fail(ExchangeFault::kGarbled, Verdict::kMayHaveRun);
+    return false;
+  }
+  is_head_taken_ = true;
+  idle_time_ = IdleTime(head);
+  listener_->OnHead(head);
+  return !is_closed_ && listener_ != nullptr;
+}
+
+void UpstreamConnection::Deliver() {
+  if (listener_ == nullptr || reader_.body().empty()) return;
+  const std::string data = std::exchange(reader_.body(), {});
+  listener_->OnBody(data);
+}
+
+milliseconds UpstreamConnection::IdleTime(const ResponseHead& head) const {
+  const auto limit = KeepAliveSeconds(head);
+  if (!limit.has_value()) return settings_.idle_timeout;
+  const milliseconds own = seconds(*limit) - kIdleMargin;
+  return std::min(settings_.idle_timeout, own);
+}
+
+void UpstreamConnection::Finish() {
+  if (listener_ == nullptr) return;
+  ExchangeListener* listener = std::exchange(listener_, nullptr);
+  const bool keeps = reader_.keeps_alive() && may_be_kept_ &&
+                     idle_time_.count() > 0 && !reader_.body().size();
+  timer_.cancel();
+  if (keeps) {
+    reader_.StartNext();
+    NoteIdle();
+  } else {
+    Close();
+  }
+  listener->OnEnd();
+}
+
+void UpstreamConnection::NoteIdle() {
+  timer_.expires_after(idle_time_);
+  timer_.async_wait([self = shared_from_this()](asio::error_code ec) {
+    if (!ec && self->listener_ == nullptr) self->Close();
+  });
+  Read();
+  if (on_idle_) on_idle_(shared_from_this());
+}
+
+void UpstreamConnection::Close() {
+  if (is_closed_) return;
+  is_closed_ = true;
+  listener_ = nullptr;
+  timer_.cancel();
+  asio::error_code ec;
+  socket_.close(ec);
+  if (const auto on_idle = std::exchange(on_idle_, nullptr)) {
+    on_idle(shared_from_this());
+  }
+}
+
+void UpstreamConnection::Fail(ExchangeFault fault, Verdict verdict) {
+  ExchangeListener* listener = listener_;
+  const ExchangeFailure failure{
+      fault, verdict,
+      was_used_ && !reader_.has_started() && fault == ExchangeFault::kBroken};
+  Close();
+  if (listener != nullptr) listener->OnFailure(failure);
+}
+
+}  // namespace briarspread::proxy
--- /dev/null
+++ b/briarspread/versions/version_driver.cc
@@ -0,0 +1,223 @@
+#include "briarspread/versions/version_driver.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace briarspread::versions {
+namespace {
+
+std::string_view ToString(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::kAccepted:
+      return "accepted";
+    case OrderOutcome::kHolds:
+      return "holds";
+    case OrderOutcome::kBusy:
+      return "busy";
+    case OrderOutcome::kFenced:
+      return "fenced";
+    case OrderOutcome::kRefused:
+      return "refused";
+    case OrderOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+VersionDriver::VersionDriver(asio::io_context& loop, const Clock& clock,
+                             OrderRight& right,
+                             forward::UpstreamDirectory& directory,
+                             const forward::ConfigurationHolder& configuration,
+                             EngineControl& control,
+                             const VersionDriverSettings& settings)
+    : clock_(clock),
+      right_(right),
+      directory_(directory),
+      configuration_(configuration),
+      control_(control),
+      settings_(settings),
+      planner_(settings.planner),
+      timer_(loop) {}
+
+void VersionDriver::Start() {
+  timer_.Every(settings_.tick, [this] { Tick(); });
+}
+
+void VersionDriver::SetTarget(const ModelName& model, WeightVersion version) {
+  WeightVersion& target = targets_[model];
+  if (version <= target) return;
+  target = version;
+  LOG(INFO) << "event=version_named model=" << model << " version=" << version;
+}
+
+VersionDriver::EngineOrders& VersionDriver::OrdersOf(
+    const forward::KnownUpstream& engine) {
+  EngineOrders& orders = engines_[engine.listed.id];
+  if (orders.start_id != engine.listed.start_id && !orders.is_calling) {
+    orders = EngineOrders{};
+    orders.start_id = engine.listed.start_id;
+  }
+  return orders;
+}
+
+LoadMode VersionDriver::ModeOf(const ServiceName& service) const {
+  const auto& routes = configuration_.current()->routes;
+  const bool wants_single = std::any_of(
+      routes.begin(), routes.end(), [&](const forward::Route& route) {
+        return route.wants_single_version &&
+               std::any_of(route.backends.begin(), route.backends.end(),
+                           [&](const forward::Backend& backend) {
+                             return backend.service == service;
+                           });
+      });
+  return wants_single ? LoadMode::kWaitForRunning : LoadMode::kKeepRunning;
+}
+
+void VersionDriver::Tick() {
+  right_.Step();
+  if (!right_.is_holder() || configuration_.current() == nullptr) return;
+  std::erase_if(engines_, [this](const auto& entry) {
+    return !entry.second.is_calling && directory_.Find(entry.first) == nullptr;
+  });
+  for (const forward::Service& service : configuration_.current()->services) {
+    std::vector<ModelTarget> targets;
+    for (const ModelName& model : service.models) {
+      const auto it = targets_.find(model);
+      targets.push_back(
+          {model, it == targets_.end() ? WeightVersion(1) : it->second});
+    }
+    if (!targets.empty()) {
+      PlanService(service.name, targets, ModeOf(service.name));
+    }
+  }
+}
+
+void VersionDriver::PlanService(const ServiceName& service,
+                                const std::vector<ModelTarget>& targets,
+                                LoadMode mode) {
+  const TimePoint now = clock_.Now();
+  std::vector<EngineState> engines;
+  for (const auto& [id, engine] : directory_.all()) {
+    if (engine.listed.service != service || engine.listed.models.empty()) {
+      continue;
+    }
+    EngineOrders& orders = OrdersOf(engine);
+    CheckAwaited(id, orders, now);
+    EngineState state;
+    state.id = id;
+    state.loaded = engine.listed.models;
+    state.is_busy = orders.awaited.has_value() || orders.is_calling ||
+                    now < orders.not_before;
+    state.is_open = !engine.listed.is_leaving && !engine.breaker->is_open();
+    engines.push_back(std::move(state));
+  }
+  const auto next = planner_.Next(targets, engines);
+  if (next.empty() || !right_.MaySend()) return;
+  for (const VersionOrder& order : next) Give(order, mode);
+}
+
+void VersionDriver::CheckAwaited(const UpstreamId& id, EngineOrders& orders,
+                                 TimePoint now) {
+  if (!orders.awaited.has_value()) return;
+  const forward::KnownUpstream* engine = directory_.Find(id);
+  const VersionOrder& awaited = *orders.awaited;
+  if (engine != nullptr &&
+      engine->VersionOf(awaited.model) >= awaited.version) {
+    LOG(INFO) << "event=version_loaded upstream=" << id
+              << " model=" << awaited.model << " version=" << awaited.version;
+    orders.awaited.reset();
+    return;
+  }
+  if (now - orders.sent > settings_.order_patience) {
+    LOG(WARNING) << "event=order_without_effect upstream=" << id
+                 << " model=" << awaited.model;
+    orders.awaited.reset();
+    orders.accepted.reset();
+    return;
+  }
+  if (now < orders.next_check || orders.is_calling) return;
+  orders.next_check = now + settings_.check_interval;
+  ReadReport(id, [] {});
+}
+
+void VersionDriver::ReadReport(const UpstreamId& id,
+                               std::function<void()> then) {
+  engines_[id].is_calling = true;
+  control_.ReadReport(id, [this, id, then = std::move(then)](
+                              const Result<EngineReport>& report) {
+    const auto it = engines_.find(id);
+    if (it == engines_.end()) return;
+    it->second.is_calling = false;
+    if (!IsOk(report)) {
+      it->second.not_before = clock_.Now() + settings_.retry;
+      return;
+    }
+    it->second.accepted = ValueOf(report).orders;
+    for (const forward::LoadedModel& model : ValueOf(report).loaded) {
+      directory_.NoteVersion(id, model.name, model.version);
+    }
+    then();
+  });
+}
+
+void VersionDriver::Give(const VersionOrder& order, LoadMode mode) {
+  EngineOrders& orders = engines_[order.engine];
+  if (orders.accepted.has_value()) {
+    Send(order, mode);
+    return;
+  }
+  // The count of accepted orders guards against orders carried out late.
+  ReadReport(order.engine, [this, order, mode] {
+    const forward::KnownUpstream* engine = directory_.Find(order.engine);
+    if (engine == nullptr || !right_.MaySend()) return;
+    if (engine->VersionOf(order.model) < order.version) Send(order, mode);
+  });
+}
+
+void VersionDriver::Send(const VersionOrder& order, LoadMode mode) {
+  EngineOrders& orders = engines_[order.engine];
+  const TimePoint now = clock_.Now();
+  orders.awaited = order;
+  orders.sent = now;
+  orders.next_check = now + settings_.first_check;
+  orders.is_calling = true;
+  ++orders_sent_;
+  SentOrder sent{order, mode, right_.fencing(), orders.accepted};
+  control_.Send(
+      sent, [this, order](OrderOutcome outcome) { OnOutcome(order, outcome); });
+}
+
+void VersionDriver::OnOutcome(const VersionOrder& order, OrderOutcome outcome) {
+  const auto it = engines_.find(order.engine);
+  if (it == engines_.end()) return;
+  EngineOrders& orders = it->second;
+  orders.is_calling = false;
+  LOG(INFO) << "event=order upstream=" << order.engine
+            << " model=" << order.model << " version=" << order.version
+            << " outcome=" << ToString(outcome);
+  switch (outcome) {
+    case OrderOutcome::kAccepted:
+      if (orders.accepted.has_value()) ++*orders.accepted;
+      return;
+    case OrderOutcome::kHolds:
+      directory_.NoteVersion(order.engine, order.model, order.version);
+      return;
+    case OrderOutcome::kUnknown:
+      // Awaited as if accepted; the report tells.
+      orders.accepted.reset();
+      return;
+    case OrderOutcome::kBusy:
+    case OrderOutcome::kFenced:
+    case OrderOutcome::kRefused:
+      orders.accepted.reset();
+      orders.awaited.reset();
+      orders.not_before = clock_.Now() + settings_.retry;
+      return;
+  }
+}
+
+}  // namespace briarspread::versions
--- /dev/null
+++ b/briarspread/versions/version_planner.h
@@ -0,0 +1,79 @@
+#ifndef BRIARSPREAD_VERSIONS_VERSION_PLANNER_H_
+#define BRIARSPREAD_VERSIONS_VERSION_PLANNER_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "briarspread/core/clock.h"
+#include "briarspread/core/ids.h"
+#include "briarspread/forward/upstream_directory.h"
+
+namespace briarspread::versions {
+
+/// The version that a model is to have.
+struct ModelTarget {
+  ModelName model;
+  WeightVersion version;
+};
+
+/// An engine as the planner sees it.
+struct EngineState {
+  UpstreamId id;
+  std::vector<forward::LoadedModel> loaded;
+  /// Whether an order to it is under way, or its fate unknown.
+  bool is_busy = false;
+  /// Whether it takes orders: not leaving, not failing.
+  bool is_open = true;
+};
+
+/// One load to order.
+struct VersionOrder {
+  UpstreamId engine;
+  ModelName model;
+  WeightVersion version;
+
+  friend bool operator==(const VersionOrder&, const VersionOrder&) = default;
+};
+
+/// Settings of the planner.
+struct VersionPlannerSettings {
+  /// Engines that load at once over all models; more slow each other down.
+  std::size_t max_loading = 2;
+  /// Engines of one model that load at once, while others of it serve.
+  std::size_t max_loading_of_model = 1;
+};
+
+/// Decides which engines load which version next. Answers the load of several
+/// trainers that each name a version every few seconds, on engines that each
+/// have all models but load one version at a time: loading every version
+/// everywhere takes longer than the time between two versions, so that each
+/// model gets a share of the engines that follows its versions, and the rest
+/// keep what they have. An engine stays with its model while the shares allow.
+/// Holds no state: a new holder decides as the one before did. Thread-safe.
+class VersionPlanner final {
+ public:
+  explicit VersionPlanner(const VersionPlannerSettings& settings)
+      : settings_(settings) {}
+
+  /// The model that each engine follows. All targets of one service.
+  std::map<UpstreamId, ModelName> Assign(
+      const std::vector<ModelTarget>& targets,
+      const std::vector<EngineState>& engines) const;
+
+  /// Loads to order now, the engines that are furthest behind first.
+  std::vector<VersionOrder> Next(const std::vector<ModelTarget>& targets,
+                                 const std::vector<EngineState>& engines) const;
+
+ private:
+  const VersionPlannerSettings settings_;
+};
+
+/// The version of a model among those loaded; zero where it is not.
+/// Thread-safe.
+WeightVersion VersionOf(const std::vector<forward::LoadedModel>& loaded,
+                        const ModelName& model);
+
+}  // namespace briarspread::versions
+
+#endif  // BRIARSPREAD_VERSIONS_VERSION_PLANNER_H_
--- a/cmake/Briarspread.cmake
+++ b/cmake/Briarspread.cmake
@@ -2,17 +2,19 @@
 
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
-# Debian's cpp-httplib is compiled with these defines; headers used without them
-# disagree with the library about the layout of its classes.
-pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
 pkg_check_modules(GLOG REQUIRED IMPORTED_TARGET libglog)
 pkg_check_modules(GFLAGS REQUIRED IMPORTED_TARGET gflags)
 pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-memb)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
-pkg_check_modules(LUA REQUIRED IMPORTED_TARGET lua5.4)
 find_package(OpenSSL REQUIRED)
-find_package(Catch2 2 REQUIRED)
-find_package(rapidcheck REQUIRED)
+if(NOT BRIARSPREAD_DEPLOYED_ONLY)
+  # Debian's cpp-httplib is compiled with these defines; headers used without
+  # them disagree with the library about the layout of its classes.
+  pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
+  pkg_check_modules(LUA REQUIRED IMPORTED_TARGET lua5.4)
+  find_package(Catch2 2 REQUIRED)
+  find_package(rapidcheck REQUIRED)
+endif()
 
 set(BRIARSPREAD_SANITIZE "" CACHE STRING
     "Sanitizers to build with, for example address,undefined")
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -4,7 +4,7 @@
 
 packages=(
   cmake g++ ninja-build pkg-config clang-format clang-tidy python3
-  libasio-dev libcpp-httplib-dev nlohmann-json3-dev libgflags-dev
+  libasio-dev libhttp-parser-dev libcpp-httplib-dev nlohmann-json3-dev libgflags-dev
   libgoogle-glog-dev catch2 libtrompeloeil-cpp-dev librapidcheck-dev
   liburcu-dev libxxhash-dev libvalijson-dev liblua5.4-dev libssl-dev
   libboost-dev
