Versions load on the engines furthest behind; handover reclaimed by a new record

(2) an item past its time was given up while its run went on, which an assert forbids. (3) each model had a fixed part of the engines, so that a step met the very engines that were loading its version.

Ruled out: (1) the runs of one owner: they end before a handover is sent.

Change: an owner whose handover failed writes the record anew before it goes on; a silent owner is probed twice; expiry stops runs; each version goes to an equal share of the engines, those furthest behind.

--- a/briarspread/batch/job_gateway.cc
+++ b/briarspread/batch/job_gateway.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int kOk = 200;
+/// Unanswered probes after which an owner counts as gone.
+constexpr int kSilentProbes = 2;
 
 Error UnavailableError(const std::string& why) {
   return Error{ErrorCode::kUnavailable, Verdict::kNotRun, why};
@@ -406,19 +408,22 @@
   PeerCall call;
   call.target = "/v1/ping";
   call.timeout = settings_.call_timeout;
-  peers_.Call(stored.record.owner_endpoint, std::move(call),
-              [this, stored](const Result<proxy::Response>& answer) {
-                const auto it = orphans_.find(stored.id);
-                if (it == orphans_.end()) return;
-                it->second.is_probing = false;
-                const std::string expected =
-                    stored.record.owner.value() + "/" +
-                    std::to_string(stored.record.incarnation.value());
-                const bool lives =
-                    IsOk(answer) && ValueOf(answer).body == expected;
-                it->second.is_confirmed = !lives;
-                if (!lives) AdoptOrphan(stored);
-              });
+  peers_.Call(
+      stored.record.owner_endpoint, std::move(call),
+      [this, stored](const Result<proxy::Response>& answer) {
+        const auto it = orphans_.find(stored.id);
+        if (it == orphans_.end()) return;
+        it->second.is_probing = false;
+        const std::string expected =
+            stored.record.owner.value() + "/" +
+            std::to_string(stored.record.incarnation.value());
+        Orphan& orphan = it->second;
+        // Another start answers for sure; silence may be a lost packet.
+        const bool is_other = IsOk(answer) && ValueOf(answer).body != expected;
+        orphan.silent_probes = IsOk(answer) ? 0 : orphan.silent_probes + 1;
+        orphan.is_confirmed = is_other || orphan.silent_probes >= kSilentProbes;
+        if (orphan.is_confirmed) AdoptOrphan(stored);
+      });
 }
 
 void JobGateway::AdoptOrphan(const StoredRecord& stored) {
@@ -492,7 +497,7 @@
                           std::function<void()> done) {
   if (!runner_->Owns(id) || candidates.empty()) {
     // Without a taker it goes on here until the process ends.
-    runner_->Resume(id);
+    runner_->Reclaim(id);
     if (--*left == 0) done();
     return;
   }
--- a/briarspread/batch/job_gateway.h
+++ b/briarspread/batch/job_gateway.h
@@ -20,7 +20,7 @@
   /// How long a peer has to answer beyond what a read may wait.
   milliseconds call_timeout{700};
   /// How long a peer has to take a job over.
-  milliseconds adoption_timeout{1500};
+  milliseconds adoption_timeout{2500};
   /// A job whose owner is gone is taken over by the best instance at once, by
   /// the next one so much later, and so on.
   milliseconds takeover_stagger{1500};
@@ -80,7 +80,9 @@
     TimePoint since{};
     bool is_probing = false;
     bool is_adopting = false;
-    /// Whether the owner did not answer, or is another start.
+    /// Probes in a row that the owner did not answer.
+    int silent_probes = 0;
+    /// Whether the owner is gone, or is another start.
     bool is_confirmed = false;
   };
 
--- a/briarspread/batch/job_listing.cc
+++ b/briarspread/batch/job_listing.cc
@@ -61,6 +61,7 @@
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
   OwnedJob& job = it->second;
+  if (job.is_paused) return;
   if (job.is_writing || job.record.is_ended) return;
   if (job.chunk.empty() && job.is_ending) {
     WriteEnd(id);
@@ -216,9 +217,15 @@
   }
 }
 
+void JobRunner::ExpireItems(const JobId& id, OwnedJob& job, TimePoint now) {
+  if (now < job.ledger.terms().gives_up) return;
+  StopWork(id, job);
+  job.ledger.Expire(now);
+}
+
 void JobRunner::ReviewJob(const JobId& id, OwnedJob& job, TimePoint now) {
   if (!job.record.is_ended && !job.is_ending) {
-    job.ledger.Expire(now);
+    ExpireItems(id, job, now);
     ScheduleListing(id, settings_.listing_pause);
   }
   ServeReaders(job);
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -285,6 +285,39 @@
   return StoredRecord{id, job.record, job.index};
 }
 
+void JobRunner::Reclaim(const JobId& id) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  store_.Rewrite(
+      id, it->second.record, it->second.index,
+      [this, id](const Result<RecordOutcome>& outcome) {
+        const auto found = jobs_.find(id);
+        if (found == jobs_.end()) return;
+        if (!IsOk(outcome)) {
+          found->second.listing_timer.After(settings_.store_retry,
+                                            [this, id] { Reclaim(id); });
+          return;
+        }
+        if (const auto* ok = std::get_if<RecordWritten>(&ValueOf(outcome))) {
+          found->second.index = ok->index;
+          Resume(id);
+          return;
+        }
+        const auto& changed = std::get<RecordChanged>(ValueOf(outcome));
+        const bool is_own =
+            changed.current.has_value() &&
+            changed.current->record.owner == self_.name &&
+            changed.current->record.incarnation == self_.incarnation;
+        if (!is_own) {
+          TakeLoss(id, changed);
+          return;
+        }
+        // An earlier try took effect.
+        found->second.index = changed.current->index;
+        Resume(id);
+      });
+}
+
 void JobRunner::Resume(const JobId& id) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -100,8 +100,10 @@
   JobHandover PrepareHandover(const JobId& id);
   /// The record of an own job.
   StoredRecord RecordOf(const JobId& id) const;
-  /// Goes on after a handover that failed.
-  void Resume(const JobId& id);
+  /// Goes on after a handover that failed. A taker may still have it from the
+  /// store, so the record is written anew first: a later takeover by it fails,
+  /// and after an earlier one the job is left to it.
+  void Reclaim(const JobId& id);
   /// The job is another's now.
   void Forget(const JobId& id);
 
@@ -184,6 +186,9 @@
   ItemRunSpec MakeRunSpec(const OwnedJob& job, std::size_t i,
                           const UpstreamId& engine) const;
 
+  void Resume(const JobId& id);
+  void ExpireItems(const JobId& id, OwnedJob& job, TimePoint now);
+
   void StartReward(const JobId& id, std::size_t i);
   void OnRewardDone(const JobId& id, std::size_t i,
                     const RewardOutcome& outcome);
--- a/briarspread/versions/version_driver.cc
+++ b/briarspread/versions/version_driver.cc
@@ -112,6 +112,7 @@
     state.loaded = engine.listed.models;
     state.is_busy = orders.awaited.has_value() || orders.is_calling ||
                     now < orders.not_before;
+    if (orders.awaited.has_value()) state.loading = orders.awaited->model;
     state.is_open = !engine.listed.is_leaving && !engine.breaker->is_open();
     engines.push_back(std::move(state));
   }
--- a/briarspread/versions/version_driver.h
+++ b/briarspread/versions/version_driver.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "briarspread/fleet/loop_timer.h"
 #include "briarspread/fleet/order_right.h"
--- a/briarspread/versions/version_planner.h
+++ b/briarspread/versions/version_planner.h
@@ -1,8 +1,6 @@
 #ifndef BRIARSPREAD_VERSIONS_VERSION_PLANNER_H_
 #define BRIARSPREAD_VERSIONS_VERSION_PLANNER_H_
 
-#include <map>
-#include <optional>
 #include <vector>
 
 #include "briarspread/core/clock.h"
@@ -23,6 +21,10 @@
   std::vector<forward::LoadedModel> loaded;
   /// Whether an order to it is under way, or its fate unknown.
   bool is_busy = false;
+  /// The model that the order concerns; empty for none.
+  ModelName loading;
+  /// Whether its streams are much slower than those of others.
+  bool is_slow = false;
   /// Whether it takes orders: not leaving, not failing.
   bool is_open = true;
 };
@@ -40,28 +42,22 @@
 struct VersionPlannerSettings {
   /// Engines that load at once over all models; more slow each other down.
   std::size_t max_loading = 2;
-  /// Engines of one model that load at once, while others of it serve.
-  std::size_t max_loading_of_model = 1;
 };
 
 /// Decides which engines load which version next. Answers the load of several
 /// trainers that each name a version every few seconds, on engines that each
 /// have all models but load one version at a time: loading every version
-/// everywhere takes longer than the time between two versions, so that each
-/// model gets a share of the engines that follows its versions, and the rest
-/// keep what they have. An engine stays with its model while the shares allow.
-/// Holds no state: a new holder decides as the one before did. Thread-safe.
+/// everywhere takes longer than the time between two versions. So each version
+/// goes to an equal share of the engines only, to those that are furthest
+/// behind: while they load it, those that have the version before go on with
+/// the step that it allows, undisturbed. Holds no state: a new holder decides
+/// as the one before did. Thread-safe.
 class VersionPlanner final {
  public:
   explicit VersionPlanner(const VersionPlannerSettings& settings)
       : settings_(settings) {}
 
-  /// The model that each engine follows. All targets of one service.
-  std::map<UpstreamId, ModelName> Assign(
-      const std::vector<ModelTarget>& targets,
-      const std::vector<EngineState>& engines) const;
-
-  /// Loads to order now, the engines that are furthest behind first.
+  /// Loads to order now. All targets of one service.
   std::vector<VersionOrder> Next(const std::vector<ModelTarget>& targets,
                                  const std::vector<EngineState>& engines) const;
 
