A run resumed after its last event is whole; owners tell each other their load

(2) a breaker that opened at the holder of the order right never closed, since it sends no items: versions went to one engine in place of three. (3) an engine that did not answer a report counted as loading. (4) two owners filled the same slots, and all items of a slow engine moved at once to the one free slot seen.

--- /dev/null
+++ b/briarspread/batch/engine_load_board.cc
@@ -0,0 +1,39 @@
+#include "briarspread/batch/engine_load_board.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace briarspread::batch {
+
+std::string FormatEngineLoads(const EngineLoads& loads) {
+  nlohmann::json json = nlohmann::json::object();
+  for (const auto& [engine, n] : loads) json[engine.value()] = n;
+  return json.dump();
+}
+
+std::optional<EngineLoads> ParseEngineLoads(const std::string& text) {
+  const auto json = nlohmann::json::parse(text, nullptr, false);
+  if (!json.is_object()) return std::nullopt;
+  EngineLoads loads;
+  for (const auto& [engine, n] : json.items()) {
+    if (!n.is_number_unsigned()) return std::nullopt;
+    loads[UpstreamId(engine)] = n.get<std::uint32_t>();
+  }
+  return loads;
+}
+
+void EngineLoadBoard::Put(const InstanceId& peer, EngineLoads loads) {
+  said_[peer] = Said{std::move(loads), clock_.Now()};
+}
+
+std::uint32_t EngineLoadBoard::LoadAt(const UpstreamId& engine) const {
+  std::uint32_t n = 0;
+  for (const auto& [peer, said] : said_) {
+    if (clock_.Now() - said.when > time_to_live_) continue;
+    const auto it = said.loads.find(engine);
+    if (it != said.loads.end()) n += it->second;
+  }
+  return n;
+}
+
+}  // namespace briarspread::batch
--- /dev/null
+++ b/briarspread/batch/engine_load_exchange.cc
@@ -0,0 +1,52 @@
+#include "briarspread/batch/engine_load_exchange.h"
+
+#include <utility>
+
+namespace briarspread::batch {
+
+EngineLoadExchange::EngineLoadExchange(
+    asio::io_context& loop, const forward::UpstreamDirectory& directory,
+    PeerClient& peers, const InstanceId& self, Listeners listeners,
+    const Clock& clock, const EngineLoadExchangeSettings& settings)
+    : directory_(directory),
+      peers_(peers),
+      self_(self),
+      listeners_(std::move(listeners)),
+      clock_(clock),
+      settings_(settings),
+      timer_(loop) {}
+
+void EngineLoadExchange::Start() {
+  timer_.Every(settings_.interval, [this] { Tick(); });
+}
+
+EngineLoads EngineLoadExchange::OwnLoads() const {
+  EngineLoads loads;
+  for (const auto& [id, upstream] : directory_.all()) {
+    const std::uint32_t n = upstream.counters->rollouts_in_flight.load();
+    if (n > 0) loads[id] = n;
+  }
+  return loads;
+}
+
+void EngineLoadExchange::Tick() {
+  EngineLoads loads = OwnLoads();
+  const TimePoint now = clock_.Now();
+  if (loads == told_ && (loads.empty() || now - told_at_ < settings_.refresh)) {
+    return;
+  }
+  for (const Endpoint& peer : listeners_()) {
+    PeerCall call;
+    call.method = "POST";
+    call.target =
+        std::string(kPath) + "?from=" + proxy::EncodeParameter(self_.value());
+    call.body = FormatEngineLoads(loads);
+    peers_.Call(peer, std::move(call), [](const Result<proxy::Response>&) {
+      // A lost message is made good by the next.
+    });
+  }
+  told_ = std::move(loads);
+  told_at_ = now;
+}
+
+}  // namespace briarspread::batch
--- a/briarspread/batch/engine_placement.cc
+++ b/briarspread/batch/engine_placement.cc
@@ -8,7 +8,9 @@
 Duration FastestOf(const std::vector<EngineView>& engines) {
   Duration fastest{0};
   for (const EngineView& engine : engines) {
-    if (engine.event_interval.count() == 0) continue;
+    if (engine.event_interval.count() == 0 || !engine.is_interval_fresh) {
+      continue;
+    }
     if (fastest.count() == 0 || engine.event_interval < fastest) {
       fastest = engine.event_interval;
     }
@@ -22,18 +24,25 @@
   const std::int64_t change =
       std::int64_t{engine.own_in_flight} - std::int64_t{engine.own_at_report};
   const std::int64_t corrected = std::int64_t{engine.reported} + change;
-  return static_cast<std::uint32_t>(
-      std::max<std::int64_t>(corrected, engine.own_in_flight));
+  const std::int64_t told =
+      std::int64_t{engine.own_in_flight} + std::int64_t{engine.peer_in_flight};
+  return static_cast<std::uint32_t>(std::max(corrected, told));
 }
 
-bool EnginePlacement::IsFit(const EngineNeed& need,
-                            const EngineView& engine) const {
+bool IsEligible(const EngineNeed& need, const EngineView& engine) {
   if (!engine.is_open || engine.version < need.oldest_allowed) return false;
-  if (EstimatedLoad(engine) >= engine.slots) return false;
   return std::find(need.avoid.begin(), need.avoid.end(), engine.id) ==
          need.avoid.end();
 }
 
+bool EnginePlacement::HasRoom(const EngineNeed& need,
+                              const EngineView& engine) const {
+  if (EstimatedLoad(engine) >= engine.slots) return false;
+  // An empty engine takes an item of any size.
+  return engine.own_in_flight == 0 || !engine.free_tokens.has_value() ||
+         *engine.free_tokens >= need.tokens;
+}
+
 bool EnginePlacement::IsSlow(const EngineView& engine, Duration fastest) const {
   return fastest.count() > 0 &&
          static_cast<double>(engine.event_interval.count()) >
@@ -52,13 +61,22 @@
 std::optional<std::size_t> EnginePlacement::Choose(
     const EngineNeed& need, const std::vector<EngineView>& engines) const {
   const Duration fastest = FastestOf(engines);
+  const bool has_sound = std::any_of(
+      engines.begin(), engines.end(), [&](const EngineView& engine) {
+        return IsEligible(need, engine) && !IsSlow(engine, fastest);
+      });
   std::optional<std::size_t> best;
   double best_cost = 0;
   for (std::size_t i = 0; i < engines.size(); ++i) {
-    if (!IsFit(need, engines[i])) continue;
-    // A slow engine comes after every sound one, however empty it is.
-    const double cost =
-        CostOf(need, engines[i]) + (IsSlow(engines[i], fastest) ? 10.0 : 0.0);
+    const EngineView& engine = engines[i];
+    if (!IsEligible(need, engine) || !HasRoom(need, engine)) continue;
+    double cost = CostOf(need, engine);
+    if (has_sound && IsSlow(engine, fastest)) {
+      const bool is_trial =
+          !engine.is_interval_fresh && engine.own_in_flight == 0;
+      if (!is_trial) continue;
+      cost += 1;
+    }
     if (!best.has_value() || cost < best_cost) {
       best = i;
       best_cost = cost;
@@ -71,10 +89,12 @@
     std::size_t at, const EngineNeed& need,
     const std::vector<EngineView>& engines) const {
   const Duration fastest = FastestOf(engines);
-  if (!IsSlow(engines[at], fastest)) return false;
+  if (!engines[at].is_interval_fresh || !IsSlow(engines[at], fastest)) {
+    return false;
+  }
   for (std::size_t i = 0; i < engines.size(); ++i) {
     if (i == at || IsSlow(engines[i], fastest)) continue;
-    if (IsFit(need, engines[i])) return true;
+    if (IsEligible(need, engines[i]) && HasRoom(need, engines[i])) return true;
   }
   return false;
 }
--- a/briarspread/batch/engine_placement.h
+++ b/briarspread/batch/engine_placement.h
@@ -16,18 +16,26 @@
   std::uint32_t slots = 1;
   /// Items of this instance that run or wait there.
   std::uint32_t own_in_flight = 0;
+  /// Items of other instances there, as they last told.
+  std::uint32_t peer_in_flight = 0;
   /// Requests of all instances there, as last reported; zero where unknown or
   /// too old.
   std::uint32_t reported = 0;
   /// Own items there at the time of that report.
   std::uint32_t own_at_report = 0;
+  /// Tokens that its memory has room for, beside those of own items there; a
+  /// guess. Nothing where it is not known.
+  std::optional<std::int64_t> free_tokens;
   /// The version of the item's model that it has.
   WeightVersion version;
   /// Whether it takes requests now: not leaving, not refusing, not failing.
   bool is_open = true;
   bool is_same_region = true;
-  /// Time between two events of its streams; zero where unknown.
+  /// Time between two events of its streams, as last measured; zero where
+  /// unknown.
   Duration event_interval{0};
+  /// Whether that was measured lately.
+  bool is_interval_fresh = false;
 };
 
 /// What an item needs.
@@ -37,6 +45,8 @@
   std::vector<UpstreamId> avoid;
   /// Where others of its group run, whose prompt is cached; empty for none.
   UpstreamId preferred;
+  /// Tokens of memory that it will take; a guess.
+  std::int64_t tokens = 0;
 };
 
 /// Settings of placement, in units of load: 1 is an engine's whole batch.
@@ -46,14 +56,15 @@
   /// An engine that has the prompt cached counts as so much emptier.
   double cached_prompt = 0.1;
   /// An engine that is this many times slower than the fastest counts as slow.
-  double slow_ratio = 1.8;
+  double slow_ratio = 2.0;
 };
 
 /// Decides which engine runs an item. Answers the load in which every instance
 /// fills the same engines at once while some of them are several times slower
-/// than others: an engine is filled to its batch and no further, so that the
-/// rest waits where it can still go elsewhere; slow engines are taken only
-/// while no sound one has room. Holds no state; thread-safe.
+/// than others: an engine is filled to its batch and its memory and no further,
+/// so that the rest waits where it can still go elsewhere; a slow engine gets
+/// no item while a sound one could take it soon, but for one now and then that
+/// shows whether it is still slow. Holds no state; thread-safe.
 class EnginePlacement final {
  public:
   explicit EnginePlacement(const EnginePlacementSettings& settings)
@@ -69,15 +80,18 @@
                      const std::vector<EngineView>& engines) const;
 
  private:
-  bool IsFit(const EngineNeed& need, const EngineView& engine) const;
+  bool HasRoom(const EngineNeed& need, const EngineView& engine) const;
   bool IsSlow(const EngineView& engine, Duration fastest) const;
   double CostOf(const EngineNeed& need, const EngineView& engine) const;
 
   const EnginePlacementSettings settings_;
 };
 
-/// Requests at an engine as best known: its last report, corrected by the own
-/// change since. Thread-safe.
+/// Whether an engine may run the item, room aside. Thread-safe.
+bool IsEligible(const EngineNeed& need, const EngineView& engine);
+
+/// Requests at an engine as best known: what the instances tell, or its last
+/// report corrected by the own change since, whichever is more. Thread-safe.
 std::uint32_t EstimatedLoad(const EngineView& engine);
 
 }  // namespace briarspread::batch
--- a/briarspread/batch/item_run.cc
+++ b/briarspread/batch/item_run.cc
@@ -100,10 +100,9 @@
   expected_ = OutcomeOf(head);
   if (expected_ != RunOutcome::kComplete) return;
   const auto version = head.headers.FindNumber(context_.headers.weight_version);
-  if (!version.has_value()) {
-    expected_ = RunOutcome::kBroken;
-    return;
-  }
+  // A run that is resumed after its last event makes none, and tells no
+  // version.
+  if (!version.has_value()) return;
   version_ = WeightVersion(*version);
   context_.directory.NoteVersion(spec_.engine, spec_.model, version_);
   if (version_ < spec_.oldest_allowed) {
@@ -130,6 +129,10 @@
       version_ = *event.version;
       context_.directory.NoteVersion(spec_.engine, spec_.model, version_);
     }
+    if (version_.value() == 0) {
+      End(RunOutcome::kBroken);
+      return;
+    }
     const TimePoint now = context_.clock.Now();
     // The first interval includes the wait for a slot and the prompt.
     if (events_ > 0) NoteInterval(now);
--- a/briarspread/batch/item_run.h
+++ b/briarspread/batch/item_run.h
@@ -101,6 +101,7 @@
   TimePoint started_{};
   TimePoint last_event_{};
   std::uint64_t events_ = 0;
+  /// The version that makes the events that follow; zero before it is told.
   WeightVersion version_;
   bool has_head_ = false;
   /// What the head says of the outcome; complete for a stream.
--- a/briarspread/batch/job.cc
+++ b/briarspread/batch/job.cc
@@ -36,6 +36,7 @@
                {"headers", std::move(headers)},
                {"body", item.body},
                {"group", item.group.value()},
+               {"prompt_tokens", item.prompt_tokens},
                {"expected_tokens", item.expected_tokens}};
   if (item.reward.has_value()) {
     json["reward"] = {{"id", item.reward->id},
@@ -56,6 +57,7 @@
   }
   item.body = json.at("body").get<std::string>();
   item.group = ItemGroup(json.at("group").get<std::string>());
+  item.prompt_tokens = json.at("prompt_tokens").get<std::uint64_t>();
   item.expected_tokens = json.at("expected_tokens").get<std::uint64_t>();
   if (const auto it = json.find("reward"); it != json.end()) {
     item.reward = RewardCall{
--- a/briarspread/batch/job.h
+++ b/briarspread/batch/job.h
@@ -36,6 +36,8 @@
   std::vector<proxy::Header> headers;
   std::string body;
   ItemGroup group;
+  /// Tokens of the prompt.
+  std::uint64_t prompt_tokens = 0;
   /// Output tokens to expect; a guess.
   std::uint64_t expected_tokens = 0;
   std::optional<RewardCall> reward;
--- a/briarspread/batch/job_gateway.cc
+++ b/briarspread/batch/job_gateway.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "briarspread/batch/home_planner.h"
@@ -463,6 +464,16 @@
       });
 }
 
+std::vector<Endpoint> JobGateway::OtherOwners() const {
+  std::set<Endpoint> owners;
+  for (const auto& [id, stored] : index_.all()) {
+    const JobRecord& record = stored.record;
+    if (record.is_ended || IsOwnRecord(record)) continue;
+    if (IsOwnerRegistered(record)) owners.insert(record.owner_endpoint);
+  }
+  return {owners.begin(), owners.end()};
+}
+
 // --- Handing over
 
 void JobGateway::OnHandover(const StoredRecord& stored,
--- a/briarspread/batch/job_gateway.h
+++ b/briarspread/batch/job_gateway.h
@@ -67,6 +67,8 @@
   /// A peer hands a job over.
   void OnHandover(const StoredRecord& stored, const JobHandover& handover,
                   Done<std::monostate> done);
+  /// Where the other instances that run open jobs answer, as far as is known.
+  std::vector<Endpoint> OtherOwners() const;
   JobRunner& runner() { return *runner_; }
   /// Whether no more jobs are taken.
   bool is_stopping() const { return is_stopping_; }
--- a/briarspread/batch/job_listing.cc
+++ b/briarspread/batch/job_listing.cc
@@ -181,7 +181,9 @@
 
 bool JobRunner::MustMove(const ItemRun& run, TimePoint now) const {
   if (now - run.last_event() > settings_.silence) return true;
-  if (run.events() < 2) return false;
+  if (run.events() < 2 || now - run.started() < settings_.least_stay) {
+    return false;
+  }
   const auto it = jobs_.find(run.spec().job);
   if (it == jobs_.end()) return false;
   const forward::Route* route = RouteOf(it->second, run.spec().item);
@@ -199,21 +201,24 @@
                                   NeedOf(it->second, run.spec().item), views);
 }
 
+void JobRunner::MoveRun(const ItemKey& key) {
+  ItemRun& run = *runs_.at(key);
+  ++metrics_.runs_moved;
+  LOG(INFO) << "event=run_moved job=" << key.first
+            << " upstream=" << run.spec().engine << " events=" << run.events();
+  run.Cancel();
+  OnRunEnded(run, RunOutcome::kBroken);
+  // Placed before the next run is looked at, which then sees less room.
+  const auto it = jobs_.find(key.first);
+  if (it != jobs_.end()) PlaceItem(it->second, key.second);
+}
+
 void JobRunner::ReviewRuns(TimePoint now) {
-  std::vector<ItemKey> moved;
-  for (const auto& [key, run] : runs_) {
-    if (MustMove(*run, now)) moved.push_back(key);
-  }
-  for (const ItemKey& key : moved) {
+  std::vector<ItemKey> all;
+  for (const auto& [key, run] : runs_) all.push_back(key);
+  for (const ItemKey& key : all) {
     const auto it = runs_.find(key);
-    if (it == runs_.end()) continue;
-    ++metrics_.runs_moved;
-    LOG(INFO) << "event=run_moved job=" << key.first
-              << " upstream=" << it->second->spec().engine
-              << " events=" << it->second->events();
-    ItemRun& run = *it->second;
-    run.Cancel();
-    OnRunEnded(run, RunOutcome::kBroken);
+    if (it != runs_.end() && MustMove(*it->second, now)) MoveRun(key);
   }
 }
 
--- a/briarspread/batch/job_peer_handler.cc
+++ b/briarspread/batch/job_peer_handler.cc
@@ -3,6 +3,8 @@
 #include <optional>
 #include <utility>
 
+#include "briarspread/batch/engine_load_exchange.h"
+
 namespace briarspread::batch {
 namespace {
 
@@ -53,6 +55,10 @@
     TakeNotice(target.query, request.body, responder);
     return true;
   }
+  if (target.path == EngineLoadExchange::kPath) {
+    TakeLoads(target.query, request.body, responder);
+    return true;
+  }
   if (!target.path.starts_with(kJobsPath)) return false;
   std::string_view rest = target.path.substr(kJobsPath.size());
   if (rest.empty()) {
@@ -119,6 +125,18 @@
   SendStatus(*responder, 200);
 }
 
+void JobPeerHandler::TakeLoads(std::string_view query, const std::string& body,
+                               const ResponderPtr& responder) {
+  const auto peer = proxy::FindParameter(query, "from");
+  auto loads = ParseEngineLoads(body);
+  if (!peer.has_value() || !loads.has_value()) {
+    SendStatus(*responder, 400);
+    return;
+  }
+  gateway_.runner().load_board().Put(InstanceId(*peer), std::move(*loads));
+  SendStatus(*responder, 200);
+}
+
 void JobPeerHandler::Read(const JobId& id, std::string_view query,
                           const ResponderPtr& responder) {
   if (!gateway_.runner().Owns(id)) {
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -29,7 +29,8 @@
       placement_(settings.placement),
       review_timer_(context.loop),
       pump_timer_(context.loop),
-      carry_(settings.carry_bytes) {}
+      carry_(settings.carry_bytes),
+      load_board_(settings.load_time_to_live, context.clock) {}
 
 JobRunner::~JobRunner() = default;
 
@@ -417,10 +418,13 @@
 JobRunner::EngineViews JobRunner::ViewsOf(const ServiceName& service,
                                           const ModelName& model) const {
   /// A report of others' load that is older says nothing any more.
-  constexpr milliseconds kFreshLoad{1000};
+  constexpr milliseconds kFreshLoad{500};
   /// An interval between events that is older says nothing any more.
   constexpr milliseconds kFreshInterval{4000};
   const TimePoint now = context_.clock.Now();
+  const auto own_tokens = OwnTokens();
+  const forward::Service* known =
+      context_.configuration.current()->FindService(service);
   EngineViews views;
   for (const auto& [id, engine] : context_.directory.all()) {
     if (engine.listed.service != service) continue;
@@ -433,19 +437,36 @@
       view.reported = engine.load.running + engine.load.queued;
       view.own_at_report = engine.load.own_in_flight;
     }
+    view.peer_in_flight = load_board_.LoadAt(id);
+    if (known != nullptr && known->memory_tokens > 0) {
+      const auto used = own_tokens.find(id);
+      view.free_tokens = static_cast<std::int64_t>(known->memory_tokens) -
+                         (used == own_tokens.end() ? 0 : used->second);
+    }
     view.version = engine.VersionOf(model);
     view.is_open = !engine.listed.is_leaving && now >= engine.refuses_until &&
                    engine.breaker->Allows(now);
     view.is_same_region =
         engine.listed.locality.region == self_.locality.region;
-    if (now - engine.interval_measured < kFreshInterval) {
-      view.event_interval = engine.event_interval;
-    }
+    view.event_interval = engine.event_interval;
+    view.is_interval_fresh = now - engine.interval_measured < kFreshInterval;
     views.push_back(view);
   }
   return views;
 }
 
+std::map<UpstreamId, std::int64_t> JobRunner::OwnTokens() const {
+  std::map<UpstreamId, std::int64_t> tokens;
+  for (const auto& [key, run] : runs_) {
+    const auto it = jobs_.find(key.first);
+    if (it == jobs_.end()) continue;
+    const ItemSpec& item = it->second.ledger.spec().items[key.second];
+    tokens[run->spec().engine] +=
+        static_cast<std::int64_t>(item.prompt_tokens + item.expected_tokens);
+  }
+  return tokens;
+}
+
 EngineNeed JobRunner::NeedOf(const OwnedJob& job, std::size_t i) const {
   EngineNeed need;
   need.oldest_allowed = job.ledger.spec().oldest_allowed;
@@ -454,6 +475,9 @@
   }
   const auto at = job.prompt_at.find(job.ledger.spec().items[i].group);
   if (at != job.prompt_at.end()) need.preferred = at->second;
+  const ItemSpec& item = job.ledger.spec().items[i];
+  need.tokens =
+      static_cast<std::int64_t>(item.prompt_tokens + item.expected_tokens);
   return need;
 }
 
@@ -550,6 +574,17 @@
       job.ledger.terms().wants_single_version);
 }
 
+void JobRunner::LogRunEnded(const ItemRun& run, RunOutcome outcome,
+                            TimePoint now) const {
+  const auto taken =
+      std::chrono::duration_cast<milliseconds>(now - run.started());
+  LOG(INFO) << "event=run_ended job=" << run.spec().job
+            << " item=" << run.spec().attempt_id
+            << " upstream=" << run.spec().engine
+            << " outcome=" << ToString(outcome) << " ms=" << taken.count()
+            << " events=" << run.events();
+}
+
 void JobRunner::OnRunEnded(ItemRun& run, RunOutcome outcome) {
   const JobId id = run.spec().job;
   const std::size_t i = run.spec().item;
@@ -587,11 +622,7 @@
       break;
     }
   }
-  if (outcome != RunOutcome::kComplete && outcome != RunOutcome::kRefused) {
-    LOG(INFO) << "event=run_ended job=" << id
-              << " item=" << job.ledger.spec().items[i].id
-              << " upstream=" << engine << " outcome=" << ToString(outcome);
-  }
+  LogRunEnded(run, outcome, now);
   if (job.ledger.item(i).phase == ItemPhase::kScoring) {
     waiting_rewards_[ItemKey(id, i)] = now;
   } else if (job.ledger.item(i).phase == ItemPhase::kFinished) {
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -11,6 +11,7 @@
 
 #include "briarspread/batch/batch_metrics.h"
 #include "briarspread/batch/carry_cache.h"
+#include "briarspread/batch/engine_load_board.h"
 #include "briarspread/batch/engine_placement.h"
 #include "briarspread/batch/item_run.h"
 #include "briarspread/batch/job_handover.h"
@@ -45,6 +46,10 @@
   milliseconds status_time{120000};
   /// Text of ended jobs kept for later ones.
   std::size_t carry_bytes = 8 * 1024 * 1024;
+  /// The shortest time between two moves of an item.
+  milliseconds least_stay{800};
+  /// What a peer said of its loads counts for so long.
+  milliseconds load_time_to_live{2000};
   EnginePlacementSettings placement;
 };
 
@@ -107,6 +112,9 @@
   /// The job is another's now.
   void Forget(const JobId& id);
 
+  /// What other instances run at the engines.
+  EngineLoadBoard& load_board() { return load_board_; }
+
   const BatchMetrics& metrics() const { return metrics_; }
   /// Items that wait and run, over all own jobs.
   std::size_t waiting_count() const;
@@ -181,6 +189,8 @@
   void Pump();
   bool PlaceItem(OwnedJob& job, std::size_t i);
   EngineViews ViewsOf(const ServiceName& service, const ModelName& model) const;
+  /// Tokens of memory that own items take at each engine; a guess.
+  std::map<UpstreamId, std::int64_t> OwnTokens() const;
   EngineNeed NeedOf(const OwnedJob& job, std::size_t i) const;
   const forward::Route* RouteOf(const OwnedJob& job, std::size_t i) const;
   ItemRunSpec MakeRunSpec(const OwnedJob& job, std::size_t i,
@@ -189,6 +199,8 @@
   void Resume(const JobId& id);
   void ExpireItems(const JobId& id, OwnedJob& job, TimePoint now);
 
+  void LogRunEnded(const ItemRun& run, RunOutcome outcome, TimePoint now) const;
+
   void StartReward(const JobId& id, std::size_t i);
   void OnRewardDone(const JobId& id, std::size_t i,
                     const RewardOutcome& outcome);
@@ -205,6 +217,7 @@
 
   void Review();
   void ReviewRuns(TimePoint now);
+  void MoveRun(const ItemKey& key);
   void ReviewJob(const JobId& id, OwnedJob& job, TimePoint now);
   bool MustMove(const ItemRun& run, TimePoint now) const;
 
@@ -217,6 +230,7 @@
   LoopTimer review_timer_;
   LoopTimer pump_timer_;
   CarryCache carry_;
+  EngineLoadBoard load_board_;
   std::map<JobId, OwnedJob> jobs_;
   std::map<JobId, Acceptance> acceptances_;
   std::map<ItemKey, std::unique_ptr<ItemRun>> runs_;
--- a/briarspread/forward/configuration.h
+++ b/briarspread/forward/configuration.h
@@ -68,6 +68,8 @@
   std::uint32_t max_connections = 0;
   /// Models that its upstreams run; empty for a plain service.
   std::vector<ModelName> models;
+  /// Tokens that the memory of one upstream holds; zero where not known.
+  std::uint64_t memory_tokens = 0;
 };
 
 /// Bounds on what callers send.
--- a/briarspread/versions/version_driver.cc
+++ b/briarspread/versions/version_driver.cc
@@ -110,10 +110,10 @@
     EngineState state;
     state.id = id;
     state.loaded = engine.listed.models;
-    state.is_busy = orders.awaited.has_value() || orders.is_calling ||
-                    now < orders.not_before;
+    state.is_blocked = orders.awaited.has_value() || orders.is_calling ||
+                       now < orders.not_before;
     if (orders.awaited.has_value()) state.loading = orders.awaited->model;
-    state.is_open = !engine.listed.is_leaving && !engine.breaker->is_open();
+    state.is_open = !engine.listed.is_leaving;
     engines.push_back(std::move(state));
   }
   const auto next = planner_.Next(targets, engines);
--- a/briarspread/versions/version_planner.cc
+++ b/briarspread/versions/version_planner.cc
@@ -14,6 +14,8 @@
   std::size_t loads = 0;
   std::uint64_t lag = 0;
   bool is_slow = false;
+  /// Other models whose newest version the engine has.
+  std::size_t current_models = 0;
   std::uint64_t weight = 0;
   const EngineState* engine = nullptr;
   const ModelTarget* target = nullptr;
@@ -37,20 +39,30 @@
       }));
 }
 
+std::size_t CountCurrent(const EngineState& engine,
+                         const std::vector<ModelTarget>& targets) {
+  return static_cast<std::size_t>(std::count_if(
+      targets.begin(), targets.end(), [&](const ModelTarget& target) {
+        return engine.loading == target.model || LagOf(engine, target) == 0;
+      }));
+}
+
 std::vector<Need> NeedsOf(const ModelTarget& target,
+                          const std::vector<ModelTarget>& targets,
                           const std::vector<EngineState>& engines,
                           std::size_t share) {
   std::vector<Need> needs;
   for (const EngineState& engine : engines) {
     const std::uint64_t lag = LagOf(engine, target);
-    if (!engine.is_open || engine.is_busy || lag == 0) continue;
+    if (!engine.is_open || engine.is_blocked || lag == 0) continue;
     const std::uint64_t weight =
         StableHash(engine.id.value(), StableHash(target.model.value()));
-    needs.push_back({0, lag, engine.is_slow, weight, &engine, &target});
+    needs.push_back({0, lag, engine.is_slow, CountCurrent(engine, targets),
+                     weight, &engine, &target});
   }
   std::sort(needs.begin(), needs.end(), [](const Need& a, const Need& b) {
-    return std::make_tuple(a.is_slow, ~a.lag, a.weight) <
-           std::make_tuple(b.is_slow, ~b.lag, b.weight);
+    return std::make_tuple(a.is_slow, ~a.lag, a.current_models, a.weight) <
+           std::make_tuple(b.is_slow, ~b.lag, b.current_models, b.weight);
   });
   const std::size_t loads = CountLoads(target, engines);
   const std::size_t wanted = share > loads ? share - loads : 0;
@@ -77,12 +89,12 @@
   std::size_t loading = 0;
   for (const EngineState& engine : engines) {
     open += engine.is_open;
-    loading += engine.is_busy;
+    loading += !engine.loading.value().empty();
   }
   const std::size_t share = std::max<std::size_t>(1, open / targets.size());
   std::vector<Need> needs;
   for (const ModelTarget& target : targets) {
-    const auto of_target = NeedsOf(target, engines, share);
+    const auto of_target = NeedsOf(target, targets, engines, share);
     needs.insert(needs.end(), of_target.begin(), of_target.end());
   }
   std::stable_sort(
--- a/briarspread/versions/version_planner.h
+++ b/briarspread/versions/version_planner.h
@@ -19,9 +19,9 @@
 struct EngineState {
   UpstreamId id;
   std::vector<forward::LoadedModel> loaded;
-  /// Whether an order to it is under way, or its fate unknown.
-  bool is_busy = false;
-  /// The model that the order concerns; empty for none.
+  /// Whether it takes no order now: one is under way, or it did not answer.
+  bool is_blocked = false;
+  /// The model that an order under way concerns; empty for none.
   ModelName loading;
   /// Whether its streams are much slower than those of others.
   bool is_slow = false;
@@ -49,9 +49,10 @@
 /// have all models but load one version at a time: loading every version
 /// everywhere takes longer than the time between two versions. So each version
 /// goes to an equal share of the engines only, to those that are furthest
-/// behind: while they load it, those that have the version before go on with
-/// the step that it allows, undisturbed. Holds no state: a new holder decides
-/// as the one before did. Thread-safe.
+/// behind, and of these to those that are current for the fewest other models:
+/// while they load it, those that have the version before go on with the step
+/// that it allows, undisturbed, and two models' steps begin on different ones.
+/// Holds no state: a new holder decides as the one before did. Thread-safe.
 class VersionPlanner final {
  public:
   explicit VersionPlanner(const VersionPlannerSettings& settings)
