Unfinished text is kept in the store; a restarted holder of the order right goes on

Items then began anew, which set each trainer back by up to the length of its longest item (5.7 s), and versions waited 4.8 s for a new holder of the order right.

Ruled out: a wait in taking jobs over: they are adopted 0.2 to 0.8 s after the restart.

Change: text of items with 24 events or more goes to the store with the results, or alone after 1.2 s without any; an adopter puts it together again. The same machine takes its own record of the order right over at once.

--- a/briarspread/batch/item_progress.h
+++ b/briarspread/batch/item_progress.h
@@ -35,6 +35,11 @@
   /// Takes an event that `version` made.
   Outcome Add(const StreamEvent& event, WeightVersion version);
 
+  /// The text after the first `offset` bytes.
+  std::string TextFrom(std::size_t offset) const {
+    return text_.substr(offset);
+  }
+
   bool has_events() const { return events_ > 0; }
   std::uint64_t events() const { return events_; }
   std::uint64_t last_event_id() const { return last_event_id_; }
--- /dev/null
+++ b/briarspread/batch/job_checkpoint.cc
@@ -0,0 +1,97 @@
+#include "briarspread/batch/job_checkpoint.h"
+
+#include <nlohmann/json.hpp>
+
+namespace briarspread::batch {
+
+using Json = nlohmann::json;
+
+std::string Encode(const JobCheckpoint& checkpoint) {
+  Json parts = Json::array();
+  for (const CheckpointPart& part : checkpoint) {
+    Json versions = Json::array();
+    for (const WeightVersion& version : part.versions) {
+      versions.push_back(version.value());
+    }
+    parts.push_back({{"id", part.id.value()},
+                     {"offset", part.offset},
+                     {"text", part.text},
+                     {"events", part.events},
+                     {"last", part.last_event_id},
+                     {"versions", std::move(versions)}});
+  }
+  std::string bytes;
+  Json::to_cbor(parts, bytes);
+  return bytes;
+}
+
+std::optional<JobCheckpoint> DecodeJobCheckpoint(const std::string& bytes) {
+  const Json json = Json::from_cbor(bytes, true, false);
+  if (!json.is_array()) return std::nullopt;
+  try {
+    JobCheckpoint checkpoint;
+    for (const Json& each : json) {
+      CheckpointPart part;
+      part.id = ItemId(each.at("id").get<std::string>());
+      part.offset = each.at("offset").get<std::uint64_t>();
+      part.text = each.at("text").get<std::string>();
+      part.events = each.at("events").get<std::uint64_t>();
+      part.last_event_id = each.at("last").get<std::uint64_t>();
+      for (const Json& version : each.at("versions")) {
+        part.versions.emplace_back(version.get<std::uint64_t>());
+      }
+      checkpoint.push_back(std::move(part));
+    }
+    return checkpoint;
+  } catch (const Json::exception&) {
+    // Malformed input; the caller logs what it was to be.
+    return std::nullopt;
+  }
+}
+
+std::optional<CheckpointPart> CheckpointPlan::PartFor(
+    const ItemId& id, const ItemProgress& progress) const {
+  Written before;
+  if (const auto it = written_.find(id); it != written_.end()) {
+    before = it->second;
+  }
+  // Less than before: the item began anew.
+  if (progress.events() < before.events) before = Written{};
+  if (progress.events() < before.events + least_events_) return std::nullopt;
+  return CheckpointPart{id,
+                        before.bytes,
+                        progress.TextFrom(before.bytes),
+                        progress.events(),
+                        progress.last_event_id(),
+                        progress.versions()};
+}
+
+void CheckpointPlan::MarkWritten(const JobCheckpoint& checkpoint) {
+  for (const CheckpointPart& part : checkpoint) {
+    written_[part.id] = Written{part.offset + part.text.size(), part.events};
+  }
+}
+
+std::map<ItemId, ItemProgress> Assemble(
+    const std::vector<JobCheckpoint>& checkpoints) {
+  std::map<ItemId, ItemProgress> assembled;
+  for (const JobCheckpoint& checkpoint : checkpoints) {
+    for (const CheckpointPart& part : checkpoint) {
+      const auto it = assembled.find(part.id);
+      std::string text;
+      if (part.offset > 0) {
+        if (it == assembled.end() || it->second.text().size() != part.offset) {
+          continue;
+        }
+        text = it->second.text();
+      }
+      text += part.text;
+      assembled.insert_or_assign(
+          part.id, ItemProgress(std::move(text), part.events,
+                                part.last_event_id, part.versions));
+    }
+  }
+  return assembled;
+}
+
+}  // namespace briarspread::batch
--- a/briarspread/batch/job_listing.cc
+++ b/briarspread/batch/job_listing.cc
@@ -67,18 +67,36 @@
     WriteEnd(id);
     return;
   }
-  if (job.chunk.empty()) {
-    job.chunk = job.ledger.TakeDue(context_.clock.Now(),
-                                   settings_.longest_listing_wait);
-  }
+  if (job.chunk.empty()) job.chunk = NextChunk(job);
   if (job.chunk.empty()) return;
   job.is_writing = true;
-  store_.Append(id, job.index, job.ledger.listed().size(), job.chunk,
+  job.last_write = context_.clock.Now();
+  store_.Append(id, job.index, job.chunk,
                 [this, id](const Result<RecordOutcome>& outcome) {
                   OnChunkWritten(id, outcome);
                 });
 }
 
+JobChunk JobRunner::NextChunk(const OwnedJob& job) const {
+  const TimePoint now = context_.clock.Now();
+  JobChunk chunk;
+  chunk.position = job.ledger.listed().size();
+  chunk.checkpoint_number = job.next_checkpoint;
+  chunk.results = job.ledger.TakeDue(now, settings_.longest_listing_wait);
+  const bool is_late = now - job.last_write >= settings_.checkpoint_interval;
+  if (chunk.results.empty() && !is_late) return chunk;
+  for (std::size_t i = 0; i < job.ledger.item_count(); ++i) {
+    const ItemState& state = job.ledger.item(i);
+    const bool is_open = state.phase == ItemPhase::kWaiting ||
+                         state.phase == ItemPhase::kRunning;
+    if (!is_open) continue;
+    const auto part = job.checkpoint_plan.PartFor(job.ledger.spec().items[i].id,
+                                                  state.progress);
+    if (part.has_value()) chunk.checkpoint.push_back(*part);
+  }
+  return chunk;
+}
+
 void JobRunner::OnChunkWritten(const JobId& id,
                                const Result<RecordOutcome>& outcome) {
   const auto it = jobs_.find(id);
@@ -96,9 +114,11 @@
     return;
   }
   ++metrics_.chunks_written;
-  metrics_.items_listed += job.chunk.size();
-  job.ledger.MarkListed(job.chunk);
-  job.chunk.clear();
+  metrics_.items_listed += job.chunk.results.size();
+  job.ledger.MarkListed(job.chunk.results);
+  job.checkpoint_plan.MarkWritten(job.chunk.checkpoint);
+  if (!job.chunk.checkpoint.empty()) ++job.next_checkpoint;
+  job.chunk = JobChunk{};
   ServeReaders(job);
   ScheduleListing(
       id, job.is_ending ? Duration(0) : Duration(settings_.listing_pause));
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -158,7 +158,8 @@
   const TimePoint now = context_.clock.Now();
   const JobTerms terms = TermsOf(spec, stored.record);
   const auto [it, is_new] =
-      jobs_.try_emplace(stored.id, context_.loop, std::move(spec), terms, now);
+      jobs_.try_emplace(stored.id, context_.loop, std::move(spec), terms,
+                        settings_.checkpoint_events, now);
   OwnedJob& job = it->second;
   job.record = stored.record;
   job.index = stored.index;
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -14,6 +14,7 @@
 #include "briarspread/batch/engine_load_board.h"
 #include "briarspread/batch/engine_placement.h"
 #include "briarspread/batch/item_run.h"
+#include "briarspread/batch/job_checkpoint.h"
 #include "briarspread/batch/job_handover.h"
 #include "briarspread/batch/job_ledger.h"
 #include "briarspread/batch/job_store.h"
@@ -46,6 +47,11 @@
   milliseconds status_time{120000};
   /// Text of ended jobs kept for later ones.
   std::size_t carry_bytes = 8 * 1024 * 1024;
+  /// Text of an item is kept in the store once it has so many events, and then
+  /// in steps of as many.
+  std::uint64_t checkpoint_events = 24;
+  /// Kept with results, or alone where none were written for so long.
+  milliseconds checkpoint_interval{1200};
   /// The shortest time between two moves of an item.
   milliseconds least_stay{800};
   /// What a peer said of its loads counts for so long.
@@ -139,8 +145,11 @@
   /// A job that this instance runs.
   struct OwnedJob {
     OwnedJob(asio::io_context& loop, JobSpec spec, const JobTerms& terms,
-             TimePoint now)
-        : ledger(std::move(spec), terms, now), listing_timer(loop) {}
+             std::uint64_t checkpoint_events, TimePoint now)
+        : ledger(std::move(spec), terms, now),
+          checkpoint_plan(checkpoint_events),
+          last_write(now),
+          listing_timer(loop) {}
 
     JobLedger ledger;
     JobRecord record;
@@ -148,7 +157,10 @@
     StoreIndex index;
     /// The chunk being written; written again unchanged until its fate is
     /// known.
-    std::vector<ItemResult> chunk;
+    JobChunk chunk;
+    CheckpointPlan checkpoint_plan;
+    std::uint64_t next_checkpoint = 0;
+    TimePoint last_write{};
     bool is_writing = false;
     /// Asked to end; the store does not know yet.
     bool is_ending = false;
@@ -208,6 +220,8 @@
 
   void ScheduleListing(const JobId& id, Duration delay);
   void WriteNext(const JobId& id);
+  /// What is to be written now; empty for nothing.
+  JobChunk NextChunk(const OwnedJob& job) const;
   void WriteEnd(const JobId& id);
   void OnChunkWritten(const JobId& id, const Result<RecordOutcome>& outcome);
   void OnEndWritten(const JobId& id, const Result<RecordOutcome>& outcome);
--- a/briarspread/batch/job_store.cc
+++ b/briarspread/batch/job_store.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdio>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace briarspread::batch {
@@ -13,7 +14,9 @@
 
 constexpr char kRecordPrefix[] = "job-records/";
 constexpr char kSpecPrefix[] = "job-specs/";
-constexpr char kResultPrefix[] = "job-results/";
+/// What an owner writes of a job; results and checkpoints stand side by side,
+/// so that one listing finds both to delete.
+constexpr char kChunkPrefix[] = "job-chunks/";
 /// The most bytes of one value; the store allows a little more.
 constexpr std::size_t kPartBytes = 900'000;
 
@@ -23,10 +26,14 @@
   return kSpecPrefix + id.value() + "/";
 }
 
-std::string ResultPrefix(const JobId& id) {
-  return kResultPrefix + id.value() + "/";
+std::string ChunkPrefix(const JobId& id) {
+  return kChunkPrefix + id.value() + "/";
 }
 
+std::string ResultPrefix(const JobId& id) { return ChunkPrefix(id) + "r/"; }
+
+std::string CheckpointPrefix(const JobId& id) { return ChunkPrefix(id) + "c/"; }
+
 /// A key whose order is that of its numbers.
 std::string Numbered(const std::string& prefix, std::uint64_t n) {
   std::array<char, 24> buf;
@@ -35,6 +42,13 @@
   return prefix + std::string(buf.data(), static_cast<std::size_t>(length));
 }
 
+/// A later owner's checkpoints follow those of the one before.
+std::string CheckpointKey(const JobId& id, StoreIndex owner_index,
+                          std::uint64_t number) {
+  return Numbered(Numbered(CheckpointPrefix(id), owner_index.value()) + "/",
+                  number);
+}
+
 Error Malformed(const std::string& key) {
   return Error{ErrorCode::kInternal, Verdict::kAnswered,
                "malformed value of " + key};
@@ -115,15 +129,23 @@
   store_.Commit(std::move(put), RecordDone(id, std::move(done)));
 }
 
-void JobStore::Append(const JobId& id, StoreIndex index, std::uint64_t position,
-                      const std::vector<ItemResult>& results,
+void JobStore::Append(const JobId& id, StoreIndex index, const JobChunk& chunk,
                       Done<RecordOutcome> done) {
-  const std::string key = Numbered(ResultPrefix(id), position);
   StoreTransaction put;
   put.conditions.push_back({RecordKey(id), index});
-  put.conditions.push_back({key, StoreIndex(0)});
-  put.writes.push_back({key, Encode(results), StoreLeaseId()});
-  store_.Commit(std::move(put), [id, index, key, done = std::move(done)](
+  if (!chunk.results.empty()) {
+    put.writes.push_back({Numbered(ResultPrefix(id), chunk.position),
+                          Encode(chunk.results), StoreLeaseId()});
+  }
+  if (!chunk.checkpoint.empty()) {
+    put.writes.push_back({CheckpointKey(id, index, chunk.checkpoint_number),
+                          Encode(chunk.checkpoint), StoreLeaseId()});
+  }
+  const std::string first_key = put.writes.front().key;
+  for (const auto& write : put.writes) {
+    put.conditions.push_back({write.key, StoreIndex(0)});
+  }
+  store_.Commit(std::move(put), [id, index, first_key, done = std::move(done)](
                                     const Result<StoreOutcome>& outcome) {
     if (!IsOk(outcome)) {
       done(ErrorOf(outcome));
@@ -137,7 +159,7 @@
     const RecordChanged changed = ChangedTo(id, conflict);
     const bool is_same =
         changed.current.has_value() && changed.current->index == index;
-    if (is_same && HasKey(conflict, key)) {
+    if (is_same && HasKey(conflict, first_key)) {
       // Only the owner writes under this index: an earlier try, whose answer
       // was lost, took effect.
       done(RecordOutcome(RecordWritten{index}));
@@ -209,22 +231,71 @@
       });
 }
 
+void JobStore::ReadProgress(const JobId& id,
+                            Done<std::map<ItemId, ItemProgress>> done) {
+  store_.List(CheckpointPrefix(id),
+              [done = std::move(done)](const Result<StoreListing>& listing) {
+                if (!IsOk(listing)) {
+                  done(ErrorOf(listing));
+                  return;
+                }
+                std::vector<JobCheckpoint> all;
+                for (const KeyValue& item : ValueOf(listing).items) {
+                  auto checkpoint = DecodeJobCheckpoint(item.value);
+                  if (!checkpoint.has_value()) {
+                    LOG(ERROR) << "event=checkpoint_skipped key=" << item.key;
+                    continue;
+                  }
+                  all.push_back(std::move(*checkpoint));
+                }
+                done(Assemble(all));
+              });
+}
+
 void JobStore::ReadJob(const StoredRecord& stored, Done<StoredJob> done) {
-  ReadSpec(stored, [this, stored,
-                    done = std::move(done)](const Result<JobSpec>& spec) {
-    if (!IsOk(spec)) {
-      done(ErrorOf(spec));
+  // The three parts are read side by side.
+  struct Parts {
+    StoredJob job;
+    std::optional<Error> error;
+    int left = 3;
+  };
+  const auto parts = std::make_shared<Parts>();
+  parts->job.stored = stored;
+  const auto finish = [parts, done = std::move(done)] {
+    if (--parts->left > 0) return;
+    if (parts->error.has_value()) {
+      done(*parts->error);
       return;
     }
-    ReadResults(stored.id, [stored, spec = ValueOf(spec), done](
-                               const Result<std::vector<ItemResult>>& listed) {
-      if (!IsOk(listed)) {
-        done(ErrorOf(listed));
-        return;
-      }
-      done(StoredJob{stored, spec, ValueOf(listed)});
-    });
+    done(std::move(parts->job));
+  };
+  ReadSpec(stored, [parts, finish](const Result<JobSpec>& spec) {
+    if (IsOk(spec)) {
+      parts->job.spec = ValueOf(spec);
+    } else {
+      parts->error = ErrorOf(spec);
+    }
+    finish();
   });
+  ReadResults(stored.id,
+              [parts, finish](const Result<std::vector<ItemResult>>& listed) {
+                if (IsOk(listed)) {
+                  parts->job.listed = ValueOf(listed);
+                } else {
+                  parts->error = ErrorOf(listed);
+                }
+                finish();
+              });
+  ReadProgress(
+      stored.id,
+      [parts, finish](const Result<std::map<ItemId, ItemProgress>>& progress) {
+        if (IsOk(progress)) {
+          parts->job.progress = ValueOf(progress);
+        } else {
+          parts->error = ErrorOf(progress);
+        }
+        finish();
+      });
 }
 
 void JobStore::ListRecords(Done<std::vector<StoredRecord>> done) {
--- a/briarspread/batch/job_store.h
+++ b/briarspread/batch/job_store.h
@@ -1,11 +1,13 @@
 #ifndef BRIARSPREAD_BATCH_JOB_STORE_H_
 #define BRIARSPREAD_BATCH_JOB_STORE_H_
 
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "briarspread/batch/job.h"
+#include "briarspread/batch/job_checkpoint.h"
 #include "briarspread/core/async_store.h"
 
 namespace briarspread::batch {
@@ -34,6 +36,21 @@
   StoredRecord stored;
   JobSpec spec;
   std::vector<ItemResult> listed;
+  /// Text of unfinished items that was kept.
+  std::map<ItemId, ItemProgress> progress;
+};
+
+/// What an owner writes at once: results that enter the list, and text of items
+/// that are under way.
+struct JobChunk {
+  /// The position of the first result.
+  std::uint64_t position = 0;
+  std::vector<ItemResult> results;
+  /// Numbers the checkpoint among those of this owner.
+  std::uint64_t checkpoint_number = 0;
+  JobCheckpoint checkpoint;
+
+  bool empty() const { return results.empty() && checkpoint.empty(); }
 };
 
 /// Keeps jobs in the platform's store. A job is accepted by one write that
@@ -54,17 +71,19 @@
   /// Writes the record anew if it is still at `index`.
   void Rewrite(const JobId& id, const JobRecord& record, StoreIndex index,
                Done<RecordOutcome> done);
-  /// Appends results at a position, if the record is still at `index`. A chunk
-  /// is written once: a repeated call with the same chunk succeeds. Tells that
-  /// the record changed otherwise.
-  void Append(const JobId& id, StoreIndex index, std::uint64_t position,
-              const std::vector<ItemResult>& results, Done<RecordOutcome> done);
+  /// Writes a chunk, if the record is still at `index`. A chunk is written
+  /// once: a repeated call with the same chunk succeeds. Tells that the record
+  /// changed otherwise. Precondition: the chunk is not empty.
+  void Append(const JobId& id, StoreIndex index, const JobChunk& chunk,
+              Done<RecordOutcome> done);
   /// The record; `kNotFound` where the job is not known.
   void ReadRecord(const JobId& id, Done<StoredRecord> done);
   /// The listed results of a job.
   void ReadResults(const JobId& id, Done<std::vector<ItemResult>> done);
   /// The specification of a job. Precondition: `stored` was read.
   void ReadSpec(const StoredRecord& stored, Done<JobSpec> done);
+  /// The kept text of a job's unfinished items.
+  void ReadProgress(const JobId& id, Done<std::map<ItemId, ItemProgress>> done);
   /// All of a job but its record.
   void ReadJob(const StoredRecord& stored, Done<StoredJob> done);
   /// The records of all jobs.
--- a/briarspread/fleet/order_right.cc
+++ b/briarspread/fleet/order_right.cc
@@ -10,12 +10,16 @@
                        const OrderRightSettings& settings, const Clock& clock)
     : store_(store), registry_(registry), settings_(settings), clock_(clock) {}
 
+bool OrderRight::IsSameMachine(const KeyValue& record) const {
+  const auto json = nlohmann::json::parse(record.value, nullptr, false);
+  return json.is_object() &&
+         json.value("name", "") == registry_.self().name.value();
+}
+
 bool OrderRight::IsOwn(const KeyValue& record) const {
   const auto json = nlohmann::json::parse(record.value, nullptr, false);
-  if (!json.is_object()) return false;
-  return json.value("name", "") == registry_.self().name.value() &&
-         json.value("incarnation", std::uint64_t{0}) ==
-             registry_.self().incarnation.value();
+  return IsSameMachine(record) && json.value("incarnation", std::uint64_t{0}) ==
+                                      registry_.self().incarnation.value();
 }
 
 std::size_t OrderRight::Rank() const {
@@ -40,50 +44,52 @@
   }
   if (record.has_value()) {
     missing_since_ = {};
+    // The start before this one is over, and its orders are this machine's.
+    if (IsSameMachine(*record)) Contend(record->index, Duration(0));
     return;
   }
   const TimePoint now = clock_.Now();
   if (missing_since_ == TimePoint{}) missing_since_ = now;
-  if (now - missing_since_ >= Rank() * settings_.stagger) Contend();
+  if (now - missing_since_ >= Rank() * settings_.stagger) {
+    Contend(StoreIndex(0), TakeoverWait());
+  }
 }
 
-void OrderRight::Contend() {
+void OrderRight::Contend(StoreIndex expected, Duration wait) {
   if (registry_.lease().value() == 0 || registry_.self().is_leaving) return;
   is_calling_ = true;
   const TimePoint asked = clock_.NowWithSuspension();
   StoreTransaction take;
-  take.conditions.push_back({InstanceRegistry::kOrderRightKey, StoreIndex(0)});
+  take.conditions.push_back({InstanceRegistry::kOrderRightKey, expected});
   const nlohmann::json value = {
       {"name", registry_.self().name.value()},
       {"incarnation", registry_.self().incarnation.value()}};
   take.writes.push_back(
       {InstanceRegistry::kOrderRightKey, value.dump(), registry_.lease()});
-  store_.Commit(std::move(take), [this,
-                                  asked](const Result<StoreOutcome>& outcome) {
+  store_.Commit(std::move(take), [this, asked,
+                                  wait](const Result<StoreOutcome>& outcome) {
     is_calling_ = false;
     missing_since_ = clock_.Now();
     if (!IsOk(outcome)) return;
     if (const auto* done = std::get_if<StoreCommitted>(&ValueOf(outcome))) {
-      TakeRecord(KeyValue{InstanceRegistry::kOrderRightKey, "", done->index},
-                 asked);
+      TakeRecord(done->index, asked, wait);
       return;
     }
     const auto& current = std::get<StoreConflict>(ValueOf(outcome)).current;
     if (!current.empty() && IsOwn(current.front())) {
-      // An earlier try whose answer was lost took effect.
-      TakeRecord(current.front(), asked);
+      // An earlier try whose answer was lost took effect; whose record it
+      // replaced is not known.
+      TakeRecord(current.front().index, asked, TakeoverWait());
     }
   });
 }
 
-void OrderRight::TakeRecord(const std::optional<KeyValue>& record,
-                            TimePoint asked) {
-  fencing_ = FencingNumber(record->index.value());
+void OrderRight::TakeRecord(StoreIndex index, TimePoint asked, Duration wait) {
+  fencing_ = FencingNumber(index.value());
   confirmed_ = asked;
   // Counted from the answer: the one before may have been confirmed up to the
   // moment at which its record went.
-  wait_until_ = clock_.NowWithSuspension() + settings_.lease +
-                settings_.confidence + settings_.margin;
+  wait_until_ = clock_.NowWithSuspension() + wait;
   LOG(INFO) << "event=order_right_acquired fencing=" << fencing_;
 }
 
--- a/briarspread/fleet/order_right.h
+++ b/briarspread/fleet/order_right.h
@@ -25,7 +25,8 @@
 /// names the holder; its revision is the fencing number. A holder relies on
 /// the store's confirmation for a short time only, counted on a clock that goes
 /// on during suspension; a new holder waits until the one before can no longer
-/// send. Upstreams need not check the fencing number. Loop's thread only.
+/// send, unless that was an earlier start on this very machine. Upstreams need
+/// not check the fencing number. Loop's thread only.
 class OrderRight final {
  public:
   /// Precondition: references outlive this object.
@@ -46,9 +47,16 @@
   void Release();
 
  private:
-  void Contend();
+  /// Takes the record, which must still be at `expected`; zero for absent.
+  void Contend(StoreIndex expected, Duration wait);
+  /// What a new holder waits after another machine's.
+  Duration TakeoverWait() const {
+    return settings_.lease + settings_.confidence + settings_.margin;
+  }
   void Confirm();
-  void TakeRecord(const std::optional<KeyValue>& record, TimePoint asked);
+  void TakeRecord(StoreIndex index, TimePoint asked, Duration wait);
+  /// Whether the record names this machine, and this start of the program.
+  bool IsSameMachine(const KeyValue& record) const;
   bool IsOwn(const KeyValue& record) const;
   std::size_t Rank() const;
 
