An adopter takes up the kept text of a job

Ruled out: lost checkpoints; the store had them.

Change: kept text goes into the adopted ledger; items that are being scored are kept too.

--- a/briarspread/batch/job_listing.cc
+++ b/briarspread/batch/job_listing.cc
@@ -87,9 +87,7 @@
   if (chunk.results.empty() && !is_late) return chunk;
   for (std::size_t i = 0; i < job.ledger.item_count(); ++i) {
     const ItemState& state = job.ledger.item(i);
-    const bool is_open = state.phase == ItemPhase::kWaiting ||
-                         state.phase == ItemPhase::kRunning;
-    if (!is_open) continue;
+    if (state.phase == ItemPhase::kListed || state.is_given_up) continue;
     const auto part = job.checkpoint_plan.PartFor(job.ledger.spec().items[i].id,
                                                   state.progress);
     if (part.has_value()) chunk.checkpoint.push_back(*part);
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -16,6 +16,17 @@
 /// A job that its trainer never ends is kept so many status times.
 constexpr int kOpenStatusTimes = 10;
 
+/// Gives a job's open items the text that an earlier owner had of them.
+void CarryInto(JobLedger& ledger,
+               const std::map<ItemId, ItemProgress>& progress) {
+  for (const auto& [item, text] : progress) {
+    const auto i = ledger.FindItem(item);
+    const bool is_open =
+        i.has_value() && ledger.item(*i).phase == ItemPhase::kWaiting;
+    if (is_open) ledger.Carry(*i, text);
+  }
+}
+
 }  // namespace
 
 JobRunner::JobRunner(forward::ForwardContext& context, JobStore& store,
@@ -213,36 +224,33 @@
 void JobRunner::LoadAdopted(const StoredRecord& stored,
                             const JobHandover& handover,
                             const Done<std::monostate>& done) {
-  store_.ReadJob(
-      stored, [this, stored, handover, done](const Result<StoredJob>& read) {
-        if (!IsOk(read)) {
-          // The record says that this instance owns it: a later read of the job
-          // comes here again.
-          listener_.OnJobRecord(stored);
-          done(ErrorOf(read));
-          return;
-        }
-        if (Owns(stored.id)) {
-          done(OkStatus());
-          return;
-        }
-        const StoredJob& loaded = ValueOf(read);
-        OwnedJob& job = AddJob(stored, loaded.spec);
-        job.ledger.Restore(loaded.listed);
-        for (const auto& [item, progress] : handover.progress) {
-          const auto i = job.ledger.FindItem(item);
-          const bool is_open =
-              i.has_value() && job.ledger.item(*i).phase == ItemPhase::kWaiting;
-          if (is_open) job.ledger.Carry(*i, progress);
-        }
-        ++metrics_.jobs_adopted;
-        LOG(INFO) << "event=job_adopted job=" << stored.id
-                  << " listed=" << loaded.listed.size()
-                  << " carried=" << handover.progress.size();
-        listener_.OnJobRecord(stored);
-        done(OkStatus());
-        SchedulePump();
-      });
+  store_.ReadJob(stored,
+                 [this, stored, handover, done](const Result<StoredJob>& read) {
+                   if (!IsOk(read)) {
+                     // The record says that this instance owns it: a later read
+                     // of the job comes here again.
+                     listener_.OnJobRecord(stored);
+                     done(ErrorOf(read));
+                     return;
+                   }
+                   if (Owns(stored.id)) {
+                     done(OkStatus());
+                     return;
+                   }
+                   const StoredJob& loaded = ValueOf(read);
+                   OwnedJob& job = AddJob(stored, loaded.spec);
+                   job.ledger.Restore(loaded.listed);
+                   CarryInto(job.ledger, loaded.progress);
+                   CarryInto(job.ledger, handover.progress);
+                   ++metrics_.jobs_adopted;
+                   LOG(INFO) << "event=job_adopted job=" << stored.id
+                             << " listed=" << loaded.listed.size()
+                             << " carried=" << handover.progress.size()
+                             << " kept=" << loaded.progress.size();
+                   listener_.OnJobRecord(stored);
+                   done(OkStatus());
+                   SchedulePump();
+                 });
 }
 
 std::vector<JobId> JobRunner::OpenJobs() const {
