--- a/briarspread/batch/job_gateway.cc
+++ b/briarspread/batch/job_gateway.cc
@@ -486,7 +486,7 @@
   runner_->Adopt(stored, handover, std::move(done));
 }
 
-void JobGateway::HandOverAll(std::function<void()> done) {
+void JobGateway::HandOverAll(const std::function<void()>& done) {
   is_stopping_ = true;
   const std::vector<JobId> open = runner_->OpenJobs();
   if (open.empty()) {
@@ -504,8 +504,8 @@
 
 void JobGateway::HandOver(const JobId& id,
                           std::vector<InstanceRecord> candidates,
-                          std::shared_ptr<int> left,
-                          std::function<void()> done) {
+                          const std::shared_ptr<int>& left,
+                          const std::function<void()>& done) {
   if (!runner_->Owns(id) || candidates.empty()) {
     // Without a taker it goes on here until the process ends.
     runner_->Reclaim(id);
--- a/briarspread/batch/job_gateway.h
+++ b/briarspread/batch/job_gateway.h
@@ -58,7 +58,7 @@
   void End(const JobId& id, Done<std::monostate> done);
 
   /// Gives all own jobs to peers, for a planned stop; `done` once that is over.
-  void HandOverAll(std::function<void()> done);
+  void HandOverAll(const std::function<void()>& done);
 
   /// The registry has changed: jobs may have lost their owner.
   void OnInstancesChanged() { ReviewOwners(); }
@@ -107,7 +107,8 @@
   void AdoptOrphan(const StoredRecord& stored);
   void Relist();
   void HandOver(const JobId& id, std::vector<InstanceRecord> candidates,
-                std::shared_ptr<int> left, std::function<void()> done);
+                const std::shared_ptr<int>& left,
+                const std::function<void()>& done);
 
   JobStore& store_;
   InstanceRegistry& registry_;
--- a/briarspread/batch/job_ledger.cc
+++ b/briarspread/batch/job_ledger.cc
@@ -8,7 +8,7 @@
 namespace {
 
 /// Bytes of results in one page.
-constexpr std::size_t kMaxPageBytes = 800 * 1024;
+constexpr std::size_t kMaxPageBytes = std::size_t{800} * 1024;
 
 bool IsFinal(ItemPhase phase) {
   return phase == ItemPhase::kFinished || phase == ItemPhase::kListed;
@@ -31,7 +31,7 @@
   return it->second;
 }
 
-void JobLedger::Restore(std::vector<ItemResult> listed) {
+void JobLedger::Restore(const std::vector<ItemResult>& listed) {
   assert(listed_.empty());
   MarkListed(listed);
 }
--- a/briarspread/batch/job_ledger.h
+++ b/briarspread/batch/job_ledger.h
@@ -67,7 +67,7 @@
 
   /// Takes results that an earlier owner listed. Precondition: nothing was
   /// listed here.
-  void Restore(std::vector<ItemResult> listed);
+  void Restore(const std::vector<ItemResult>& listed);
   /// Takes over text of an earlier job, where it fits this one.
   void Carry(std::size_t i, const ItemProgress& progress);
 
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -125,7 +125,7 @@
         StoredRecord stored{id, acceptance.record, StoreIndex()};
         if (const auto* ok = std::get_if<RecordWritten>(&ValueOf(outcome))) {
           stored.index = ok->index;
-          AddJob(stored, std::move(acceptance.spec));
+          AddJob(stored, acceptance.spec);
           ++metrics_.jobs_accepted;
           LOG(INFO) << "event=job_accepted job=" << id
                     << " items=" << stored.record.total;
@@ -140,7 +140,7 @@
           const bool is_own = stored.record.owner == self_.name &&
                               stored.record.incarnation == self_.incarnation;
           if (is_own && !stored.record.is_ended) {
-            AddJob(stored, std::move(acceptance.spec));
+            AddJob(stored, acceptance.spec);
             ++metrics_.jobs_accepted;
           }
         }
@@ -165,12 +165,11 @@
 }
 
 JobRunner::OwnedJob& JobRunner::AddJob(const StoredRecord& stored,
-                                       JobSpec spec) {
+                                       const JobSpec& spec) {
   const TimePoint now = context_.clock.Now();
   const JobTerms terms = TermsOf(spec, stored.record);
-  const auto [it, is_new] =
-      jobs_.try_emplace(stored.id, context_.loop, std::move(spec), terms,
-                        settings_.checkpoint_events, now);
+  const auto [it, is_new] = jobs_.try_emplace(
+      stored.id, context_.loop, spec, terms, settings_.checkpoint_events, now);
   OwnedJob& job = it->second;
   job.record = stored.record;
   job.index = stored.index;
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -46,7 +46,7 @@
   /// How long a job stays readable after it was submitted.
   milliseconds status_time{120000};
   /// Text of ended jobs kept for later ones.
-  std::size_t carry_bytes = 8 * 1024 * 1024;
+  std::size_t carry_bytes = std::size_t{8} * 1024 * 1024;
   /// Text of an item is kept in the store once it has so many events, and then
   /// in steps of as many.
   std::uint64_t checkpoint_events = 24;
@@ -192,7 +192,7 @@
 
   void TryAccept(const JobId& id);
   void FinishAccept(const JobId& id, const Result<std::monostate>& result);
-  OwnedJob& AddJob(const StoredRecord& stored, JobSpec spec);
+  OwnedJob& AddJob(const StoredRecord& stored, const JobSpec& spec);
   void LoadAdopted(const StoredRecord& stored, const JobHandover& handover,
                    const Done<std::monostate>& done);
   JobTerms TermsOf(const JobSpec& spec, const JobRecord& record) const;
--- a/briarspread/batch/job_store.cc
+++ b/briarspread/batch/job_store.cc
@@ -204,8 +204,9 @@
                     done(Malformed(item.key));
                     return;
                   }
-                  for (ItemResult& result : *results)
+                  for (ItemResult& result : *results) {
                     all.push_back(std::move(result));
+                  }
                 }
                 done(std::move(all));
               });
--- a/briarspread/fleet/instance_registry.cc
+++ b/briarspread/fleet/instance_registry.cc
@@ -138,14 +138,14 @@
     order_right_ = item;
     return;
   }
-  if (!std::string_view(item.key).starts_with(kInstancePrefix)) return;
+  if (!std::string_view{item.key}.starts_with(kInstancePrefix)) return;
   const auto record = Parse(item.value);
   if (record.has_value()) instances_[record->name] = *record;
 }
 
 void InstanceRegistry::TakeRemoval(const std::string& key) {
   if (key == kOrderRightKey) order_right_.reset();
-  if (!std::string_view(key).starts_with(kInstancePrefix)) return;
+  if (!std::string_view{key}.starts_with(kInstancePrefix)) return;
   instances_.erase(
       InstanceId(key.substr(std::string_view(kInstancePrefix).size())));
 }
--- a/briarspread/fleet/store_watch.cc
+++ b/briarspread/fleet/store_watch.cc
@@ -57,8 +57,8 @@
                [this, call](const Result<StoreChanges>& changes) {
                  if (!IsCurrent(call)) return;
                  if (!IsOk(changes)) {
-                   if (ErrorOf(changes).code == ErrorCode::kStale)
-                     must_list_ = true;
+                   must_list_ =
+                       must_list_ || ErrorOf(changes).code == ErrorCode::kStale;
                    Retry(ErrorOf(changes));
                    return;
                  }
--- a/briarspread/forward/caller_gateway.cc
+++ b/briarspread/forward/caller_gateway.cc
@@ -31,8 +31,8 @@
 
 /// A request and its sink, which live as long as the request.
 struct CallerExchange {
-  explicit CallerExchange(std::shared_ptr<proxy::Responder> responder)
-      : sink(std::move(responder)) {}
+  explicit CallerExchange(const std::shared_ptr<proxy::Responder>& responder)
+      : sink(responder) {}
   CallerSink sink;
   std::shared_ptr<LiveRequest> request;
 };
@@ -43,12 +43,13 @@
   const std::string* host = request.head.headers.Find("Host");
   const auto target = proxy::SplitTarget(request.head.target);
   return context_.configuration.current()->FindRoute(
-      host == nullptr ? std::string_view{} : std::string_view(*host),
+      host == nullptr ? std::string_view{} : std::string_view{*host},
       target.path);
 }
 
-void CallerGateway::Forward(proxy::Request request, const Route& route,
-                            std::shared_ptr<proxy::Responder> responder) {
+void CallerGateway::Forward(
+    proxy::Request request, const Route& route,
+    const std::shared_ptr<proxy::Responder>& responder) {
   LiveRequestSpec spec;
   spec.arrived = context_.clock.Now();
   milliseconds time = route.timeout.count() > 0 ? route.timeout : kDefaultTime;
--- a/briarspread/forward/caller_gateway.h
+++ b/briarspread/forward/caller_gateway.h
@@ -22,7 +22,7 @@
   }
   /// Forwards a request by its route.
   void Forward(proxy::Request request, const Route& route,
-               std::shared_ptr<proxy::Responder> responder);
+               const std::shared_ptr<proxy::Responder>& responder);
   /// Answers that no configuration is known yet; the request did not run.
   void RefuseUnready(proxy::Responder& responder);
   /// Answers that no route matches.
--- a/briarspread/forward/configuration.h
+++ b/briarspread/forward/configuration.h
@@ -74,8 +74,8 @@
 
 /// Bounds on what callers send.
 struct CallerLimits {
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 32 * 1024 * 1024;
+  std::size_t max_header_bytes = std::size_t{16} * 1024;
+  std::size_t max_body_bytes = std::size_t{32} * 1024 * 1024;
   milliseconds header_timeout{3000};
   milliseconds idle_timeout{15000};
 };
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -11,9 +11,9 @@
 namespace {
 
 /// A longer answer is passed on as it comes.
-constexpr std::size_t kMaxHeldBytes = 256 * 1024;
+constexpr std::size_t kMaxHeldBytes = std::size_t{256} * 1024;
 /// With more bytes unsent, reading from the upstream pauses.
-constexpr std::size_t kHighWater = 256 * 1024;
+constexpr std::size_t kHighWater = std::size_t{256} * 1024;
 /// When a refused caller is to come back, in seconds.
 constexpr char kRetryAfterSeconds[] = "0.2";
 
@@ -44,14 +44,14 @@
   wanted.kind = InstanceKind::kPlainService;
   wanted.serves = service.value();
   wanted.excluded = tried_;
-  static const RuleSet kNoRules;
+  static const RuleSet no_rules;
   const RoutingTable& table = context_.directory.table();
-  auto index = context_.router.Choose(wanted, table, kNoRules);
+  auto index = context_.router.Choose(wanted, table, no_rules);
   if (!index.has_value() && !tried_.empty() &&
       spec_.route.kind == RouteKind::kIdempotent) {
     // All were tried once; the one tried first has had the most time.
     wanted.excluded.erase(wanted.excluded.begin());
-    index = context_.router.Choose(wanted, table, kNoRules);
+    index = context_.router.Choose(wanted, table, no_rules);
   }
   if (!index.has_value()) return std::nullopt;
   const UpstreamView& view = table.upstreams[*index];
@@ -247,7 +247,6 @@
   context_.metrics.latency.Record(
       std::chrono::duration<double>(context_.clock.Now() - spec_.arrived)
           .count());
-  response.head.headers.RemoveHopByHop();
   const auto keep = self_;
   sink_.OnAnswer(std::move(response));
   Finish();
--- a/briarspread/forward/upstream_directory.cc
+++ b/briarspread/forward/upstream_directory.cc
@@ -189,8 +189,8 @@
   KnownUpstream* upstream = Find(id);
   if (upstream == nullptr) return;
   for (LoadedModel& loaded : upstream->listed.models) {
-    if (loaded.name == model)
-      loaded.version = std::max(loaded.version, version);
+    if (loaded.name != model) continue;
+    loaded.version = std::max(loaded.version, version);
   }
 }
 
--- a/briarspread/observe/json_log_sink.h
+++ b/briarspread/observe/json_log_sink.h
@@ -18,7 +18,7 @@
   double lines_per_second = 100;
   double burst = 400;
   /// Bytes held while standard output takes none.
-  std::size_t max_held_bytes = 256 * 1024;
+  std::size_t max_held_bytes = std::size_t{256} * 1024;
 };
 
 /// Writes log lines to standard output, one JSON object a line. A message of
--- a/briarspread/proxy/connection_pool.cc
+++ b/briarspread/proxy/connection_pool.cc
@@ -8,8 +8,8 @@
 /// Holds the connection while its exchange goes on.
 class ConnectionPool::PooledExchange final : public Exchange {
  public:
-  explicit PooledExchange(Connection connection)
-      : connection_(std::move(connection)) {}
+  explicit PooledExchange(const Connection& connection)
+      : connection_(connection) {}
   void Cancel() override {
     if (const auto held = connection_.lock()) held->Close();
   }
@@ -58,7 +58,7 @@
     ++opened_;
   }
   connection->Run(std::move(order), listener);
-  return std::make_unique<PooledExchange>(std::move(connection));
+  return std::make_unique<PooledExchange>(connection);
 }
 
 void ConnectionPool::OnIdle(const Connection& connection) {
--- a/briarspread/proxy/http_listener.cc
+++ b/briarspread/proxy/http_listener.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 HttpListener::HttpListener(asio::io_context& loop, RequestHandler& handler)
-    : loop_(loop), handler_(handler), acceptor_(loop) {}
+    : handler_(handler), acceptor_(loop) {}
 
 HttpListener::~HttpListener() { Stop(); }
 
--- a/briarspread/proxy/http_listener.h
+++ b/briarspread/proxy/http_listener.h
@@ -42,7 +42,6 @@
   void Accept();
   void Add(asio::ip::tcp::socket socket);
 
-  asio::io_context& loop_;
   RequestHandler& handler_;
   ServerSettings settings_;
   asio::ip::tcp::acceptor acceptor_;
--- a/briarspread/proxy/message_reader.cc
+++ b/briarspread/proxy/message_reader.cc
@@ -13,7 +13,7 @@
 }
 
 const http_parser_settings& MessageReader::Callbacks() {
-  static const http_parser_settings kCallbacks = [] {
+  static const http_parser_settings callbacks = [] {
     http_parser_settings settings;
     http_parser_settings_init(&settings);
     settings.on_url = &MessageReader::OnUrl;
@@ -24,7 +24,7 @@
     settings.on_message_complete = &MessageReader::OnEnd;
     return settings;
   }();
-  return kCallbacks;
+  return callbacks;
 }
 
 bool MessageReader::HasBareLineEnd(std::string_view bytes) {
--- a/briarspread/proxy/message_reader.h
+++ b/briarspread/proxy/message_reader.h
@@ -16,8 +16,8 @@
 
 /// Bounds on a message.
 struct ReadLimits {
-  std::size_t max_head_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 32 * 1024 * 1024;
+  std::size_t max_head_bytes = std::size_t{16} * 1024;
+  std::size_t max_body_bytes = std::size_t{32} * 1024 * 1024;
 };
 
 /// Reads HTTP/1.1 messages from a connection's bytes, one after the other, and
--- a/briarspread/proxy/server_connection.cc
+++ b/briarspread/proxy/server_connection.cc
@@ -8,9 +8,9 @@
 namespace {
 
 /// Bytes that may wait while a request is under way; beyond, reading stops.
-constexpr std::size_t kMaxAhead = 64 * 1024;
+constexpr std::size_t kMaxAhead = std::size_t{64} * 1024;
 /// Below this many unsent bytes a writer may go on.
-constexpr std::size_t kLowWater = 64 * 1024;
+constexpr std::size_t kLowWater = std::size_t{64} * 1024;
 
 bool HasStatusWithoutBody(int status) { return status == 204 || status == 304; }
 
@@ -26,11 +26,13 @@
     if (connection_ == nullptr) return;
     const bool keep = !connection_->closes_after_answer_;
     const bool bare = HasStatusWithoutBody(response.head.status);
+    ResponseHead head = response.head;
+    head.headers.RemoveHopByHop();
     std::string bytes =
-        SerializeHead(response.head, bare ? Framing::kNoBody : Framing::kLength,
+        SerializeHead(head, bare ? Framing::kNoBody : Framing::kLength,
                       response.body.size(), keep);
     if (!is_head_ && !bare) bytes += response.body;
-    connection_->Queue(std::move(bytes));
+    connection_->Queue(bytes);
     Finish();
   }
 
@@ -259,7 +261,7 @@
   }
 }
 
-void ServerConnection::Queue(std::string bytes) {
+void ServerConnection::Queue(std::string_view bytes) {
   if (is_closed_) return;
   out_ += bytes;
   Flush();
--- a/briarspread/proxy/server_connection.h
+++ b/briarspread/proxy/server_connection.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "briarspread/core/clock.h"
 #include "briarspread/proxy/message_reader.h"
@@ -54,7 +55,7 @@
   void TakeError();
   void Dispatch();
   void Refuse(int status);
-  void Queue(std::string bytes);
+  void Queue(std::string_view bytes);
   void Flush();
   void OnWritten(std::size_t n);
   void FinishAnswer();
--- a/briarspread/proxy/upstream_connection.cc
+++ b/briarspread/proxy/upstream_connection.cc
@@ -20,7 +20,7 @@
   const std::size_t at = line->find(kName);
   if (at == std::string::npos) return std::nullopt;
   const std::string_view rest =
-      std::string_view(*line).substr(at + kName.size());
+      std::string_view{*line}.substr(at + kName.size());
   return ParseNumber(rest.substr(0, rest.find_first_not_of("0123456789")));
 }
 
--- a/briarspread/versions/version_planner.cc
+++ b/briarspread/versions/version_planner.cc
@@ -1,6 +1,7 @@
 #include "briarspread/versions/version_planner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 #include "briarspread/core/rendezvous.h"
@@ -91,6 +92,8 @@
     open += engine.is_open;
     loading += !engine.loading.value().empty();
   }
+  const auto max_loading = static_cast<std::size_t>(
+      std::ceil(settings_.loading_fraction * static_cast<double>(open)));
   const std::size_t share = std::max<std::size_t>(1, open / targets.size());
   std::vector<Need> needs;
   for (const ModelTarget& target : targets) {
@@ -103,7 +106,7 @@
   std::vector<VersionOrder> orders;
   std::vector<const EngineState*> taken;
   for (const Need& need : needs) {
-    if (loading >= settings_.max_loading) break;
+    if (loading >= max_loading) break;
     if (std::find(taken.begin(), taken.end(), need.engine) != taken.end()) {
       continue;
     }
--- a/briarspread/versions/version_planner.h
+++ b/briarspread/versions/version_planner.h
@@ -40,8 +40,9 @@
 
 /// Settings of the planner.
 struct VersionPlannerSettings {
-  /// Engines that load at once over all models; more slow each other down.
-  std::size_t max_loading = 2;
+  /// The part of the engines that load at once, over all models; more slow each
+  /// other down.
+  double loading_fraction = 0.2;
 };
 
 /// Decides which engines load which version next. Answers the load of several
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -22,4 +22,10 @@
   echo "a path of this machine stands in the files above" >&2
   exit 1
 fi
+echo "names of the platform outside platform/"
+platform_names='X-Expect-Instance|X-Server-Stamp|X-Not-Executed|X-Attempt-Id|X-Instance-Load|/briarspread/|op/config|servers/'
+if git grep -nE "$platform_names" -- briarspread programs standins bench; then
+  echo "names of the platform stand in the files above" >&2
+  exit 1
+fi
 echo "checks passed"
--- /dev/null
+++ b/tests/batch/decisions_test.cc
@@ -0,0 +1,204 @@
+// Decisions of batch work, each against the load that it answers.
+
+#include <catch2/catch.hpp>
+
+#include "briarspread/batch/engine_load_board.h"
+#include "briarspread/batch/engine_placement.h"
+#include "briarspread/batch/home_planner.h"
+#include "briarspread/batch/item_order.h"
+#include "briarspread/batch/job_index.h"
+#include "tests/support/manual_clock.h"
+
+namespace briarspread::batch {
+namespace {
+
+using briarspread::testing::ManualClock;
+
+EngineView Engine(const std::string& id, std::uint32_t own = 0) {
+  EngineView engine;
+  engine.id = UpstreamId(id);
+  engine.slots = 4;
+  engine.own_in_flight = own;
+  engine.version = WeightVersion(5);
+  engine.event_interval = milliseconds(40);
+  engine.is_interval_fresh = true;
+  return engine;
+}
+
+const EnginePlacement kPlacement{EnginePlacementSettings{}};
+
+TEST_CASE("the longest item of the job that is due first runs first") {
+  const TimePoint now{};
+  const std::vector<WaitingItem> waiting = {
+      {now + seconds(5), false, 100},
+      {now + seconds(3), false, 10},
+      {now + seconds(3), false, 900},
+      {now + seconds(3), true, 5},
+  };
+  REQUIRE(ChooseNext(waiting) == 3);
+  REQUIRE(RunsBefore(waiting[2], waiting[1]));
+  REQUIRE(RunsBefore(waiting[1], waiting[0]));
+  REQUIRE_FALSE(ChooseNext({}).has_value());
+}
+
+// The load: a step of items far more than slots. Those beyond the batches wait
+// here, where they can still go anywhere.
+TEST_CASE("engines are filled evenly, to their batch and no further") {
+  std::vector<EngineView> engines = {Engine("a"), Engine("b"), Engine("c")};
+  const EngineNeed need{WeightVersion(5), {}, {}, 0};
+  int placed = 0;
+  while (const auto at = kPlacement.Choose(need, engines)) {
+    ++engines[*at].own_in_flight;
+    ++placed;
+    const auto [least, most] =
+        std::minmax({engines[0].own_in_flight, engines[1].own_in_flight,
+                     engines[2].own_in_flight});
+    REQUIRE(most - least <= 1);
+  }
+  REQUIRE(placed == 12);
+}
+
+// The load: two owners whose steps begin at the same moment.
+TEST_CASE("what another instance runs at an engine takes its slots") {
+  std::vector<EngineView> engines = {Engine("a", 1), Engine("b", 2)};
+  engines[0].peer_in_flight = 3;
+  const auto at = kPlacement.Choose({WeightVersion(5), {}, {}, 0}, engines);
+  REQUIRE(at == 1);
+  engines[1].peer_in_flight = 2;
+  REQUIRE_FALSE(
+      kPlacement.Choose({WeightVersion(5), {}, {}, 0}, engines).has_value());
+}
+
+TEST_CASE("a report counts, corrected by own items since") {
+  EngineView engine = Engine("a", 3);
+  engine.reported = 5;
+  engine.own_at_report = 1;
+  REQUIRE(EstimatedLoad(engine) == 7);
+  engine.reported = 0;
+  engine.own_at_report = 3;
+  REQUIRE(EstimatedLoad(engine) == 3);
+}
+
+TEST_CASE("versions, refusals and engines to avoid bound the choice") {
+  std::vector<EngineView> engines = {Engine("old"), Engine("shut"),
+                                     Engine("bad"), Engine("good", 3)};
+  engines[0].version = WeightVersion(4);
+  engines[1].is_open = false;
+  const EngineNeed need{WeightVersion(5), {UpstreamId("bad")}, {}, 0};
+  REQUIRE(kPlacement.Choose(need, engines) == 3);
+}
+
+// The load: one engine in four is three times slower than the rest.
+TEST_CASE("a slow engine gets nothing while a sound one could take it soon") {
+  std::vector<EngineView> engines = {Engine("slow"), Engine("sound", 4)};
+  engines[0].event_interval = milliseconds(120);
+  const EngineNeed need{WeightVersion(5), {}, {}, 0};
+  REQUIRE_FALSE(kPlacement.Choose(need, engines).has_value());
+  // Once its measure is old, a single item tries it.
+  engines[0].is_interval_fresh = false;
+  REQUIRE(kPlacement.Choose(need, engines) == 0);
+  engines[0].own_in_flight = 1;
+  REQUIRE_FALSE(kPlacement.Choose(need, engines).has_value());
+  // Where it alone may run the item, it does.
+  engines[1].version = WeightVersion(4);
+  engines[0].is_interval_fresh = true;
+  REQUIRE(kPlacement.Choose(need, engines) == 0);
+}
+
+// Found by a played day: all items of a slow engine moved to one free slot.
+TEST_CASE("an item moves only while a sound engine has room") {
+  std::vector<EngineView> engines = {Engine("slow", 4), Engine("sound", 3)};
+  engines[0].event_interval = milliseconds(120);
+  const EngineNeed need{WeightVersion(5), {}, {}, 0};
+  int moved = 0;
+  for (int i = 0; i < 4; ++i) {
+    if (!kPlacement.IsWorthMoving(0, need, engines)) continue;
+    ++moved;
+    --engines[0].own_in_flight;
+    ++engines[1].own_in_flight;
+  }
+  REQUIRE(moved == 1);
+  REQUIRE_FALSE(kPlacement.IsWorthMoving(1, need, engines));
+}
+
+// The load: long contexts, which an engine's memory holds fewer of than its
+// batch has slots; beyond that it puts requests back and reads them again.
+TEST_CASE("an engine's memory is not overfilled, but an empty one takes all") {
+  std::vector<EngineView> engines = {Engine("a", 2), Engine("b", 3)};
+  engines[0].free_tokens = 500;
+  engines[1].free_tokens = 5000;
+  REQUIRE(kPlacement.Choose({WeightVersion(5), {}, {}, 900}, engines) == 1);
+  engines[0].own_in_flight = 0;
+  engines[1].free_tokens = 100;
+  REQUIRE(kPlacement.Choose({WeightVersion(5), {}, {}, 900}, engines) == 0);
+}
+
+TEST_CASE("a cached prompt and the own region decide among equals") {
+  std::vector<EngineView> engines = {Engine("a"), Engine("b")};
+  engines[0].is_same_region = false;
+  REQUIRE(kPlacement.Choose({WeightVersion(5), {}, {}, 0}, engines) == 1);
+  engines[0].is_same_region = true;
+  REQUIRE(kPlacement.Choose({WeightVersion(5), {}, UpstreamId("b"), 0},
+                            engines) == 1);
+}
+
+InstanceRecord Instance(const std::string& name, const std::string& zone,
+                        const std::string& region) {
+  InstanceRecord record;
+  record.name = InstanceId(name);
+  record.locality = Locality{RegionId(region), ZoneId(zone)};
+  return record;
+}
+
+TEST_CASE("jobs of a key meet at one instance, near where they come in") {
+  const std::vector<InstanceRecord> all = {
+      Instance("a1", "a", "r"), Instance("a2", "a", "r"),
+      Instance("b1", "b", "r"), Instance("c1", "c", "q")};
+  const Locality near{RegionId("r"), ZoneId("a")};
+  const auto order = HomeOrder("key", near, all);
+  REQUIRE(order[0].locality.zone == ZoneId("a"));
+  REQUIRE(order[1].locality.zone == ZoneId("a"));
+  REQUIRE(order[2].name == InstanceId("b1"));
+  REQUIRE(order[3].name == InstanceId("c1"));
+  // Without its home, the next one takes over; the rest stays as it was.
+  auto fewer = all;
+  std::erase_if(fewer,
+                [&](const auto& each) { return each.name == order[0].name; });
+  REQUIRE(HomeOrder("key", near, fewer)[0].name == order[1].name);
+}
+
+TEST_CASE("an index keeps the latest record of a job, within its bound") {
+  JobIndex index(2);
+  const auto put = [&](const std::string& id, std::uint64_t at, int age) {
+    StoredRecord stored;
+    stored.id = JobId(id);
+    stored.index = StoreIndex(at);
+    stored.record.submitted = WallTime(seconds(age));
+    index.Put(stored);
+  };
+  put("x", 5, 1);
+  put("x", 4, 1);
+  REQUIRE(index.Find(JobId("x"))->index == StoreIndex(5));
+  put("y", 6, 2);
+  put("z", 7, 3);
+  REQUIRE(index.Find(JobId("x")) == nullptr);
+  REQUIRE(index.all().size() == 2);
+}
+
+TEST_CASE("what peers said of their loads adds up, and grows old") {
+  ManualClock clock;
+  EngineLoadBoard board(seconds(2), clock);
+  board.Put(InstanceId("p"),
+            *ParseEngineLoads(FormatEngineLoads({{UpstreamId("e"), 3}})));
+  board.Put(InstanceId("q"), {{UpstreamId("e"), 2}});
+  REQUIRE(board.LoadAt(UpstreamId("e")) == 5);
+  board.Put(InstanceId("q"), {});
+  REQUIRE(board.LoadAt(UpstreamId("e")) == 3);
+  clock.Advance(seconds(3));
+  REQUIRE(board.LoadAt(UpstreamId("e")) == 0);
+  REQUIRE_FALSE(ParseEngineLoads("[1]").has_value());
+  REQUIRE_FALSE(ParseEngineLoads("{\"e\":-1}").has_value());
+}
+
+}  // namespace
+}  // namespace briarspread::batch
--- /dev/null
+++ b/tests/batch/ledger_test.cc
@@ -0,0 +1,288 @@
+#include <catch2/catch.hpp>
+
+#include "briarspread/batch/carry_cache.h"
+#include "briarspread/batch/event_stream_reader.h"
+#include "briarspread/batch/job_checkpoint.h"
+#include "briarspread/batch/job_handover.h"
+#include "briarspread/batch/job_ledger.h"
+
+namespace briarspread::batch {
+namespace {
+
+const TimePoint kNow{};
+
+StreamEvent Event(std::uint64_t id, const std::string& data) {
+  StreamEvent event;
+  event.id = id;
+  event.data = data;
+  event.has_data = true;
+  return event;
+}
+
+JobSpec Spec(int groups, int size, bool has_reward = false) {
+  JobSpec spec;
+  spec.id = JobId("job");
+  spec.oldest_allowed = WeightVersion(3);
+  for (int g = 0; g < groups; ++g) {
+    for (int i = 0; i < size; ++i) {
+      ItemSpec item;
+      item.id = ItemId("i" + std::to_string(g) + std::to_string(i));
+      item.group = ItemGroup("g" + std::to_string(g));
+      item.body = std::string("\x00\xff", 2);
+      item.headers = {{"X-A", "b"}};
+      if (has_reward) item.reward = RewardCall{"r", "h", "/p", "\xfe"};
+      spec.items.push_back(item);
+    }
+  }
+  return spec;
+}
+
+JobTerms Terms() {
+  JobTerms terms;
+  terms.due = kNow + seconds(5);
+  terms.gives_up = kNow + seconds(40);
+  terms.max_attempts = 2;
+  return terms;
+}
+
+void Complete(JobLedger& ledger, std::size_t i, TimePoint now = kNow) {
+  ledger.StartRun(i);
+  ledger.AddEvent(i, Event(1, "x"), WeightVersion(4));
+  ledger.RunComplete(i, now);
+}
+
+TEST_CASE("a stream is cut into events, wherever its bytes are cut") {
+  const std::string stream =
+      ":comment\r\nid: 1\r\ndata: a\r\ndata: b\r\n\r\n"
+      "X-Weights: 7\nid: 2\ndata:c\n\nid: 3\ndata: lost";
+  for (std::size_t cut = 1; cut < stream.size(); ++cut) {
+    EventStreamReader reader("x-weights");
+    auto events = reader.Feed(stream.substr(0, cut));
+    for (StreamEvent& event : reader.Feed(stream.substr(cut))) {
+      events.push_back(std::move(event));
+    }
+    REQUIRE(events.size() == 2);
+    REQUIRE(events[0].id == 1);
+    REQUIRE(events[0].data == "a\nb");
+    REQUIRE_FALSE(events[0].version.has_value());
+    REQUIRE(events[1].data == "c");
+    REQUIRE(events[1].version == WeightVersion(7));
+    REQUIRE(reader.has_partial());
+  }
+}
+
+TEST_CASE("a text has each event once, in order, and names its versions") {
+  ItemProgress progress;
+  using Outcome = ItemProgress::Outcome;
+  REQUIRE(progress.Add(Event(1, "a"), WeightVersion(4)) == Outcome::kAdded);
+  REQUIRE(progress.Add(Event(1, "a"), WeightVersion(4)) == Outcome::kRepeated);
+  REQUIRE(progress.Add(Event(3, "c"), WeightVersion(4)) == Outcome::kGap);
+  REQUIRE(progress.Add(Event(2, "b"), WeightVersion(6)) == Outcome::kAdded);
+  REQUIRE(progress.Add(Event(3, "c"), WeightVersion(5)) == Outcome::kAdded);
+  REQUIRE(progress.text() == "a\nb\nc");
+  REQUIRE(progress.versions() == std::vector<WeightVersion>{WeightVersion(4),
+                                                            WeightVersion(5),
+                                                            WeightVersion(6)});
+  REQUIRE(progress.Fits(WeightVersion(4), false));
+  REQUIRE_FALSE(progress.Fits(WeightVersion(5), false));
+  REQUIRE_FALSE(progress.Fits(WeightVersion(4), true));
+}
+
+TEST_CASE("a whole group is listed at once, a part of one waits") {
+  JobLedger ledger(Spec(2, 2), Terms(), kNow);
+  Complete(ledger, 0);
+  Complete(ledger, 2);
+  REQUIRE(ledger.TakeDue(kNow, seconds(1)).empty());
+  REQUIRE(ledger.TakeDue(kNow + seconds(1), seconds(1)).size() == 2);
+  Complete(ledger, 1);
+  const auto due = ledger.TakeDue(kNow, seconds(1));
+  REQUIRE(due.size() == 3);
+  ledger.MarkListed(due);
+  REQUIRE(ledger.CompleteGroups() == 1);
+  REQUIRE(ledger.TakeDue(kNow + seconds(9), seconds(1)).empty());
+}
+
+TEST_CASE("a position holds one result for good") {
+  JobLedger ledger(Spec(1, 3), Terms(), kNow);
+  Complete(ledger, 1);
+  ledger.MarkListed(ledger.TakeDue(kNow + seconds(2), seconds(1)));
+  Complete(ledger, 0);
+  Complete(ledger, 2);
+  const auto due = ledger.TakeDue(kNow, seconds(1));
+  ledger.MarkListed(due);
+  ledger.MarkListed(due);
+  REQUIRE(ledger.listed().size() == 3);
+  REQUIRE(ledger.Page(0).results[0].id == ItemId("i01"));
+  REQUIRE(ledger.Page(2).results.size() == 1);
+  REQUIRE(ledger.Page(7).results.empty());
+  REQUIRE(ledger.Page(1).next == 3);
+  REQUIRE(ledger.Page(1).total == 3);
+  REQUIRE(ledger.is_all_listed());
+}
+
+TEST_CASE("a page is bounded by bytes, and has one result at least") {
+  std::vector<ItemResult> listed(3);
+  for (ItemResult& result : listed) result.text = std::string(900'000, 'x');
+  REQUIRE(MakePage(listed, 3, 0).results.size() == 1);
+  REQUIRE(MakePage(listed, 3, 0).next == 1);
+}
+
+TEST_CASE("a new owner goes on after what was listed") {
+  JobLedger ledger(Spec(1, 2), Terms(), kNow);
+  ItemResult done;
+  done.id = ItemId("i01");
+  done.is_complete = true;
+  ledger.Restore({done});
+  REQUIRE(ledger.item(1).phase == ItemPhase::kListed);
+  REQUIRE(ledger.item(0).phase == ItemPhase::kWaiting);
+}
+
+TEST_CASE("an item is given up after its failures, or its time, not before") {
+  JobLedger ledger(Spec(1, 3), Terms(), kNow);
+  ledger.StartRun(0);
+  ledger.RunFailed(0, kNow);
+  REQUIRE(ledger.item(0).phase == ItemPhase::kWaiting);
+  ledger.StartRun(0);
+  ledger.RunFailed(0, kNow);
+  REQUIRE(ledger.item(0).is_given_up);
+
+  ledger.StartRun(1);
+  ledger.RunBroken(1, kNow);
+  ledger.Expire(kNow + seconds(39));
+  REQUIRE_FALSE(ledger.item(1).is_given_up);
+  ledger.Expire(kNow + seconds(40));
+  REQUIRE(ledger.item(1).is_given_up);
+  REQUIRE_FALSE(
+      ledger.TakeDue(kNow + seconds(41), seconds(0)).front().is_complete);
+}
+
+TEST_CASE("no result is complete without its score") {
+  JobLedger ledger(Spec(1, 1, true), Terms(), kNow);
+  Complete(ledger, 0);
+  REQUIRE(ledger.item(0).phase == ItemPhase::kScoring);
+  REQUIRE(ledger.TakeDue(kNow + seconds(9), seconds(0)).empty());
+  ledger.RewardFailed(0, 1, 4, kNow);
+  REQUIRE(ledger.item(0).phase == ItemPhase::kScoring);
+  ledger.Scored(0, "sig", kNow);
+  REQUIRE(ledger.TakeDue(kNow, seconds(0)).front().score == "sig");
+
+  JobLedger failing(Spec(1, 1, true), Terms(), kNow);
+  Complete(failing, 0);
+  failing.RewardFailed(0, 4, 4, kNow);
+  REQUIRE(failing.item(0).is_given_up);
+}
+
+TEST_CASE("text of an earlier job is used where its versions fit") {
+  JobLedger ledger(Spec(1, 2), Terms(), kNow);
+  ItemProgress old;
+  old.Add(Event(1, "a"), WeightVersion(2));
+  ledger.Carry(0, old);
+  REQUIRE_FALSE(ledger.item(0).progress.has_events());
+  ItemProgress fit;
+  fit.Add(Event(1, "a"), WeightVersion(3));
+  ledger.Carry(1, fit);
+  REQUIRE(ledger.item(1).is_carried);
+}
+
+TEST_CASE("a carry cache keeps the very request's text, within its bound") {
+  const JobSpec spec = Spec(1, 3);
+  ItemProgress progress;
+  progress.Add(Event(1, std::string(60, 'x')), WeightVersion(3));
+  CarryCache cache(100);
+  cache.Put(spec.items[0], progress);
+  ItemSpec changed = spec.items[0];
+  changed.body = "other";
+  REQUIRE_FALSE(cache.Take(changed).has_value());
+  cache.Put(spec.items[0], progress);
+  REQUIRE(cache.Take(spec.items[0])->text().size() == 60);
+  REQUIRE(cache.bytes() == 0);
+  cache.Put(spec.items[0], progress);
+  cache.Put(spec.items[1], progress);
+  REQUIRE_FALSE(cache.Take(spec.items[0]).has_value());
+  REQUIRE(cache.Take(spec.items[1]).has_value());
+}
+
+TEST_CASE("checkpoints put together give the text that was written") {
+  CheckpointPlan plan(2);
+  ItemProgress progress;
+  std::vector<JobCheckpoint> written;
+  const ItemId id("i");
+  for (std::uint64_t n = 1; n <= 7; ++n) {
+    progress.Add(Event(n, "e" + std::to_string(n)), WeightVersion(3 + n / 4));
+    const auto part = plan.PartFor(id, progress);
+    REQUIRE(part.has_value() == (n % 2 == 0));
+    if (!part.has_value()) continue;
+    // The bytes survive the store.
+    written.push_back(*DecodeJobCheckpoint(Encode(JobCheckpoint{*part})));
+    plan.MarkWritten({*part});
+  }
+  const auto assembled = Assemble(written);
+  REQUIRE(assembled.at(id).text() == "e1\ne2\ne3\ne4\ne5\ne6");
+  REQUIRE(assembled.at(id).last_event_id() == 6);
+  REQUIRE(assembled.at(id).versions().size() == 2);
+  // Without the first part the rest says nothing.
+  REQUIRE(Assemble({written[1], written[2]}).empty());
+}
+
+TEST_CASE("an item that began anew is kept anew") {
+  CheckpointPlan plan(1);
+  ItemProgress first;
+  first.Add(Event(1, "a"), WeightVersion(3));
+  first.Add(Event(2, "b"), WeightVersion(3));
+  const auto before = plan.PartFor(ItemId("i"), first);
+  plan.MarkWritten({*before});
+  ItemProgress second;
+  second.Add(Event(1, "c"), WeightVersion(4));
+  const auto after = plan.PartFor(ItemId("i"), second);
+  REQUIRE(after->offset == 0);
+  REQUIRE(Assemble({{*before}, {*after}}).at(ItemId("i")).text() == "c");
+}
+
+TEST_CASE("encodings survive any bytes, and malformed ones are refused") {
+  JobSpec spec = Spec(1, 2, true);
+  spec.host = "h";
+  spec.model = ModelName("m");
+  spec.target_groups = 9;
+  const auto back = DecodeJobSpec(Encode(spec));
+  REQUIRE(back->items[1].body == std::string("\x00\xff", 2));
+  REQUIRE(back->items[1].reward->body == "\xfe");
+  REQUIRE(back->items[0].headers[0].value == "b");
+  REQUIRE(back->target_groups == 9);
+
+  ItemResult result;
+  result.id = ItemId("i");
+  result.is_complete = true;
+  result.text = "\xc3\x28";
+  result.versions = {WeightVersion(2), WeightVersion(3)};
+  result.score = "s";
+  const auto results = DecodeResults(Encode(std::vector<ItemResult>{result}));
+  REQUIRE(results->at(0).text == result.text);
+  REQUIRE(results->at(0).versions == result.versions);
+
+  JobRecord record;
+  record.owner = InstanceId("o");
+  record.submitted = WallTime(seconds(7));
+  record.home_key = "k";
+  record.is_ended = true;
+  const auto known = DecodeJobRecord(Encode(record));
+  REQUIRE(known->submitted == record.submitted);
+  REQUIRE(known->is_ended);
+
+  JobHandover handover;
+  handover.progress.emplace(ItemId("i"),
+                            ItemProgress("a\nb", 2, 2, {WeightVersion(3)}));
+  REQUIRE(DecodeJobHandover(Encode(handover))
+              ->progress.at(ItemId("i"))
+              .last_event_id() == 2);
+
+  for (const std::string& bad : {std::string(), std::string("\xa1"),
+                                 std::string("text"), std::string("\xf6")}) {
+    REQUIRE_FALSE(DecodeJobSpec(bad).has_value());
+    REQUIRE_FALSE(DecodeJobRecord(bad).has_value());
+    REQUIRE_FALSE(DecodeResultPage(bad).has_value());
+    REQUIRE_FALSE(DecodeJobHandover(bad).has_value());
+  }
+}
+
+}  // namespace
+}  // namespace briarspread::batch
--- /dev/null
+++ b/tests/fleet/fleet_test.cc
@@ -0,0 +1,272 @@
+#include <catch2/catch.hpp>
+
+#include "briarspread/fleet/instance_registry.h"
+#include "briarspread/fleet/order_right.h"
+#include "briarspread/fleet/store_watch.h"
+#include "tests/support/async_memory_store.h"
+#include "tests/support/loop_runner.h"
+#include "tests/support/manual_clock.h"
+
+namespace briarspread {
+namespace {
+
+using testing::AsyncMemoryStore;
+using testing::ManualClock;
+using Fault = AsyncMemoryStore::Fault;
+
+/// Gives all answers, and runs the timers that are due at once.
+void Settle(asio::io_context& loop, AsyncMemoryStore& store) {
+  for (int i = 0; i < 20; ++i) {
+    store.Deliver();
+    loop.restart();
+    loop.poll();
+  }
+}
+
+struct Heard final : StoreWatchListener {
+  void OnListing(const StoreListing& listing) override {
+    ++listings;
+    values.clear();
+    for (const KeyValue& item : listing.items) values[item.key] = item.value;
+  }
+  void OnChanges(const StoreChanges& changes) override {
+    for (const StoreChange& change : changes.changes) {
+      if (change.value.has_value()) {
+        values[change.key] = *change.value;
+      } else {
+        values.erase(change.key);
+      }
+    }
+  }
+  int listings = 0;
+  std::map<std::string, std::string> values;
+};
+
+StoreWatchSettings AtOnce() {
+  StoreWatchSettings settings;
+  settings.pause = milliseconds(0);
+  settings.first_retry = milliseconds(0);
+  settings.retry_limit = milliseconds(0);
+  return settings;
+}
+
+TEST_CASE("a watch follows keys, and lists again where history is gone") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  Heard heard;
+  store.Write("a/1", "x");
+  StoreWatch watch(loop, store, "a/", AtOnce(), heard);
+  watch.Start();
+  Settle(loop, store);
+  REQUIRE(heard.values == std::map<std::string, std::string>{{"a/1", "x"}});
+
+  store.Write("a/2", "y");
+  store.Write("b/1", "other");
+  store.Erase("a/1");
+  Settle(loop, store);
+  REQUIRE(heard.values == std::map<std::string, std::string>{{"a/2", "y"}});
+  REQUIRE(heard.listings == 1);
+
+  store.Write("a/3", "z");
+  store.ForgetHistory();
+  Settle(loop, store);
+  REQUIRE(heard.listings == 2);
+  REQUIRE(heard.values.size() == 2);
+}
+
+TEST_CASE("a watch goes on after refusals") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  Heard heard;
+  store.SetFault(Fault::kRefuse);
+  StoreWatch watch(loop, store, "a/", AtOnce(), heard);
+  watch.Start();
+  store.Deliver();
+  REQUIRE_FALSE(watch.has_listed());
+  store.SetFault(Fault::kNone);
+  store.Write("a/1", "x");
+  Settle(loop, store);
+  REQUIRE(heard.values.size() == 1);
+}
+
+struct Quiet final : InstanceRegistry::Listener {
+  void OnInstancesChanged() override { ++changes; }
+  void OnStoreReachable(bool is_reachable) override {
+    reachable = is_reachable;
+  }
+  int changes = 0;
+  bool reachable = true;
+};
+
+InstanceRecord Record(const std::string& name, std::uint64_t incarnation) {
+  InstanceRecord record;
+  record.name = InstanceId(name);
+  record.incarnation = Incarnation(incarnation);
+  record.peer_endpoint = Endpoint{"127.0.0.1", 1};
+  return record;
+}
+
+/// One instance: its registry and its part in the right to order.
+struct Instance {
+  Instance(asio::io_context& loop, AsyncMemoryStore& store, const Clock& clock,
+           const std::string& name, std::uint64_t incarnation = 1)
+      : registry(loop, store, InstanceRegistrySettings{},
+                 Record(name, incarnation), quiet),
+        right(store, registry, OrderRightSettings{}, clock) {
+    registry.Start();
+  }
+  Quiet quiet;
+  InstanceRegistry registry;
+  OrderRight right;
+};
+
+/// Lets watches run: their pauses are real, and short.
+template <typename IsDone>
+void Await(asio::io_context& loop, AsyncMemoryStore& store,
+           const IsDone& is_done) {
+  REQUIRE(testing::RunUntil(loop, [&] {
+    store.Deliver();
+    return is_done();
+  }));
+}
+
+TEST_CASE("instances know each other, and one whose lease ended is gone") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  Instance a(loop, store, clock, "a");
+  Instance b(loop, store, clock, "b");
+  Await(loop, store, [&] { return a.registry.Peers().size() == 1; });
+  REQUIRE(a.registry.IsRegistered(InstanceId("b"), Incarnation(1)));
+  REQUIRE_FALSE(a.registry.IsRegistered(InstanceId("b"), Incarnation(2)));
+  store.ExpireLease(b.registry.lease());
+  Await(loop, store, [&] { return a.registry.Peers().empty(); });
+  // The one that lives registers again by itself.
+  Await(loop, store, [&] { return a.registry.Peers().size() == 1; });
+}
+
+TEST_CASE("an unreadable registration is passed over") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  store.Write("fleet/instances/x", "no json");
+  store.Write("fleet/instances/y", "{\"name\":7}");
+  Instance a(loop, store, clock, "a");
+  Await(loop, store, [&] { return a.registry.has_listed(); });
+  REQUIRE(a.registry.Peers().empty());
+}
+
+TEST_CASE("a new holder waits until the one before can no longer send") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  Instance a(loop, store, clock, "a");
+  Await(loop, store, [&] {
+    return a.registry.has_listed() && a.registry.lease().value() != 0;
+  });
+  a.right.Step();
+  store.Deliver();
+  REQUIRE(a.right.is_holder());
+  const OrderRightSettings settings;
+  REQUIRE_FALSE(a.right.MaySend());
+  clock.Advance(settings.lease + settings.confidence);
+  REQUIRE_FALSE(a.right.MaySend());
+  clock.Advance(settings.margin);
+  // The confirmation is old by now; asking again makes it good.
+  REQUIRE_FALSE(a.right.MaySend());
+  store.Deliver();
+  REQUIRE(a.right.MaySend());
+}
+
+TEST_CASE("a holder that cannot confirm its right stops, suspended or not") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  Instance a(loop, store, clock, "a");
+  Await(loop, store, [&] {
+    return a.registry.has_listed() && a.registry.lease().value() != 0;
+  });
+  a.right.Step();
+  store.Deliver();
+  clock.Advance(seconds(10));
+  a.right.MaySend();
+  store.Deliver();
+  REQUIRE(a.right.MaySend());
+  store.SetFault(Fault::kRefuse);
+  clock.Advance(OrderRightSettings{}.confidence);
+  REQUIRE_FALSE(a.right.MaySend());
+  store.Deliver();
+  REQUIRE_FALSE(a.right.MaySend());
+}
+
+TEST_CASE(
+    "a holder whose record was taken away knows at its next confirmation") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  Instance a(loop, store, clock, "a");
+  Await(loop, store, [&] {
+    return a.registry.has_listed() && a.registry.lease().value() != 0;
+  });
+  a.right.Step();
+  store.Deliver();
+  store.Erase(InstanceRegistry::kOrderRightKey);
+  clock.Advance(seconds(10));
+  REQUIRE_FALSE(a.right.MaySend());
+  store.Deliver();
+  REQUIRE_FALSE(a.right.is_holder());
+}
+
+TEST_CASE("a machine that starts again goes on with its own right at once") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  FencingNumber before;
+  {
+    Instance a(loop, store, clock, "a", 1);
+    Await(loop, store, [&] {
+      return a.registry.has_listed() && a.registry.lease().value() != 0;
+    });
+    a.right.Step();
+    store.Deliver();
+    REQUIRE(a.right.is_holder());
+    before = a.right.fencing();
+    store.Disconnect();
+  }
+  Instance again(loop, store, clock, "a", 2);
+  Instance other(loop, store, clock, "b", 1);
+  Await(loop, store, [&] {
+    return again.registry.order_right().has_value() &&
+           again.registry.lease().value() != 0 &&
+           other.registry.order_right().has_value();
+  });
+  other.right.Step();
+  again.right.Step();
+  store.Deliver();
+  REQUIRE_FALSE(other.right.is_holder());
+  REQUIRE(again.right.is_holder());
+  REQUIRE(again.right.fencing() > before);
+  REQUIRE(again.right.MaySend());
+}
+
+TEST_CASE("a lost answer to taking the right is read back") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  Instance a(loop, store, clock, "a");
+  Await(loop, store, [&] {
+    return a.registry.has_listed() && a.registry.lease().value() != 0;
+  });
+  store.SetFault(Fault::kLoseAnswer);
+  a.right.Step();
+  store.SetFault(Fault::kNone);
+  store.Deliver();
+  REQUIRE_FALSE(a.right.is_holder());
+  a.right.Step();
+  store.Deliver();
+  REQUIRE(a.right.is_holder());
+  REQUIRE_FALSE(a.right.MaySend());
+}
+
+}  // namespace
+}  // namespace briarspread
--- /dev/null
+++ b/tests/forward/configuration_test.cc
@@ -0,0 +1,165 @@
+#include "briarspread/forward/configuration.h"
+
+#include <catch2/catch.hpp>
+
+#include "briarspread/forward/attempt_policy.h"
+#include "briarspread/forward/upstream_directory.h"
+#include "tests/support/manual_clock.h"
+
+namespace briarspread::forward {
+namespace {
+
+using briarspread::testing::ManualClock;
+
+Route MakeRoute(const std::string& host, const std::string& prefix) {
+  Route route;
+  route.host = host;
+  route.prefix = prefix;
+  route.backends = {{ServiceName("s"), 1}};
+  return route;
+}
+
+TEST_CASE("the longest prefix of the host wins") {
+  Configuration configuration;
+  configuration.routes = {MakeRoute("h", "/a/"), MakeRoute("h", "/a/b/"),
+                          MakeRoute("other", "/a/b/c/")};
+  REQUIRE(configuration.FindRoute("h", "/a/b/c/d")->prefix == "/a/b/");
+  REQUIRE(configuration.FindRoute("h:80", "/a/x")->prefix == "/a/");
+  REQUIRE(configuration.FindRoute("h", "/b/") == nullptr);
+  REQUIRE(configuration.FindRoute("h", "/a") == nullptr);
+}
+
+TEST_CASE("weights split the requests of a route") {
+  Route route = MakeRoute("h", "/");
+  route.backends = {{ServiceName("x"), 90}, {ServiceName("y"), 10}};
+  int y = 0;
+  for (std::uint64_t i = 0; i < 1000; ++i) {
+    y += ChooseBackend(route, i) == ServiceName("y");
+  }
+  REQUIRE(y == 100);
+}
+
+TEST_CASE("a configuration never goes back") {
+  ConfigurationHolder holder;
+  const auto make = [](std::uint64_t version) {
+    auto made = std::make_shared<Configuration>();
+    made->version = ConfigurationVersion(version);
+    return made;
+  };
+  REQUIRE(holder.Offer(make(5)));
+  REQUIRE_FALSE(holder.Offer(make(4)));
+  REQUIRE_FALSE(holder.Offer(make(5)));
+  REQUIRE(holder.current()->version == ConfigurationVersion(5));
+  REQUIRE(holder.Offer(make(9)));
+}
+
+TEST_CASE(
+    "attempts end at the route's limit, and after one that may have run") {
+  AttemptPolicy idempotent({}, RouteKind::kIdempotent, 2);
+  REQUIRE(idempotent.MayTryAgain(seconds(1)));
+  idempotent.Note(Verdict::kMayHaveRun);
+  REQUIRE(idempotent.MayTryAgain(seconds(1)));
+  REQUIRE_FALSE(idempotent.MayTryAgain(milliseconds(5)));
+  idempotent.Note(Verdict::kMayHaveRun);
+  REQUIRE_FALSE(idempotent.MayTryAgain(seconds(1)));
+
+  AttemptPolicy once({}, RouteKind::kOnce, 3);
+  once.Note(Verdict::kNotRun);
+  REQUIRE(once.MayTryAgain(seconds(1)));
+  once.Note(Verdict::kMayHaveRun);
+  REQUIRE_FALSE(once.MayTryAgain(seconds(1)));
+}
+
+// The load: every upstream is full and refuses at once.
+TEST_CASE("refusals without end do not keep a request going round") {
+  AttemptPolicy policy({}, RouteKind::kIdempotent, 2);
+  int tries = 0;
+  while (policy.MayTryAgain(seconds(1))) {
+    policy.Note(Verdict::kNotRun);
+    ++tries;
+  }
+  REQUIRE(tries == 4);
+  REQUIRE(policy.verdict() == Verdict::kNotRun);
+}
+
+DiscoveredUpstream Upstream(const std::string& id) {
+  DiscoveredUpstream upstream;
+  upstream.id = UpstreamId(id);
+  upstream.service = ServiceName("s");
+  upstream.endpoint = Endpoint{"127.0.0.1", 1};
+  return upstream;
+}
+
+struct Directory {
+  Directory() : directory({}, Locality{}, clock) {
+    for (const char* id : {"a", "b", "c", "d"}) directory.Put(Upstream(id));
+  }
+  std::size_t size() const { return directory.all().size(); }
+  ManualClock clock;
+  UpstreamDirectory directory;
+};
+
+TEST_CASE("one registration that goes is gone at once") {
+  Directory d;
+  Endpoint gone;
+  d.directory.SetOnGone([&](const Endpoint& endpoint) { gone = endpoint; });
+  d.directory.Remove({UpstreamId("a")});
+  REQUIRE(d.size() == 3);
+  REQUIRE(gone.port == 1);
+}
+
+TEST_CASE("registrations that lapse together are kept for a grace") {
+  Directory d;
+  d.directory.Remove({UpstreamId("a"), UpstreamId("b"), UpstreamId("c")});
+  REQUIRE(d.size() == 4);
+  d.directory.Put(Upstream("a"));
+  d.clock.Advance(seconds(2));
+  d.directory.DropExpired();
+  REQUIRE(d.size() == 2);
+  REQUIRE(d.directory.Find(UpstreamId("a")) != nullptr);
+}
+
+TEST_CASE("a listing that lacks one upstream drops it, and counts stay") {
+  Directory d;
+  d.directory.Find(UpstreamId("a"))->counters->in_flight = 3;
+  d.directory.ReplaceAll({Upstream("a"), Upstream("b"), Upstream("c")});
+  REQUIRE(d.size() == 3);
+  REQUIRE(d.directory.Find(UpstreamId("a"))->counters->in_flight == 3);
+}
+
+TEST_CASE("an id that starts again is another upstream") {
+  Directory d;
+  d.directory.Find(UpstreamId("a"))->counters->in_flight = 3;
+  DiscoveredUpstream again = Upstream("a");
+  again.start_id = 9;
+  d.directory.Put(again);
+  REQUIRE(d.directory.Find(UpstreamId("a"))->counters->in_flight == 0);
+}
+
+TEST_CASE("a version seen in an answer outlives an older registration") {
+  Directory d;
+  const ModelName model("m");
+  DiscoveredUpstream engine = Upstream("a");
+  engine.models = {{model, WeightVersion(1)}};
+  d.directory.Put(engine);
+  d.directory.NoteVersion(UpstreamId("a"), model, WeightVersion(3));
+  engine.models = {{model, WeightVersion(2)}};
+  d.directory.Put(engine);
+  REQUIRE(d.directory.Find(UpstreamId("a"))->VersionOf(model) ==
+          WeightVersion(3));
+}
+
+TEST_CASE("a malformed load changes nothing") {
+  Directory d;
+  d.directory.NoteLoad(UpstreamId("a"), "3,1,8");
+  for (const char* text : {"", "3,1", "3,1,8,2", "x,1,8", "3,-1,8"}) {
+    d.directory.NoteLoad(UpstreamId("a"), text);
+  }
+  const LoadReport& load = d.directory.Find(UpstreamId("a"))->load;
+  REQUIRE(load.running == 3);
+  REQUIRE(load.queued == 1);
+  REQUIRE(load.slots == 8);
+}
+
+}  // namespace
+}  // namespace briarspread::forward
--- /dev/null
+++ b/tests/platform/codec_test.cc
@@ -0,0 +1,168 @@
+#include <catch2/catch.hpp>
+
+#include "platform/base64.h"
+#include "platform/batch_codec.h"
+#include "platform/configuration_codec.h"
+#include "platform/peer_interface.h"
+#include "platform/platform_settings.h"
+#include "platform/upstream_codec.h"
+
+namespace briarspread::platform {
+namespace {
+
+const std::string kSettings =
+    "NodeName=edge-1\nZone=z1\nRegion=r1\nZones.z1=r1\nZones.z2=r2\n"
+    "Listen.Frontend=127.0.0.1:8001\nListen.Ready=127.0.0.1:8002\n"
+    "Listen.ControlPlane=127.0.0.1:8003\n"
+    "SeedNodes=127.0.0.1:8003,127.0.0.2:8003\n"
+    "Platform.Address=127.0.0.9:8142\nBounds.GraceS=8\nBounds.LeaseMs=3000\n"
+    "Bounds.StatusS=120\nBounds.DrainMs=2500\nLimits.MemoryMb=260\n"
+    "Unknown.Key=1\n";
+
+TEST_CASE("settings are read, unknown ones skipped") {
+  const auto parsed = ParsePlatformSettings(kSettings);
+  REQUIRE(IsOk(parsed));
+  const PlatformSettings& settings = ValueOf(parsed);
+  REQUIRE(settings.instance == InstanceId("edge-1"));
+  REQUIRE(settings.zones.at(ZoneId("z2")) == RegionId("r2"));
+  REQUIRE(settings.peer->port == 8003);
+  REQUIRE(settings.seeds.size() == 2);
+  REQUIRE(settings.grace == seconds(8));
+  REQUIRE(settings.memory_mb == 260);
+}
+
+TEST_CASE("bad settings name the line, what was found and what is allowed") {
+  const auto message = [](const std::string& from, const std::string& to) {
+    std::string text = kSettings;
+    text.replace(text.find(from), from.size(), to);
+    const auto parsed = ParsePlatformSettings(text);
+    REQUIRE_FALSE(IsOk(parsed));
+    return ErrorOf(parsed).message;
+  };
+  REQUIRE(message("NodeName=edge-1", "") ==
+          "NodeName: found '', allowed is a name");
+  REQUIRE(message("127.0.0.9:8142", "host:x") ==
+          "Platform.Address: found 'host:x', allowed is IP:PORT");
+  REQUIRE(message("GraceS=8", "GraceS=soon").find("found 'soon'") !=
+          std::string::npos);
+  REQUIRE(message("127.0.0.2:8003", "127.0.0.2:0").find("SeedNodes") == 0);
+}
+
+TEST_CASE("base64 survives any bytes, and malformed text is refused") {
+  for (const std::string& bytes :
+       {std::string(), std::string("a"), std::string("ab"), std::string("abc"),
+        std::string("\x00\xff\x00", 3)}) {
+    REQUIRE(DecodeBase64(EncodeBase64(bytes)) == bytes);
+  }
+  REQUIRE_FALSE(DecodeBase64("abc").has_value());
+  REQUIRE_FALSE(DecodeBase64("ab*=").has_value());
+}
+
+TEST_CASE("a configuration is read, and one bad route leaves the others") {
+  const auto parsed = ParseConfiguration(R"({"Version":7,"Routes":[
+    {"Name":"r","Host":"h","Prefix":"/a/","Type":"safe","TimeoutMs":2000,
+     "LatencyGoalMs":400,"Priority":2,"Service":"s","MaxAttempts":4},
+    {"Host":5},
+    {"Host":"h","Prefix":"/b/","Type":"rollout","DueMs":7500,"ItemTtlS":40,
+     "SingleVersion":true,"Backends":[{"Service":"s","Weight":90},
+     {"Service":"t","Weight":10}]},
+    {"Host":"h","Prefix":"/c/","Type":"new","Service":"s"}],
+    "Services":[{"Name":"s","MaxConns":150,"Engine":{"KvCapacity":100,
+     "Models":[{"Name":"m"}]}},{"Name":"t"}],
+    "Limits":{"MaxHeaderBytes":100,"IdleTimeoutMs":9000}})");
+  REQUIRE(IsOk(parsed));
+  const forward::Configuration& configuration = *ValueOf(parsed);
+  REQUIRE(configuration.version.value() == 7);
+  REQUIRE(configuration.routes.size() == 3);
+  REQUIRE(configuration.routes[0].kind == forward::RouteKind::kIdempotent);
+  REQUIRE(configuration.routes[0].max_attempts == 4);
+  REQUIRE(configuration.routes[1].item_time_to_live == seconds(40));
+  REQUIRE(configuration.routes[1].wants_single_version);
+  REQUIRE(configuration.routes[1].backends.size() == 2);
+  // What is not known allows least.
+  REQUIRE(configuration.routes[2].kind == forward::RouteKind::kOnce);
+  REQUIRE(configuration.services[0].models[0] == ModelName("m"));
+  REQUIRE(configuration.services[0].memory_tokens == 100);
+  REQUIRE(configuration.limits.idle_timeout == milliseconds(9000));
+  REQUIRE(configuration.limits.header_timeout == milliseconds(3000));
+  for (const char* bad : {"", "[]", "{}", R"({"Version":"x"})"}) {
+    REQUIRE_FALSE(IsOk(ParseConfiguration(bad)));
+  }
+  REQUIRE(ValueOf(ParseModelTarget(R"({"Model":"m","Version":3})")).version ==
+          WeightVersion(3));
+  REQUIRE_FALSE(IsOk(ParseModelTarget(R"({"Model":"m","Version":-3})")));
+}
+
+const std::string kEntry =
+    R"({"Service":"s","Address":"10.0.0.9:8080","Zone":"z","Version":"v1",)"
+    R"("Slots":12,"State":"ready","ColdRemainingMs":0,"Stage":"both","born":5,)"
+    R"("Models":[{"Name":"m","Version":4,"Adapters":[]}],"Sequence":4})";
+
+TEST_CASE("a registration is read, one of another writer names no upstream") {
+  const std::map<ZoneId, RegionId> zones = {{ZoneId("z"), RegionId("r")}};
+  const auto upstream = ParseUpstream("servers/i-1", kEntry, zones);
+  REQUIRE(upstream->id == UpstreamId("i-1"));
+  REQUIRE(upstream->locality.region == RegionId("r"));
+  REQUIRE(upstream->models[0].version == WeightVersion(4));
+  REQUIRE(upstream->start_id == 5);
+  REQUIRE_FALSE(upstream->is_leaving);
+  const std::vector<std::pair<std::string, std::string>> changes = {
+      {"\"ready\"", "\"asleep\""},
+      {"\"Slots\":12", "\"Slots\":\"x\""},
+      {"\"z\"", "\"elsewhere\""},
+      {"10.0.0.9:8080", "nowhere"},
+      {"\"Service\":\"s\"", "\"Service\":7"},
+      {"{\"Service\"", "\"Service\""},
+  };
+  for (const auto& [from, to] : changes) {
+    std::string text = kEntry;
+    text.replace(text.find(from), from.size(), to);
+    REQUIRE_FALSE(ParseUpstream("servers/i-1", text, zones).has_value());
+  }
+  REQUIRE_FALSE(ParseUpstream("servers/i-1", "\xff\x01", zones).has_value());
+}
+
+TEST_CASE("a submission is read, and a bad one refused with a reason") {
+  const std::string body =
+      R"({"Step":7,"Model":"m","MinVersion":6,"TargetGroups":12,"Items":[
+      {"Id":"a","Path":"/p/1","Headers":{"X-Token-Count":"540,400",
+       "X-Length-Hint":"90"},"Body":"q83v","Tokens":940,"Group":"g",
+       "Scorer":{"Id":"s","Host":"h","Path":"/q","Body":"3q2+"}}]})";
+  const auto parsed = ParseSubmission("job", "h", "/p/job", body);
+  REQUIRE(IsOk(parsed));
+  const batch::JobSpec& spec = ValueOf(parsed);
+  REQUIRE(spec.oldest_allowed == WeightVersion(6));
+  REQUIRE(spec.items[0].body == "\xab\xcd\xef");
+  REQUIRE(spec.items[0].prompt_tokens == 540);
+  REQUIRE(spec.items[0].expected_tokens == 90);
+  REQUIRE(spec.items[0].reward->path == "/q");
+  const std::string item = R"({"Id":"a","Path":"/p","Body":"q83v"})";
+  for (const std::string& bad :
+       {std::string("x"), std::string("{}"),
+        std::string(R"({"Items":[{"Id":"a"}]})"),
+        std::string(R"({"Items":[{"Id":"a","Path":"/p","Body":"*"}]})"),
+        std::string("{\"Items\":[")
+            .append(item)
+            .append(",")
+            .append(item)
+            .append("]}")}) {
+    const auto refused = ParseSubmission("job", "h", "/p/job", bad);
+    REQUIRE_FALSE(IsOk(refused));
+    REQUIRE(ErrorOf(refused).code == ErrorCode::kInvalidArgument);
+    REQUIRE_FALSE(ErrorOf(refused).message.empty());
+  }
+}
+
+TEST_CASE("a snapshot survives its text") {
+  PeerSnapshot snapshot;
+  snapshot.operator_values["k"] = "v";
+  snapshot.instances.resize(1);
+  snapshot.instances[0].name = InstanceId("i");
+  const auto back = ParseSnapshot(FormatSnapshot(snapshot));
+  REQUIRE(back->operator_values == snapshot.operator_values);
+  REQUIRE(back->instances == snapshot.instances);
+  REQUIRE_FALSE(ParseSnapshot("{}").has_value());
+}
+
+}  // namespace
+}  // namespace briarspread::platform
--- /dev/null
+++ b/tests/platform/edge_node_test.cc
@@ -0,0 +1,291 @@
+#include "platform/edge_node.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "briarspread/proxy/http_call.h"
+#include "platform/storage_node.h"
+#include "platform/wire_names.h"
+#include "tests/platform/store_stand_in.h"
+#include "tests/support/free_port.h"
+#include "tests/support/loop_runner.h"
+
+namespace briarspread::platform {
+namespace {
+
+using Json = nlohmann::json;
+
+/// A replica of both services: answers plain requests and makes events.
+class Replica final : public proxy::RequestHandler {
+ public:
+  explicit Replica(asio::io_context& loop) : listener_(loop, *this) {
+    REQUIRE(IsOk(listener_.Start(Endpoint{"127.0.0.1", 0})));
+  }
+
+  void OnRequest(proxy::Request request,
+                 std::shared_ptr<proxy::Responder> responder) override {
+    ++requests;
+    proxy::Response response = proxy::MakeResponse(200, "whole");
+    response.head.headers.Add("X-Server-Stamp", "sig");
+    response.head.headers.Add("X-Attempt-Id",
+                              *request.head.headers.Find("X-Attempt-Id"));
+    if (request.head.target.starts_with("/roll/")) {
+      response.head.headers.Add("X-Weight-Versions", "1");
+      response.body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    }
+    responder->Send(response);
+  }
+
+  std::string Entry(const std::string& service) const {
+    return Json{{"Service", service},
+                {"Address", "127.0.0.1:" + std::to_string(listener_.port())},
+                {"Zone", "z"},
+                {"Slots", 4},
+                {"State", "ready"},
+                {"born", 1},
+                {"Models", {{{"Name", "m"}, {"Version", 1}}}}}
+        .dump();
+  }
+  int requests = 0;
+
+ private:
+  proxy::HttpListener listener_;
+};
+
+std::string Configuration(int version) {
+  return Json{
+      {"Version", version},
+      {"Routes",
+       {{{"Host", "h"},
+         {"Prefix", "/plain/"},
+         {"Type", "safe"},
+         {"TimeoutMs", 5000},
+         {"Service", "desk"},
+         {"MaxAttempts", 2}},
+        {{"Host", "h"},
+         {"Prefix", "/roll/"},
+         {"Type", "rollout"},
+         {"DueMs", 5000},
+         {"ItemTtlS", 40},
+         {"MaxAttempts", 2},
+         {"Service", "llm"}}}},
+      {"Services",
+       {{{"Name", "desk"}},
+        {{"Name", "llm"}, {"Engine", {{"Models", {{{"Name", "m"}}}}}}}}}}
+      .dump();
+}
+
+/// The platform, and instances on it.
+struct World {
+  World() : store(loop), replica(loop), random(3), pool(loop, {}) {
+    store.memory().Write("op/config", Configuration(4));
+    store.memory().Write("servers/desk", replica.Entry("desk"));
+    store.memory().Write("servers/llm", replica.Entry("llm"));
+  }
+
+  PlatformSettings Settings(const std::string& name) const {
+    PlatformSettings settings;
+    settings.instance = InstanceId(name);
+    settings.locality = Locality{RegionId("r"), ZoneId("z")};
+    settings.zones[ZoneId("z")] = RegionId("r");
+    settings.store = store.endpoint();
+    const auto at = [] {
+      return Endpoint{"127.0.0.1", briarspread::testing::FreePort()};
+    };
+    settings.frontend = at();
+    settings.ready = at();
+    settings.peer = at();
+    return settings;
+  }
+
+  template <typename IsDone>
+  void Await(const IsDone& is_done) {
+    REQUIRE(briarspread::testing::RunUntil(loop, [&] {
+      store.Deliver();
+      return is_done();
+    }));
+  }
+
+  proxy::Response Call(const Endpoint& to, const std::string& method,
+                       const std::string& target, const std::string& body = "",
+                       const std::string& id = "id-1") {
+    proxy::RequestHead head;
+    head.method = method;
+    head.target = target;
+    head.headers.Add("Host", "h");
+    head.headers.Add("X-Attempt-Id", id);
+    proxy::ExchangeOrder order;
+    order.to = to;
+    order.bytes = proxy::Serialize(head, body);
+    std::optional<proxy::CallResult> result;
+    proxy::StartCall(pool, std::move(order),
+                     [&](proxy::CallResult got) { result = std::move(got); });
+    Await([&] { return result.has_value(); });
+    REQUIRE(std::holds_alternative<proxy::Response>(*result));
+    return std::get<proxy::Response>(*result);
+  }
+
+  /// Reads a job until it has `n` results.
+  Json AwaitResults(const Endpoint& to, std::size_t n) {
+    Json json;
+    for (int i = 0; i < 300000 && json["Results"].size() < n; ++i) {
+      const auto page = Call(to, "GET", "/briarspread/lots/job-1?After=0");
+      if (page.head.status == 200) json = Json::parse(page.body);
+    }
+    REQUIRE(json["Results"].size() == n);
+    return json;
+  }
+
+  asio::io_context loop;
+  SystemClock clock;
+  StoreStandIn store;
+  Replica replica;
+  SeededRandom random;
+  proxy::ConnectionPool pool;
+};
+
+const std::string kSubmission =
+    R"({"Step":0,"Model":"m","MinVersion":1,"TargetGroups":1,"Items":[
+    {"Id":"a","Path":"/roll/1","Headers":{},"Body":"q83v","Tokens":9,"Group":"g",
+     "Scorer":{"Id":"s","Host":"h","Path":"/plain/score","Body":""}},
+    {"Id":"b","Path":"/roll/2","Headers":{},"Body":"","Tokens":9,"Group":"g"}]})";
+
+struct Node {
+  Node(World& world, const PlatformSettings& settings)
+      : settings(settings),
+        node(world.loop, settings, world.clock, world.random) {
+    REQUIRE(IsOk(node.Start()));
+    world.Await([this] { return node.IsReady(); });
+  }
+  const PlatformSettings settings;
+  EdgeNode node;
+};
+
+TEST_CASE("an instance is ready with a configuration, and serves by it") {
+  World world;
+  Node edge(world, world.Settings("one"));
+  REQUIRE(world.Call(*edge.settings.ready, "GET", kReadyPath).head.status ==
+          200);
+  const auto answer = world.Call(*edge.settings.frontend, "POST", "/plain/x");
+  REQUIRE(answer.head.status == 200);
+  REQUIRE(answer.body == "whole");
+  REQUIRE(*answer.head.headers.Find("X-Server-Stamp") == "sig");
+  REQUIRE(world.Call(*edge.settings.frontend, "GET", "/none/").head.status ==
+          404);
+  const auto metrics = world.Call(*edge.settings.peer, "GET", "/metrics");
+  REQUIRE(metrics.body.find("briarspread_ready 1") != std::string::npos);
+}
+
+TEST_CASE("an instance without a configuration promises that nothing ran") {
+  World world;
+  world.store.SetRefusal(503);
+  const PlatformSettings settings = world.Settings("one");
+  EdgeNode node(world.loop, settings, world.clock, world.random);
+  REQUIRE(IsOk(node.Start()));
+  REQUIRE(world.Call(*settings.ready, "GET", kReadyPath).head.status == 503);
+  REQUIRE(world.Call(*settings.frontend, "POST", "/plain/x").head.status ==
+          503);
+}
+
+TEST_CASE("a configuration in the store takes over, an older one does not") {
+  World world;
+  Node edge(world, world.Settings("one"));
+  const Endpoint at = *edge.settings.frontend;
+  Json changed = Json::parse(Configuration(9));
+  changed["Routes"][0]["Prefix"] = "/moved/";
+  world.store.memory().Write("op/config", changed.dump());
+  world.Await(
+      [&] { return world.Call(at, "POST", "/moved/x").head.status == 200; });
+  world.store.memory().Write("op/config", Configuration(5));
+  world.store.memory().Write("op/config", "broken");
+  changed["Version"] = 12;
+  changed["Routes"][0]["Prefix"] = "/again/";
+  world.store.memory().Write("op/config", changed.dump());
+  world.Await(
+      [&] { return world.Call(at, "POST", "/again/x").head.status == 200; });
+  REQUIRE(world.Call(at, "POST", "/plain/x").head.status == 404);
+}
+
+TEST_CASE("a batch job is run, scored, read anywhere, and ended") {
+  World world;
+  Node one(world, world.Settings("one"));
+  Node two(world, world.Settings("two"));
+  const Endpoint at_one = *one.settings.frontend;
+  const Endpoint at_two = *two.settings.frontend;
+  REQUIRE(world.Call(at_one, "POST", "/roll/job-1", kSubmission, "job-1")
+              .head.status == 202);
+  // The same job again, at another instance.
+  REQUIRE(world.Call(at_two, "POST", "/roll/job-1", kSubmission, "job-1")
+              .head.status == 202);
+  const Json first = world.AwaitResults(at_one, 2);
+  const Json second = world.AwaitResults(at_two, 2);
+  REQUIRE(first["Results"] == second["Results"]);
+  REQUIRE(first["Total"] == 2);
+  for (const Json& result : first["Results"]) {
+    REQUIRE(result["State"] == "complete");
+    REQUIRE(result["Text"] == "a\nb");
+    REQUIRE(result["Versions"] == Json{1});
+    if (result["Id"] == "a") REQUIRE(result["Score"] == "sig");
+  }
+  REQUIRE(world.Call(at_two, "GET", "/briarspread/items/job-1?Id=a").body ==
+          "\xab\xcd\xef");
+  REQUIRE(world.Call(at_two, "GET", "/briarspread/items/job-1?Id=none")
+              .head.status == 404);
+  REQUIRE(world.Call(at_two, "GET", "/briarspread/lots/none").head.status ==
+          404);
+  for (int i = 0; i < 2; ++i) {
+    REQUIRE(
+        world.Call(at_two, "DELETE", "/briarspread/lots/job-1").head.status ==
+        200);
+  }
+  REQUIRE(world.replica.requests == 3);
+}
+
+TEST_CASE("a job outlives all instances, and its results do not change") {
+  World world;
+  const PlatformSettings settings = world.Settings("one");
+  Json before;
+  {
+    Node one(world, settings);
+    REQUIRE(world
+                .Call(*settings.frontend, "POST", "/roll/job-1", kSubmission,
+                      "job-1")
+                .head.status == 202);
+    before = world.AwaitResults(*settings.frontend, 2);
+    world.store.memory().Disconnect();
+  }
+  Node again(world, world.Settings("one"));
+  const Json after = world.AwaitResults(*again.settings.frontend, 2);
+  REQUIRE(after["Results"] == before["Results"]);
+}
+
+TEST_CASE("a malformed or refused submission promises that nothing runs") {
+  World world;
+  Node edge(world, world.Settings("one"));
+  const Endpoint at = *edge.settings.frontend;
+  REQUIRE(world.Call(at, "POST", "/roll/x", "no json", "job-1").head.status ==
+          400);
+  world.store.SetRefusal(503);
+  const auto refused =
+      world.Call(at, "POST", "/roll/job-1", kSubmission, "job-1");
+  REQUIRE(refused.head.status == 503);
+  REQUIRE(refused.head.headers.Find("Retry-After") != nullptr);
+  REQUIRE(world.replica.requests == 0);
+}
+
+TEST_CASE("a request to empty a machine with a disk is answered") {
+  World world;
+  PlatformSettings settings = world.Settings("disk-1");
+  StorageNode node(world.loop, settings, world.clock, world.random);
+  node.Start();
+  world.store.memory().Write("op/retire/disk-1", "{\"DurationS\":10}");
+  world.Await([&] {
+    return world.store.memory().items().contains("status/retire/disk-1");
+  });
+  REQUIRE(world.store.memory().items().at("status/retire/disk-1").value ==
+          "{\"State\":\"complete\"}");
+}
+
+}  // namespace
+}  // namespace briarspread::platform
--- /dev/null
+++ b/tests/platform/store_client_test.cc
@@ -0,0 +1,156 @@
+#include "platform/store_client.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "tests/platform/store_stand_in.h"
+#include "tests/support/loop_runner.h"
+
+namespace briarspread::platform {
+namespace {
+
+struct World {
+  World()
+      : stand_in(loop),
+        peers(loop),
+        random(1),
+        path(loop, stand_in.endpoint(), peers, clock, random, {}),
+        client(path) {}
+
+  template <typename T, typename Call>
+  Result<T> Await(const Call& call) {
+    std::optional<Result<T>> result;
+    call([&](const Result<T>& got) { result = got; });
+    REQUIRE(briarspread::testing::RunUntil(loop, [&] {
+      stand_in.Deliver();
+      return result.has_value();
+    }));
+    return *result;
+  }
+  Result<StoreOutcome> Commit(StoreTransaction transaction) {
+    return Await<StoreOutcome>([&](auto done) {
+      client.Commit(std::move(transaction), std::move(done));
+    });
+  }
+
+  asio::io_context loop;
+  SystemClock clock;
+  StoreStandIn stand_in;
+  PeerClient peers;
+  SeededRandom random;
+  StorePath path;
+  StoreClient client;
+};
+
+TEST_CASE("keys are written under conditions, read, listed and watched") {
+  World world;
+  const std::string bytes("\x00\xff\n", 3);
+  StoreTransaction put;
+  put.conditions.push_back({"p/a", StoreIndex(0)});
+  for (const char* key : {"p/a", "p/b", "p/c"}) {
+    put.writes.push_back({key, bytes, StoreLeaseId()});
+  }
+  const auto written = world.Commit(put);
+  const StoreIndex index = std::get<StoreCommitted>(ValueOf(written)).index;
+  REQUIRE(index.value() > 0);
+  const auto again = world.Commit(put);
+  REQUIRE(std::get<StoreConflict>(ValueOf(again)).current[0].key == "p/a");
+
+  const auto read = world.Await<std::optional<KeyValue>>(
+      [&](auto done) { world.client.Get("p/a", std::move(done)); });
+  REQUIRE(ValueOf(read)->value == bytes);
+  const auto none = world.Await<std::optional<KeyValue>>(
+      [&](auto done) { world.client.Get("p/none", std::move(done)); });
+  REQUIRE_FALSE(ValueOf(none).has_value());
+  const auto listing = world.Await<StoreListing>(
+      [&](auto done) { world.client.List("p/", std::move(done)); });
+  REQUIRE(ValueOf(listing).items.size() == 3);
+
+  world.stand_in.memory().Erase("p/b");
+  const auto changes = world.Await<StoreChanges>([&](auto done) {
+    world.client.Watch("p/", index, milliseconds(1000), std::move(done));
+  });
+  REQUIRE(ValueOf(changes).changes.size() == 1);
+  REQUIRE_FALSE(ValueOf(changes).changes[0].value.has_value());
+}
+
+TEST_CASE("a watch whose history is gone says so") {
+  World world;
+  world.stand_in.memory().Write("p/a", "x");
+  world.stand_in.memory().ForgetHistory();
+  const auto changes = world.Await<StoreChanges>([&](auto done) {
+    world.client.Watch("p/", StoreIndex(1), milliseconds(1000),
+                       std::move(done));
+  });
+  REQUIRE(ErrorOf(changes).code == ErrorCode::kStale);
+}
+
+TEST_CASE("a lease is granted, kept and found ended") {
+  World world;
+  const auto lease = world.Await<StoreLease>([&](auto done) {
+    world.client.GrantLease(milliseconds(2000), std::move(done));
+  });
+  const StoreLeaseId id = ValueOf(lease).id;
+  const auto keep = [&](auto done) {
+    world.client.KeepLease(id, std::move(done));
+  };
+  REQUIRE(IsOk(world.Await<StoreLease>(keep)));
+  world.stand_in.memory().ExpireLease(id);
+  REQUIRE(ErrorOf(world.Await<StoreLease>(keep)).code == ErrorCode::kNotFound);
+}
+
+TEST_CASE("a store that turns away did nothing, one that is gone may have") {
+  World world;
+  for (const int status : {503, 429}) {
+    world.stand_in.SetRefusal(status);
+    StoreTransaction put;
+    put.writes.push_back({"p/a", "x", StoreLeaseId()});
+    REQUIRE(ErrorOf(world.Commit(put)).verdict == Verdict::kNotRun);
+  }
+  world.stand_in.SetRefusal(500);
+  REQUIRE(ErrorOf(world.Commit({})).verdict == Verdict::kMayHaveRun);
+}
+
+/// A peer that relays to the store.
+struct Relay final : proxy::RequestHandler {
+  Relay(asio::io_context& loop, StorePath& path)
+      : path(path), listener(loop, *this) {
+    REQUIRE(IsOk(listener.Start(Endpoint{"127.0.0.1", 0})));
+  }
+  void OnRequest(proxy::Request request,
+                 std::shared_ptr<proxy::Responder> responder) override {
+    ++relayed;
+    const auto query = proxy::SplitTarget(request.head.target).query;
+    StoreCall call{*proxy::FindParameter(query, "method"),
+                   *proxy::FindParameter(query, "target"), request.body};
+    path.Relay(std::move(call), [responder](Result<proxy::Response> got) {
+      responder->Send(IsOk(got) ? ValueOf(got) : proxy::MakeResponse(503, ""));
+    });
+  }
+  StorePath& path;
+  proxy::HttpListener listener;
+  int relayed = 0;
+};
+
+TEST_CASE("a machine that is turned away reaches the store by a peer") {
+  World world;
+  StoreStandIn turns_away(world.loop);
+  turns_away.SetRefusal(503);
+  StorePath path(world.loop, turns_away.endpoint(), world.peers, world.clock,
+                 world.random, {});
+  Relay relay(world.loop, world.path);
+  path.SetPeers([&] {
+    return std::vector<Endpoint>{{"127.0.0.1", relay.listener.port()}};
+  });
+  StoreClient client(path);
+  world.stand_in.memory().Write("k", "v");
+  const auto get = [&](auto done) { client.Get("k", std::move(done)); };
+  REQUIRE_FALSE(IsOk(world.Await<std::optional<KeyValue>>(get)));
+  const auto read = world.Await<std::optional<KeyValue>>(get);
+  if (!IsOk(read)) FAIL(ErrorOf(read).message);
+  REQUIRE(ValueOf(read)->value == "v");
+  REQUIRE(relay.relayed == 1);
+}
+
+}  // namespace
+}  // namespace briarspread::platform
--- /dev/null
+++ b/tests/versions/version_driver_test.cc
@@ -0,0 +1,161 @@
+#include "briarspread/versions/version_driver.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "tests/support/async_memory_store.h"
+#include "tests/support/loop_runner.h"
+#include "tests/support/manual_clock.h"
+
+namespace briarspread::versions {
+namespace {
+
+using briarspread::testing::AsyncMemoryStore;
+using briarspread::testing::ManualClock;
+
+const ModelName kModel("m");
+
+/// Engines that answer as a test says.
+class FakeControl final : public EngineControl {
+ public:
+  void Send(const SentOrder& order,
+            std::function<void(OrderOutcome)> done) override {
+    sent.push_back(order);
+    done(outcome);
+  }
+  void ReadReport(const UpstreamId&,
+                  std::function<void(Result<EngineReport>)> done) override {
+    ++reports;
+    done(report);
+  }
+
+  std::vector<SentOrder> sent;
+  OrderOutcome outcome = OrderOutcome::kAccepted;
+  Result<EngineReport> report = EngineReport{{}, false, 7};
+  int reports = 0;
+};
+
+struct Quiet final : InstanceRegistry::Listener {
+  void OnInstancesChanged() override {}
+  void OnStoreReachable(bool) override {}
+};
+
+forward::DiscoveredUpstream Engine() {
+  forward::DiscoveredUpstream engine;
+  engine.id = UpstreamId("e");
+  engine.service = ServiceName("s");
+  engine.endpoint = Endpoint{"127.0.0.1", 1};
+  engine.models = {{kModel, WeightVersion(1)}};
+  return engine;
+}
+
+/// A driver whose instance holds the right to order.
+struct World {
+  World()
+      : registry(loop, store, InstanceRegistrySettings{}, Self(), quiet),
+        right(store, registry, OrderRightSettings{}, clock),
+        directory(forward::UpstreamDirectorySettings{}, Locality{}, clock),
+        driver(loop, clock, right, directory, configuration, control,
+               Settings()) {
+    auto made = std::make_shared<forward::Configuration>();
+    made->version = forward::ConfigurationVersion(1);
+    made->services.push_back({ServiceName("s"), 0, {kModel}, 0});
+    configuration.Offer(made);
+    directory.Put(Engine());
+    registry.Start();
+    Await(
+        [&] { return registry.has_listed() && registry.lease().value() != 0; });
+    driver.Start();
+    Await([&] { return right.is_holder(); });
+    Advance(seconds(6));
+  }
+
+  static InstanceRecord Self() {
+    InstanceRecord self;
+    self.name = InstanceId("i");
+    self.incarnation = Incarnation(1);
+    return self;
+  }
+  static VersionDriverSettings Settings() {
+    VersionDriverSettings settings;
+    settings.tick = milliseconds(1);
+    return settings;
+  }
+
+  template <typename IsDone>
+  void Await(const IsDone& is_done) {
+    REQUIRE(briarspread::testing::RunUntil(loop, [&] {
+      store.Deliver();
+      return is_done();
+    }));
+  }
+  /// Moves the clock and lets the driver act a few times.
+  void Advance(Duration step) {
+    clock.Advance(step);
+    for (int i = 0; i < 20; ++i) {
+      store.Deliver();
+      loop.restart();
+      loop.run_one_for(milliseconds(5));
+    }
+  }
+
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  Quiet quiet;
+  InstanceRegistry registry;
+  OrderRight right;
+  forward::UpstreamDirectory directory;
+  forward::ConfigurationHolder configuration;
+  FakeControl control;
+  VersionDriver driver;
+};
+
+TEST_CASE("an order carries the fence and the count of orders before it") {
+  World world;
+  world.driver.SetTarget(kModel, WeightVersion(2));
+  world.Await([&] { return !world.control.sent.empty(); });
+  const SentOrder& sent = world.control.sent[0];
+  REQUIRE(sent.order.version == WeightVersion(2));
+  REQUIRE(sent.fencing == world.right.fencing());
+  REQUIRE(sent.expected_orders == 7);
+  REQUIRE(sent.mode == LoadMode::kKeepRunning);
+}
+
+TEST_CASE("an order is not repeated while its effect is awaited") {
+  World world;
+  world.driver.SetTarget(kModel, WeightVersion(2));
+  world.Await([&] { return !world.control.sent.empty(); });
+  world.Advance(milliseconds(100));
+  REQUIRE(world.control.sent.size() == 1);
+  world.control.report = EngineReport{{{kModel, WeightVersion(2)}}, false, 8};
+  world.Advance(seconds(1));
+  REQUIRE(world.directory.Find(UpstreamId("e"))->VersionOf(kModel) ==
+          WeightVersion(2));
+  world.Advance(seconds(20));
+  REQUIRE(world.control.sent.size() == 1);
+}
+
+TEST_CASE("an order without effect is given again, with a fresh count") {
+  World world;
+  world.control.outcome = OrderOutcome::kUnknown;
+  world.driver.SetTarget(kModel, WeightVersion(2));
+  world.Await([&] { return world.control.sent.size() == 1; });
+  world.control.report = EngineReport{{}, false, 9};
+  world.Advance(seconds(7));
+  world.Advance(milliseconds(200));
+  world.Await([&] { return world.control.sent.size() == 2; });
+  REQUIRE(world.control.sent[1].expected_orders == 9);
+}
+
+TEST_CASE("no order is sent once the right cannot be confirmed") {
+  World world;
+  world.store.SetFault(AsyncMemoryStore::Fault::kRefuse);
+  world.Advance(seconds(3));
+  world.driver.SetTarget(kModel, WeightVersion(2));
+  world.Advance(seconds(3));
+  REQUIRE(world.control.sent.empty());
+}
+
+}  // namespace
+}  // namespace briarspread::versions
