One instance of a region watches the store for the others; no job is taken back

Ruled out: (1) longer waits of the watches alone: each change still costs a call an instance. (2) late answers of the store: the taker's record was in place.

Change: instances follow the one that rendezvous hashing gives their region, by calls that wait at it, and go to the store where it is silent or cannot reach it itself; indexes are the store's, so a watch goes on at either. A record that names another owner is never recovered; a stopping instance recovers nothing.

--- a/briarspread/batch/job_gateway.cc
+++ b/briarspread/batch/job_gateway.cc
@@ -150,7 +150,7 @@
 
 void JobGateway::Recover(const StoredRecord& stored) {
   // The record names this instance, which has not loaded the job: its accept
-  // or takeover lost an answer.
+  // or takeover lost an answer, or the job was handed over since.
   Orphan& orphan = orphans_[stored.id];
   if (orphan.is_adopting || runner_->Owns(stored.id)) return;
   orphan.is_adopting = true;
@@ -160,8 +160,15 @@
           orphans_.erase(id);
           return;
         }
+        const StoredRecord& current = ValueOf(read);
+        index_.Put(current);
+        const bool is_own = IsOwnRecord(current.record);
+        if (!is_own || current.record.is_ended || is_stopping_) {
+          orphans_.erase(id);
+          return;
+        }
         runner_->Adopt(
-            ValueOf(read), JobHandover{},
+            current, JobHandover{},
             [this, id](const Result<std::monostate>&) { orphans_.erase(id); });
       });
 }
@@ -532,6 +539,7 @@
           LOG(INFO) << "event=job_handed_over job=" << id
                     << " to=" << taker.name;
           runner_->Forget(id);
+          index_.Erase(id);
           if (--*left == 0) done();
           return;
         }
--- /dev/null
+++ b/briarspread/fleet/change_log.cc
@@ -0,0 +1,49 @@
+#include "briarspread/fleet/change_log.h"
+
+#include <algorithm>
+
+namespace briarspread {
+
+void ChangeLog::TakeListing(const StoreListing& listing) {
+  items_.clear();
+  changes_.clear();
+  for (const KeyValue& item : listing.items) items_[item.key] = item;
+  has_listed_ = true;
+  at_ = listing.store_index;
+  begins_after_ = listing.store_index;
+}
+
+void ChangeLog::TakeChanges(const StoreChanges& changes) {
+  for (const StoreChange& change : changes.changes) {
+    if (change.value.has_value()) {
+      items_[change.key] = KeyValue{change.key, *change.value, change.index};
+    } else {
+      items_.erase(change.key);
+    }
+    changes_.push_back(change);
+  }
+  at_ = std::max(at_, changes.store_index);
+  while (changes_.size() > max_changes_) {
+    begins_after_ = changes_.front().index;
+    changes_.pop_front();
+  }
+}
+
+StoreListing ChangeLog::Listing() const {
+  StoreListing listing;
+  listing.store_index = at_;
+  for (const auto& [key, item] : items_) listing.items.push_back(item);
+  return listing;
+}
+
+std::optional<StoreChanges> ChangeLog::ChangesAfter(StoreIndex after) const {
+  if (after < begins_after_) return std::nullopt;
+  StoreChanges changes;
+  changes.store_index = at_;
+  for (const StoreChange& change : changes_) {
+    if (change.index > after) changes.changes.push_back(change);
+  }
+  return changes;
+}
+
+}  // namespace briarspread
--- a/briarspread/fleet/instance_registry.cc
+++ b/briarspread/fleet/instance_registry.cc
@@ -23,6 +23,7 @@
 }  // namespace
 
 InstanceRegistry::InstanceRegistry(asio::io_context& loop, AsyncStore& store,
+                                   AsyncStore& watched, WatchHub* hub,
                                    const InstanceRegistrySettings& settings,
                                    const InstanceRecord& self,
                                    Listener& listener)
@@ -30,7 +31,8 @@
       settings_(settings),
       self_(self),
       listener_(listener),
-      watch_(loop, store, kPrefix, StoreWatchSettings{}, *this),
+      watch_(loop, watched, kPrefix, StoreWatchSettings{},
+             hub == nullptr ? *this : hub->Tap(kPrefix, *this)),
       renew_timer_(loop) {}
 
 void InstanceRegistry::Start() {
--- a/briarspread/fleet/instance_registry.h
+++ b/briarspread/fleet/instance_registry.h
@@ -9,6 +9,7 @@
 
 #include "briarspread/fleet/instance_record.h"
 #include "briarspread/fleet/store_watch.h"
+#include "briarspread/fleet/watch_hub.h"
 
 namespace briarspread {
 
@@ -41,7 +42,10 @@
   static constexpr char kOrderRightKey[] = "fleet/order-right";
 
   /// Precondition: references outlive this object.
+  /// `watched` is where changes are heard of, and `hub` shows them to others;
+  /// null for nobody.
   InstanceRegistry(asio::io_context& loop, AsyncStore& store,
+                   AsyncStore& watched, WatchHub* hub,
                    const InstanceRegistrySettings& settings,
                    const InstanceRecord& self, Listener& listener);
 
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -1,8 +1,10 @@
 #include <catch2/catch.hpp>
 
+#include "briarspread/fleet/delegated_store.h"
 #include "briarspread/fleet/instance_registry.h"
 #include "briarspread/fleet/order_right.h"
 #include "briarspread/fleet/store_watch.h"
+#include "briarspread/proxy/http_listener.h"
 #include "tests/support/async_memory_store.h"
 #include "tests/support/loop_runner.h"
 #include "tests/support/manual_clock.h"
@@ -89,6 +91,105 @@
   REQUIRE(heard.values.size() == 1);
 }
 
+/// The peers' interface of an instance that watches for others.
+struct HubServer final : proxy::RequestHandler {
+  HubServer(asio::io_context& loop, WatchHub& hub)
+      : hub(hub), listener(loop, *this) {
+    REQUIRE(IsOk(listener.Start(Endpoint{"127.0.0.1", 0})));
+  }
+  void OnRequest(proxy::Request request,
+                 std::shared_ptr<proxy::Responder> responder) override {
+    ++calls;
+    REQUIRE(hub.TryAnswer(request, responder));
+  }
+  Endpoint endpoint() const { return Endpoint{"127.0.0.1", listener.port()}; }
+  WatchHub& hub;
+  proxy::HttpListener listener;
+  int calls = 0;
+};
+
+/// One instance that watches the store, and one that follows it.
+struct Followed {
+  Followed()
+      : hub(loop, clock, {}),
+        server(loop, hub),
+        peers(loop),
+        delegated(store, peers, clock,
+                  [this] { return std::optional<Endpoint>(server.endpoint()); },
+                  {}),
+        first(loop, store, "a/", AtOnce(), hub.Tap("a/", heard_first)),
+        second(loop, delegated, "a/", AtOnce(), heard_second) {}
+
+  template <typename IsDone>
+  void Await(const IsDone& is_done) {
+    REQUIRE(testing::RunUntil(loop, [&] {
+      store.Deliver();
+      return is_done();
+    }));
+  }
+
+  asio::io_context loop;
+  SystemClock clock;
+  AsyncMemoryStore store;
+  WatchHub hub;
+  HubServer server;
+  PeerClient peers;
+  DelegatedStore delegated;
+  Heard heard_first;
+  Heard heard_second;
+  StoreWatch first;
+  StoreWatch second;
+};
+
+TEST_CASE("a follower hears of all changes and asks the store nothing") {
+  Followed world;
+  world.store.Write("a/1", "x");
+  world.first.Start();
+  world.Await([&] { return world.heard_first.values.size() == 1; });
+  const std::size_t calls = world.store.calls();
+  world.second.Start();
+  world.Await([&] { return world.heard_second.values.size() == 1; });
+  for (int i = 0; i < 20; ++i) {
+    world.store.Write("a/" + std::to_string(i), std::string("\x00\xff", 2));
+    world.Await([&] {
+      return world.heard_second.values.contains("a/" + std::to_string(i));
+    });
+  }
+  world.store.Erase("a/1");
+  world.Await([&] { return !world.heard_second.values.contains("a/1"); });
+  REQUIRE(world.heard_second.values == world.heard_first.values);
+  // The watch that waits now and one for each change are the first one's.
+  REQUIRE(world.store.calls() <= calls + 22);
+}
+
+TEST_CASE("a follower goes to the store while its delegate cannot reach it") {
+  Followed world;
+  world.store.Write("a/1", "x");
+  world.first.Start();
+  world.second.Start();
+  world.Await([&] { return world.heard_second.values.size() == 1; });
+  world.hub.SetReachable(false);
+  const int calls = world.server.calls;
+  world.store.Write("a/2", "y");
+  world.Await([&] { return world.heard_second.values.size() == 2; });
+  REQUIRE(world.server.calls <= calls + 1);
+}
+
+TEST_CASE("a change log says so where it no longer holds a change") {
+  ChangeLog log(2);
+  log.TakeListing({{{"k", "v", StoreIndex(5)}}, StoreIndex(10)});
+  REQUIRE_FALSE(log.ChangesAfter(StoreIndex(9)).has_value());
+  REQUIRE(log.ChangesAfter(StoreIndex(10))->changes.empty());
+  log.TakeChanges({{{"k", StoreIndex(11), std::nullopt},
+                    {"l", StoreIndex(12), "w"},
+                    {"m", StoreIndex(13), "w"}},
+                   StoreIndex(14)});
+  REQUIRE_FALSE(log.ChangesAfter(StoreIndex(10)).has_value());
+  REQUIRE(log.ChangesAfter(StoreIndex(11))->changes.size() == 2);
+  REQUIRE(log.Listing().items.size() == 2);
+  REQUIRE(log.at() == StoreIndex(14));
+}
+
 struct Quiet final : InstanceRegistry::Listener {
   void OnInstancesChanged() override { ++changes; }
   void OnStoreReachable(bool is_reachable) override {
@@ -110,7 +211,7 @@
 struct Instance {
   Instance(asio::io_context& loop, AsyncMemoryStore& store, const Clock& clock,
            const std::string& name, std::uint64_t incarnation = 1)
-      : registry(loop, store, InstanceRegistrySettings{},
+      : registry(loop, store, store, nullptr, InstanceRegistrySettings{},
                  Record(name, incarnation), quiet),
         right(store, registry, OrderRightSettings{}, clock) {
     registry.Start();
--- a/tests/versions/version_driver_test.cc
+++ b/tests/versions/version_driver_test.cc
@@ -52,7 +52,8 @@
 /// A driver whose instance holds the right to order.
 struct World {
   World()
-      : registry(loop, store, InstanceRegistrySettings{}, Self(), quiet),
+      : registry(loop, store, store, nullptr, InstanceRegistrySettings{},
+                 Self(), quiet),
         right(store, registry, OrderRightSettings{}, clock),
         directory(forward::UpstreamDirectorySettings{}, Locality{}, clock),
         driver(loop, clock, right, directory, configuration, control,
