The longer an item, the faster its engine

Ruled out: late versions (loaded 0.9 s after their order) and slots (engines stood at half their batch).

Change: an engine's speed against the fastest counts in placement, by the item's expected length against the mean of its job.

--- a/briarspread/batch/engine_placement.cc
+++ b/briarspread/batch/engine_placement.cc
@@ -49,10 +49,17 @@
              settings_.slow_ratio * static_cast<double>(fastest.count());
 }
 
-double EnginePlacement::CostOf(const EngineNeed& need,
-                               const EngineView& engine) const {
+double EnginePlacement::CostOf(const EngineNeed& need, const EngineView& engine,
+                               Duration fastest) const {
   double cost = static_cast<double>(EstimatedLoad(engine)) /
                 static_cast<double>(engine.slots);
+  if (fastest.count() > 0 && engine.event_interval > fastest) {
+    const double excess = static_cast<double>(engine.event_interval.count()) /
+                              static_cast<double>(fastest.count()) -
+                          1;
+    cost += settings_.slowness * excess *
+            std::min(need.relative_length, settings_.longest);
+  }
   if (!engine.is_same_region) cost += settings_.other_region;
   if (engine.id == need.preferred) cost -= settings_.cached_prompt;
   return cost;
@@ -70,7 +77,7 @@
   for (std::size_t i = 0; i < engines.size(); ++i) {
     const EngineView& engine = engines[i];
     if (!IsEligible(need, engine) || !HasRoom(need, engine)) continue;
-    double cost = CostOf(need, engine);
+    double cost = CostOf(need, engine, fastest);
     if (has_sound && IsSlow(engine, fastest)) {
       const bool is_trial =
           !engine.is_interval_fresh && engine.own_in_flight == 0;
--- a/briarspread/batch/engine_placement.h
+++ b/briarspread/batch/engine_placement.h
@@ -47,6 +47,8 @@
   UpstreamId preferred;
   /// Tokens of memory that it will take; a guess.
   std::int64_t tokens = 0;
+  /// Its length against the mean of its job; a guess.
+  double relative_length = 1;
 };
 
 /// Settings of placement, in units of load: 1 is an engine's whole batch.
@@ -55,6 +57,12 @@
   double other_region = 0.1;
   /// An engine that has the prompt cached counts as so much emptier.
   double cached_prompt = 0.1;
+  /// An engine that is slower than the fastest by so many times its speed
+  /// counts as so much fuller for an item of mean length, and more for a longer
+  /// one.
+  double slowness = 0.5;
+  /// Beyond this length an item counts no more.
+  double longest = 2.5;
   /// An engine that is this many times slower than the fastest counts as slow.
   double slow_ratio = 2.0;
 };
@@ -62,7 +70,9 @@
 /// Decides which engine runs an item. Answers the load in which every instance
 /// fills the same engines at once while some of them are several times slower
 /// than others: an engine is filled to its batch and its memory and no further,
-/// so that the rest waits where it can still go elsewhere; a slow engine gets
+/// so that the rest waits where it can still go elsewhere;
+/// the longer an item, the faster its engine, since the longest decides when a
+/// step ends; a slow engine gets
 /// no item while a sound one could take it soon, but for one now and then that
 /// shows whether it is still slow. Holds no state; thread-safe.
 class EnginePlacement final {
@@ -82,7 +92,8 @@
  private:
   bool HasRoom(const EngineNeed& need, const EngineView& engine) const;
   bool IsSlow(const EngineView& engine, Duration fastest) const;
-  double CostOf(const EngineNeed& need, const EngineView& engine) const;
+  double CostOf(const EngineNeed& need, const EngineView& engine,
+                Duration fastest) const;
 
   const EnginePlacementSettings settings_;
 };
--- a/briarspread/batch/job_ledger.cc
+++ b/briarspread/batch/job_ledger.cc
@@ -22,9 +22,15 @@
     index_.emplace(spec_.items[i].id, i);
     groups_[spec_.items[i].group].push_back(i);
     states_[i].waiting_since = now;
+    mean_tokens_ += static_cast<double>(spec_.items[i].expected_tokens) /
+                    static_cast<double>(spec_.items.size());
   }
 }
 
+double JobLedger::RelativeLength(std::size_t i) const {
+  return static_cast<double>(spec_.items[i].expected_tokens) / mean_tokens_;
+}
+
 std::optional<std::size_t> JobLedger::FindItem(const ItemId& id) const {
   const auto it = index_.find(id);
   if (it == index_.end()) return std::nullopt;
--- a/briarspread/batch/job_ledger.h
+++ b/briarspread/batch/job_ledger.h
@@ -65,6 +65,9 @@
   const ItemState& item(std::size_t i) const { return states_[i]; }
   std::optional<std::size_t> FindItem(const ItemId& id) const;
 
+  /// An item's expected length against the mean of the job's items.
+  double RelativeLength(std::size_t i) const;
+
   /// Takes results that an earlier owner listed. Precondition: nothing was
   /// listed here.
   void Restore(const std::vector<ItemResult>& listed);
@@ -114,6 +117,8 @@
   const JobSpec spec_;
   const JobTerms terms_;
   std::vector<ItemState> states_;
+  /// Of the expected output tokens; above zero.
+  double mean_tokens_ = 1;
   std::map<ItemId, std::size_t> index_;
   std::map<ItemGroup, std::vector<std::size_t>> groups_;
   std::vector<ItemResult> listed_;
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -484,6 +484,7 @@
   const auto at = job.prompt_at.find(job.ledger.spec().items[i].group);
   if (at != job.prompt_at.end()) need.preferred = at->second;
   const ItemSpec& item = job.ledger.spec().items[i];
+  need.relative_length = job.ledger.RelativeLength(i);
   need.tokens =
       static_cast<std::int64_t>(item.prompt_tokens + item.expected_tokens);
   return need;
--- a/tests/batch/decisions_test.cc
+++ b/tests/batch/decisions_test.cc
@@ -45,7 +45,7 @@
 // here, where they can still go anywhere.
 TEST_CASE("engines are filled evenly, to their batch and no further") {
   std::vector<EngineView> engines = {Engine("a"), Engine("b"), Engine("c")};
-  const EngineNeed need{WeightVersion(5), {}, {}, 0};
+  const EngineNeed need{WeightVersion(5), {}, {}, 0, 1};
   int placed = 0;
   while (const auto at = kPlacement.Choose(need, engines)) {
     ++engines[*at].own_in_flight;
@@ -62,11 +62,11 @@
 TEST_CASE("what another instance runs at an engine takes its slots") {
   std::vector<EngineView> engines = {Engine("a", 1), Engine("b", 2)};
   engines[0].peer_in_flight = 3;
-  const auto at = kPlacement.Choose({WeightVersion(5), {}, {}, 0}, engines);
+  const auto at = kPlacement.Choose({WeightVersion(5), {}, {}, 0, 1}, engines);
   REQUIRE(at == 1);
   engines[1].peer_in_flight = 2;
   REQUIRE_FALSE(
-      kPlacement.Choose({WeightVersion(5), {}, {}, 0}, engines).has_value());
+      kPlacement.Choose({WeightVersion(5), {}, {}, 0, 1}, engines).has_value());
 }
 
 TEST_CASE("a report counts, corrected by own items since") {
@@ -84,7 +84,7 @@
                                      Engine("bad"), Engine("good", 3)};
   engines[0].version = WeightVersion(4);
   engines[1].is_open = false;
-  const EngineNeed need{WeightVersion(5), {UpstreamId("bad")}, {}, 0};
+  const EngineNeed need{WeightVersion(5), {UpstreamId("bad")}, {}, 0, 1};
   REQUIRE(kPlacement.Choose(need, engines) == 3);
 }
 
@@ -92,7 +92,7 @@
 TEST_CASE("a slow engine gets nothing while a sound one could take it soon") {
   std::vector<EngineView> engines = {Engine("slow"), Engine("sound", 4)};
   engines[0].event_interval = milliseconds(120);
-  const EngineNeed need{WeightVersion(5), {}, {}, 0};
+  const EngineNeed need{WeightVersion(5), {}, {}, 0, 1};
   REQUIRE_FALSE(kPlacement.Choose(need, engines).has_value());
   // Once its measure is old, a single item tries it.
   engines[0].is_interval_fresh = false;
@@ -109,7 +109,7 @@
 TEST_CASE("an item moves only while a sound engine has room") {
   std::vector<EngineView> engines = {Engine("slow", 4), Engine("sound", 3)};
   engines[0].event_interval = milliseconds(120);
-  const EngineNeed need{WeightVersion(5), {}, {}, 0};
+  const EngineNeed need{WeightVersion(5), {}, {}, 0, 1};
   int moved = 0;
   for (int i = 0; i < 4; ++i) {
     if (!kPlacement.IsWorthMoving(0, need, engines)) continue;
@@ -127,18 +127,30 @@
   std::vector<EngineView> engines = {Engine("a", 2), Engine("b", 3)};
   engines[0].free_tokens = 500;
   engines[1].free_tokens = 5000;
-  REQUIRE(kPlacement.Choose({WeightVersion(5), {}, {}, 900}, engines) == 1);
+  REQUIRE(kPlacement.Choose({WeightVersion(5), {}, {}, 900, 1}, engines) == 1);
   engines[0].own_in_flight = 0;
   engines[1].free_tokens = 100;
-  REQUIRE(kPlacement.Choose({WeightVersion(5), {}, {}, 900}, engines) == 0);
+  REQUIRE(kPlacement.Choose({WeightVersion(5), {}, {}, 900, 1}, engines) == 0);
+}
+
+// The load: engines that differ in speed by half, and a step that ends with its
+// longest item.
+TEST_CASE("the longer an item, the more an engine's speed counts") {
+  std::vector<EngineView> engines = {Engine("fast", 2), Engine("slower", 1)};
+  engines[1].event_interval = milliseconds(60);
+  EngineNeed need{WeightVersion(5), {}, {}, 0, 1};
+  need.relative_length = 0.2;
+  REQUIRE(kPlacement.Choose(need, engines) == 1);
+  need.relative_length = 3;
+  REQUIRE(kPlacement.Choose(need, engines) == 0);
 }
 
 TEST_CASE("a cached prompt and the own region decide among equals") {
   std::vector<EngineView> engines = {Engine("a"), Engine("b")};
   engines[0].is_same_region = false;
-  REQUIRE(kPlacement.Choose({WeightVersion(5), {}, {}, 0}, engines) == 1);
+  REQUIRE(kPlacement.Choose({WeightVersion(5), {}, {}, 0, 1}, engines) == 1);
   engines[0].is_same_region = true;
-  REQUIRE(kPlacement.Choose({WeightVersion(5), {}, UpstreamId("b"), 0},
+  REQUIRE(kPlacement.Choose({WeightVersion(5), {}, UpstreamId("b"), 0, 1},
                             engines) == 1);
 }
 
