--- /dev/null
+++ b/briarspread/batch/job_items.cc
@@ -0,0 +1,352 @@
+// The part of `JobRunner` that runs items and has their texts scored.
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "briarspread/batch/item_order.h"
+#include "briarspread/batch/job_runner.h"
+#include "briarspread/core/rendezvous.h"
+
+namespace briarspread::batch {
+namespace {
+
+/// Engines that an item remembers as bad; the oldest are tried again.
+constexpr std::size_t kMaxAvoided = 2;
+
+}  // namespace
+
+// --- Running items
+
+std::size_t JobRunner::waiting_count() const {
+  std::size_t n = 0;
+  for (const auto& [id, job] : jobs_) {
+    for (std::size_t i = 0; i < job.ledger.item_count(); ++i) {
+      n += job.ledger.item(i).phase == ItemPhase::kWaiting;
+    }
+  }
+  return n;
+}
+
+void JobRunner::SchedulePump() {
+  if (pump_timer_.is_set()) return;
+  pump_timer_.After(milliseconds(0), [this] { Pump(); });
+}
+
+void JobRunner::Pump() {
+  struct Place {
+    OwnedJob* job;
+    std::size_t item;
+    WaitingItem order;
+  };
+  std::vector<Place> waiting;
+  for (auto& [id, job] : jobs_) {
+    if (job.record.is_ended || job.is_ending || job.is_paused) continue;
+    for (std::size_t i = 0; i < job.ledger.item_count(); ++i) {
+      const ItemState& state = job.ledger.item(i);
+      if (state.phase != ItemPhase::kWaiting) continue;
+      waiting.push_back(
+          {&job, i,
+           WaitingItem{job.ledger.terms().due, state.is_carried,
+                       job.ledger.spec().items[i].expected_tokens}});
+    }
+  }
+  std::stable_sort(waiting.begin(), waiting.end(),
+                   [](const Place& a, const Place& b) {
+                     return RunsBefore(a.order, b.order);
+                   });
+  // An item without engines to avoid that finds no room speaks for its job.
+  std::set<const OwnedJob*> full;
+  for (const Place& place : waiting) {
+    const bool may_go_anywhere = !place.job->avoid.contains(place.item);
+    if (may_go_anywhere && full.contains(place.job)) continue;
+    if (!PlaceItem(*place.job, place.item) && may_go_anywhere) {
+      full.insert(place.job);
+    }
+  }
+  StartWaitingRewards();
+}
+
+const forward::Route* JobRunner::RouteOf(const OwnedJob& job,
+                                         std::size_t i) const {
+  const auto& configuration = context_.configuration.current();
+  if (configuration == nullptr) return nullptr;
+  const JobSpec& spec = job.ledger.spec();
+  return configuration->FindRoute(spec.host,
+                                  proxy::SplitTarget(spec.items[i].path).path);
+}
+
+JobRunner::EngineViews JobRunner::ViewsOf(const ServiceName& service,
+                                          const ModelName& model) const {
+  /// A report of others' load that is older says nothing any more.
+  constexpr milliseconds kFreshLoad{500};
+  /// An interval between events that is older says nothing any more.
+  constexpr milliseconds kFreshInterval{4000};
+  const TimePoint now = context_.clock.Now();
+  const auto own_tokens = OwnTokens();
+  const forward::Service* known =
+      context_.configuration.current()->FindService(service);
+  EngineViews views;
+  for (const auto& [id, engine] : context_.directory.all()) {
+    if (engine.listed.service != service) continue;
+    EngineView view;
+    view.id = id;
+    view.slots = std::max<std::uint32_t>(
+        1, engine.load.slots > 0 ? engine.load.slots : engine.listed.slots);
+    view.own_in_flight = engine.counters->in_flight.load();
+    if (now - engine.load.received < kFreshLoad) {
+      view.reported = engine.load.running + engine.load.queued;
+      view.own_at_report = engine.load.own_in_flight;
+    }
+    view.peer_in_flight = load_board_.LoadAt(id);
+    if (known != nullptr && known->memory_tokens > 0) {
+      const auto used = own_tokens.find(id);
+      view.free_tokens = static_cast<std::int64_t>(known->memory_tokens) -
+                         (used == own_tokens.end() ? 0 : used->second);
+    }
+    view.version = engine.VersionOf(model);
+    view.is_open = !engine.listed.is_leaving && now >= engine.refuses_until &&
+                   engine.breaker->Allows(now);
+    view.is_same_region =
+        engine.listed.locality.region == self_.locality.region;
+    view.event_interval = engine.event_interval;
+    view.is_interval_fresh = now - engine.interval_measured < kFreshInterval;
+    views.push_back(view);
+  }
+  return views;
+}
+
+std::map<UpstreamId, std::int64_t> JobRunner::OwnTokens() const {
+  std::map<UpstreamId, std::int64_t> tokens;
+  for (const auto& [key, run] : runs_) {
+    const auto it = jobs_.find(key.first);
+    if (it == jobs_.end()) continue;
+    const ItemSpec& item = it->second.ledger.spec().items[key.second];
+    tokens[run->spec().engine] +=
+        static_cast<std::int64_t>(item.prompt_tokens + item.expected_tokens);
+  }
+  return tokens;
+}
+
+EngineNeed JobRunner::NeedOf(const OwnedJob& job, std::size_t i) const {
+  EngineNeed need;
+  need.oldest_allowed = job.ledger.spec().oldest_allowed;
+  if (const auto it = job.avoid.find(i); it != job.avoid.end()) {
+    need.avoid = it->second;
+  }
+  const auto at = job.prompt_at.find(job.ledger.spec().items[i].group);
+  if (at != job.prompt_at.end()) need.preferred = at->second;
+  const ItemSpec& item = job.ledger.spec().items[i];
+  need.relative_length = job.ledger.RelativeLength(i);
+  need.tokens =
+      static_cast<std::int64_t>(item.prompt_tokens + item.expected_tokens);
+  return need;
+}
+
+bool JobRunner::PlaceItem(OwnedJob& job, std::size_t i) {
+  const JobId& id = job.ledger.spec().id;
+  const forward::Route* route = RouteOf(job, i);
+  if (route == nullptr) {
+    if (context_.configuration.current() == nullptr) return false;
+    LOG(WARNING) << "event=item_given_up job=" << id
+                 << " item=" << job.ledger.spec().items[i].id
+                 << " reason=no_route";
+    ++metrics_.items_given_up;
+    job.ledger.GiveUp(i, context_.clock.Now());
+    ScheduleListing(id, settings_.listing_pause);
+    return true;
+  }
+  const std::uint64_t draw = StableHash(job.ledger.spec().items[i].id.value());
+  const EngineViews views =
+      ViewsOf(ChooseBackend(*route, draw), job.ledger.spec().model);
+  EngineNeed need = NeedOf(job, i);
+  auto chosen = placement_.Choose(need, views);
+  if (!chosen.has_value() && need.avoid.size() + 1 >= views.size()) {
+    // With so few engines, one that was bad is better than none.
+    need.avoid.clear();
+    chosen = placement_.Choose(need, views);
+  }
+  if (!chosen.has_value()) return false;
+  const UpstreamId& engine = views[*chosen].id;
+  const forward::KnownUpstream* known = context_.directory.Find(engine);
+  if (known == nullptr || !known->breaker->Admit(context_.clock.Now())) {
+    return false;
+  }
+  const ItemState& state = job.ledger.item(i);
+  if (!state.progress.Fits(need.oldest_allowed,
+                           job.ledger.terms().wants_single_version)) {
+    job.ledger.DropText(i);
+  }
+  job.ledger.StartRun(i);
+  job.prompt_at[job.ledger.spec().items[i].group] = engine;
+  auto run =
+      std::make_unique<ItemRun>(context_, MakeRunSpec(job, i, engine), *this);
+  ItemRun& started = *run;
+  runs_[ItemKey(id, i)] = std::move(run);
+  started.Start();
+  return true;
+}
+
+ItemRunSpec JobRunner::MakeRunSpec(const OwnedJob& job, std::size_t i,
+                                   const UpstreamId& engine) const {
+  /// Urgency of items whose job is due within `kUrgentTime`, and of others.
+  constexpr char kUrgent[] = "3";
+  constexpr char kNormal[] = "5";
+  constexpr milliseconds kUrgentTime{3000};
+  const JobSpec& spec = job.ledger.spec();
+  const ItemSpec& item = spec.items[i];
+  ItemRunSpec run;
+  run.job = spec.id;
+  run.item = i;
+  run.engine = engine;
+  run.endpoint = context_.directory.Find(engine)->listed.endpoint;
+  run.attempt_id = item.id.value();
+  run.model = spec.model;
+  run.oldest_allowed = spec.oldest_allowed;
+  const ItemProgress& progress = job.ledger.item(i).progress;
+  if (progress.has_events()) run.last_event_id = progress.last_event_id();
+  proxy::RequestHead& head = run.request.head;
+  head.method = "POST";
+  head.target = item.path;
+  for (const proxy::Header& line : item.headers) {
+    head.headers.Set(line.name, line.value);
+  }
+  head.headers.Set("Host", spec.host);
+  head.headers.Set(context_.headers.attempt_id, item.id.value());
+  const bool is_urgent =
+      job.ledger.terms().due - context_.clock.Now() < kUrgentTime;
+  head.headers.Set(context_.headers.urgency, is_urgent ? kUrgent : kNormal);
+  run.request.body = item.body;
+  return run;
+}
+
+void JobRunner::OnRunStarted(ItemRun&, WeightVersion) {}
+
+bool JobRunner::OnRunEvent(ItemRun& run, const StreamEvent& event,
+                           WeightVersion version) {
+  const auto it = jobs_.find(run.spec().job);
+  if (it == jobs_.end()) return false;
+  OwnedJob& job = it->second;
+  const std::size_t i = run.spec().item;
+  if (job.ledger.AddEvent(i, event, version) == ItemProgress::Outcome::kGap) {
+    return false;
+  }
+  return job.ledger.item(i).progress.Fits(
+      job.ledger.spec().oldest_allowed,
+      job.ledger.terms().wants_single_version);
+}
+
+void JobRunner::LogRunEnded(const ItemRun& run, RunOutcome outcome,
+                            TimePoint now) const {
+  const auto taken =
+      std::chrono::duration_cast<milliseconds>(now - run.started());
+  LOG(INFO) << "event=run_ended job=" << run.spec().job
+            << " item=" << run.spec().attempt_id
+            << " upstream=" << run.spec().engine
+            << " outcome=" << ToString(outcome) << " ms=" << taken.count()
+            << " events=" << run.events();
+}
+
+void JobRunner::OnRunEnded(ItemRun& run, RunOutcome outcome) {
+  const JobId id = run.spec().job;
+  const std::size_t i = run.spec().item;
+  const UpstreamId engine = run.spec().engine;
+  ++metrics_.runs[std::string(ToString(outcome))];
+  const auto keep = std::move(runs_[ItemKey(id, i)]);
+  runs_.erase(ItemKey(id, i));
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  OwnedJob& job = it->second;
+  const TimePoint now = context_.clock.Now();
+  switch (outcome) {
+    case RunOutcome::kComplete:
+      if (!job.ledger.item(i).progress.has_events()) {
+        job.ledger.RunBroken(i, now);
+        break;
+      }
+      job.ledger.RunComplete(i, now);
+      break;
+    case RunOutcome::kFailed:
+      job.ledger.RunFailed(i, now);
+      break;
+    case RunOutcome::kImpossible:
+      job.ledger.GiveUp(i, now);
+      break;
+    case RunOutcome::kRefused:
+    case RunOutcome::kTooOld:
+      job.ledger.RunBroken(i, now);
+      break;
+    case RunOutcome::kBroken: {
+      job.ledger.RunBroken(i, now);
+      std::vector<UpstreamId>& avoid = job.avoid[i];
+      avoid.push_back(engine);
+      if (avoid.size() > kMaxAvoided) avoid.erase(avoid.begin());
+      break;
+    }
+  }
+  LogRunEnded(run, outcome, now);
+  if (job.ledger.item(i).phase == ItemPhase::kScoring) {
+    waiting_rewards_[ItemKey(id, i)] = now;
+  } else if (job.ledger.item(i).phase == ItemPhase::kFinished) {
+    metrics_.items_given_up += job.ledger.item(i).is_given_up;
+    ScheduleListing(id, settings_.listing_pause);
+  }
+  SchedulePump();
+}
+
+// --- Scoring
+
+void JobRunner::StartWaitingRewards() {
+  const TimePoint now = context_.clock.Now();
+  for (auto it = waiting_rewards_.begin();
+       it != waiting_rewards_.end() &&
+       rewards_.size() < settings_.max_rewards;) {
+    if (it->second > now) {
+      ++it;
+      continue;
+    }
+    const ItemKey key = it->first;
+    it = waiting_rewards_.erase(it);
+    StartReward(key.first, key.second);
+  }
+}
+
+void JobRunner::StartReward(const JobId& id, std::size_t i) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  const auto& reward = it->second.ledger.spec().items[i].reward;
+  auto run = std::make_unique<RewardRun>(
+      context_, *reward, [this, id, i](const RewardOutcome& outcome) {
+        OnRewardDone(id, i, outcome);
+      });
+  RewardRun& started = *run;
+  rewards_[ItemKey(id, i)] = std::move(run);
+  started.Start();
+}
+
+void JobRunner::OnRewardDone(const JobId& id, std::size_t i,
+                             const RewardOutcome& outcome) {
+  const ItemKey key(id, i);
+  rewards_.erase(key);
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  JobLedger& ledger = it->second.ledger;
+  const TimePoint now = context_.clock.Now();
+  if (!outcome.score.empty()) {
+    ledger.Scored(i, outcome.score, now);
+  } else {
+    ledger.RewardFailed(i, outcome.upstream_errors, outcome.max_attempts, now);
+    LOG(INFO) << "event=reward_failed job=" << id
+              << " item=" << ledger.spec().items[i].id
+              << " upstream_errors=" << outcome.upstream_errors;
+  }
+  if (ledger.item(i).phase == ItemPhase::kScoring) {
+    waiting_rewards_[key] = now + settings_.reward_retry;
+  } else {
+    ScheduleListing(id, settings_.listing_pause);
+  }
+  SchedulePump();
+}
+
+}  // namespace briarspread::batch
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -231,6 +231,17 @@
   }));
 }
 
+/// Lets an instance that may contend take the right.
+void Acquire(asio::io_context& loop, AsyncMemoryStore& store,
+             Instance& instance) {
+  Await(loop, store, [&] {
+    return instance.registry.has_listed() &&
+           instance.registry.lease().value() != 0;
+  });
+  instance.right.Step();
+  store.Deliver();
+}
+
 TEST_CASE("instances know each other, and one whose lease ended is gone") {
   asio::io_context loop;
   AsyncMemoryStore store;
@@ -262,11 +273,7 @@
   AsyncMemoryStore store;
   ManualClock clock;
   Instance a(loop, store, clock, "a");
-  Await(loop, store, [&] {
-    return a.registry.has_listed() && a.registry.lease().value() != 0;
-  });
-  a.right.Step();
-  store.Deliver();
+  Acquire(loop, store, a);
   REQUIRE(a.right.is_holder());
   const OrderRightSettings settings;
   REQUIRE_FALSE(a.right.MaySend());
@@ -284,11 +291,7 @@
   AsyncMemoryStore store;
   ManualClock clock;
   Instance a(loop, store, clock, "a");
-  Await(loop, store, [&] {
-    return a.registry.has_listed() && a.registry.lease().value() != 0;
-  });
-  a.right.Step();
-  store.Deliver();
+  Acquire(loop, store, a);
   clock.Advance(seconds(10));
   a.right.MaySend();
   store.Deliver();
@@ -306,11 +309,7 @@
   AsyncMemoryStore store;
   ManualClock clock;
   Instance a(loop, store, clock, "a");
-  Await(loop, store, [&] {
-    return a.registry.has_listed() && a.registry.lease().value() != 0;
-  });
-  a.right.Step();
-  store.Deliver();
+  Acquire(loop, store, a);
   store.Erase(InstanceRegistry::kOrderRightKey);
   clock.Advance(seconds(10));
   REQUIRE_FALSE(a.right.MaySend());
