--- a/briarspread/batch/job_gateway.cc
+++ b/briarspread/batch/job_gateway.cc
@@ -48,7 +48,7 @@
     done(OkStatus());
     return;
   }
-  const std::string home_key = spec.host + spec.model.value();
+  const std::string home_key = HomeKeyOf(spec);
   std::vector<InstanceRecord> candidates = registry_.Peers();
   candidates.push_back(registry_.self());
   const auto order =
@@ -76,7 +76,7 @@
   call.target = "/v1/jobs";
   call.body = Encode(spec);
   call.timeout = settings_.accept_timeout;
-  const std::string home_key = spec.host + spec.model.value();
+  const std::string home_key = HomeKeyOf(spec);
   peers_.Call(home.peer_endpoint, std::move(call),
               [this, spec = std::move(spec), home_key, home,
                done = std::move(done)](const Result<proxy::Response>& answer) {
--- a/briarspread/batch/job_peer_handler.cc
+++ b/briarspread/batch/job_peer_handler.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "briarspread/batch/engine_load_exchange.h"
+#include "briarspread/batch/job_calls.h"
 
 namespace briarspread::batch {
 namespace {
@@ -96,7 +97,7 @@
     return;
   }
   const JobId id = spec->id;
-  const std::string home_key = spec->host + spec->model.value();
+  const std::string home_key = HomeKeyOf(*spec);
   gateway_.runner().Accept(
       std::move(*spec), home_key,
       [this, id, responder](const Result<std::monostate>& result) {
--- a/briarspread/batch/job_takeover.cc
+++ b/briarspread/batch/job_takeover.cc
@@ -181,20 +181,19 @@
   call.target += "&record_bytes=" + std::to_string(record.size());
   call.body = record + handover;
   call.timeout = settings_.adoption_timeout;
-  peers_.Call(
-      taker.peer_endpoint, std::move(call),
-      [this, id, candidates = std::move(candidates), left,
-       done = std::move(done), taker](const Result<proxy::Response>& answer) {
-        if (IsOk(answer) && ValueOf(answer).head.status == kOk) {
-          LOG(INFO) << "event=job_handed_over job=" << id
-                    << " to=" << taker.name;
-          runner_->Forget(id);
-          index_.Erase(id);
-          if (--*left == 0) done();
-          return;
-        }
-        HandOver(id, candidates, left, done);
-      });
+  peers_.Call(taker.peer_endpoint, std::move(call),
+              [this, id, candidates = std::move(candidates), left, done,
+               taker](const Result<proxy::Response>& answer) {
+                if (IsOk(answer) && ValueOf(answer).head.status == kOk) {
+                  LOG(INFO) << "event=job_handed_over job=" << id
+                            << " to=" << taker.name;
+                  runner_->Forget(id);
+                  index_.Erase(id);
+                  if (--*left == 0) done();
+                  return;
+                }
+                HandOver(id, candidates, left, done);
+              });
 }
 
 }  // namespace briarspread::batch
