The right to order is handed over with what is left to wait

Cause: a holder that stopped for good removed its record, so the next one waited the whole time in which a vanished holder may still have sent (lease, confidence and margin, 4.8 s without loads), although the leaving one knows when it sent last. Read in the same place: a machine that was killed and started again within its own wait went on at once, though another machine may have sent just before; and an engine that refused an order by its fence did not make the holder ask the store.

Ruled out: removing the record sooner, or a shorter wait for all: both let two holders' orders come within the lease where the earlier one was cut off.

Change: a planned release writes the rest of the wait into the record; a holder's record says its wait until it is over, and a later start on that machine waits it again; a fenced order makes the holder confirm its right.

Tests: three new cases in fleet_test. Two were changed: "a new holder waits" now also asks that the record says so before the first order; "a machine that starts again goes on at once" had its first start killed before its wait was over, which is the case that was wrong, and now advances past it; the old scene stands as "a machine that starts again before its wait is over".

--- a/briarspread/fleet/order_right.h
+++ b/briarspread/fleet/order_right.h
@@ -1,6 +1,8 @@
 #ifndef BRIARSPREAD_FLEET_ORDER_RIGHT_H_
 #define BRIARSPREAD_FLEET_ORDER_RIGHT_H_
 
+#include <optional>
+
 #include "briarspread/fleet/instance_registry.h"
 
 namespace briarspread {
@@ -43,21 +45,37 @@
   bool MaySend();
   /// The fencing number. Precondition: `is_holder()`.
   FencingNumber fencing() const { return fencing_; }
-  /// Gives the right up, for a planned stop.
+  /// An order was sent.
+  void NoteSent();
+  /// An upstream knows of a later holder: asks the store.
+  void Doubt();
+  /// Gives the right up, for a planned stop, and tells the next holder how long
+  /// it must wait still.
   void Release();
 
  private:
   /// Takes the record, which must still be at `expected`; zero for absent.
   void Contend(StoreIndex expected, Duration wait);
-  /// What a new holder waits after another machine's.
+  /// What lies between two machines' orders.
+  Duration BetweenHolders() const { return settings_.lease + settings_.margin; }
+  /// What a new holder waits after another machine that went without a word.
   Duration TakeoverWait() const {
-    return settings_.lease + settings_.confidence + settings_.margin;
+    return BetweenHolders() + settings_.confidence;
   }
   void Confirm();
+  void Lose();
   void TakeRecord(StoreIndex index, TimePoint asked, Duration wait);
   /// Whether the record names this machine, and this start of the program.
   bool IsSameMachine(const KeyValue& record) const;
   bool IsOwn(const KeyValue& record) const;
+  /// What a holder's record says that it waits before its first order.
+  /// Precondition: the record is a holder's.
+  static Duration WaitOf(const KeyValue& record);
+  /// What is left to be waited after a holder that gave the right up; nothing
+  /// where the record names a holder.
+  static std::optional<Duration> WaitAfterRelease(const KeyValue& record);
+  /// Contends for a right that nobody holds, in the order of names.
+  void ContendInTurn(StoreIndex expected, Duration wait);
   std::size_t Rank() const;
 
   AsyncStore& store_;
@@ -68,9 +86,13 @@
   FencingNumber fencing_;
   /// Until when no order may be sent after acquiring.
   TimePoint wait_until_{};
+  /// Whether the record says that nothing is left to be waited.
+  bool is_settled_ = false;
+  /// When the last order was sent; the clock's zero for never.
+  TimePoint last_sent_{};
   /// When the last confirmation was asked for.
   TimePoint confirmed_{};
-  /// Since when the record was seen missing; the clock's zero for never.
+  /// Since when nobody was seen to hold it; the clock's zero for never.
   TimePoint missing_since_{};
   bool is_calling_ = false;
   bool was_released_ = false;
--- a/briarspread/versions/version_driver.cc
+++ b/briarspread/versions/version_driver.cc
@@ -187,6 +187,7 @@
   orders.next_check = now + settings_.first_check;
   orders.is_calling = true;
   ++orders_sent_;
+  right_.NoteSent();
   SentOrder sent{order, mode, right_.fencing(), orders.accepted};
   control_.Send(
       sent, [this, order](OrderOutcome outcome) { OnOutcome(order, outcome); });
@@ -211,8 +212,10 @@
       // Awaited as if accepted; the report tells.
       orders.accepted.reset();
       return;
-    case OrderOutcome::kBusy:
     case OrderOutcome::kFenced:
+      right_.Doubt();
+      [[fallthrough]];
+    case OrderOutcome::kBusy:
     case OrderOutcome::kRefused:
       orders.accepted.reset();
       orders.awaited.reset();
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -280,12 +280,64 @@
   clock.Advance(settings.lease + settings.confidence);
   REQUIRE_FALSE(a.right.MaySend());
   clock.Advance(settings.margin);
-  // The confirmation is old by now; asking again makes it good.
+  // The record is to say first that the wait is over.
   REQUIRE_FALSE(a.right.MaySend());
   store.Deliver();
   REQUIRE(a.right.MaySend());
 }
 
+TEST_CASE("a holder that gives up tells the next one what is left to wait") {
+  const OrderRightSettings settings;
+  const Duration between = settings.lease + settings.margin;
+  for (const milliseconds since_order :
+       {milliseconds(0), milliseconds(1000), milliseconds(9000)}) {
+    asio::io_context loop;
+    AsyncMemoryStore store;
+    ManualClock clock;
+    Instance a(loop, store, clock, "a");
+    Acquire(loop, store, a);
+    clock.Advance(seconds(10));
+    a.right.MaySend();
+    store.Deliver();
+    REQUIRE(a.right.MaySend());
+    a.right.NoteSent();
+    clock.Advance(since_order);
+    a.right.Release();
+    store.Deliver();
+    REQUIRE_FALSE(a.right.is_holder());
+    Instance b(loop, store, clock, "b");
+    Acquire(loop, store, b);
+    clock.Advance(settings.stagger);
+    b.right.Step();
+    store.Deliver();
+    REQUIRE(b.right.is_holder());
+    const Duration left =
+        std::max<Duration>(Duration(0), between - since_order);
+    if (left > Duration(0)) {
+      clock.Advance(left - milliseconds(1));
+      REQUIRE_FALSE(b.right.MaySend());
+      store.Deliver();
+      REQUIRE_FALSE(b.right.MaySend());
+    }
+    clock.Advance(milliseconds(1));
+    b.right.MaySend();
+    store.Deliver();
+    REQUIRE(b.right.MaySend());
+  }
+}
+
+TEST_CASE("an upstream that knows a later holder makes the right doubtful") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  Instance a(loop, store, clock, "a");
+  Acquire(loop, store, a);
+  store.Erase(InstanceRegistry::kOrderRightKey);
+  a.right.Doubt();
+  store.Deliver();
+  REQUIRE_FALSE(a.right.is_holder());
+}
+
 TEST_CASE("a holder that cannot confirm its right stops, suspended or not") {
   asio::io_context loop;
   AsyncMemoryStore store;
@@ -330,6 +382,10 @@
     a.right.Step();
     store.Deliver();
     REQUIRE(a.right.is_holder());
+    clock.Advance(seconds(10));
+    a.right.MaySend();
+    store.Deliver();
+    REQUIRE(a.right.MaySend());
     before = a.right.fencing();
     store.Disconnect();
   }
@@ -349,6 +405,30 @@
   REQUIRE(again.right.MaySend());
 }
 
+TEST_CASE("a machine that starts again before its wait is over waits anew") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  {
+    Instance a(loop, store, clock, "a", 1);
+    Acquire(loop, store, a);
+    REQUIRE(a.right.is_holder());
+    store.Disconnect();
+  }
+  Instance again(loop, store, clock, "a", 2);
+  Await(loop, store, [&] {
+    return again.registry.order_right().has_value() &&
+           again.registry.lease().value() != 0;
+  });
+  again.right.Step();
+  store.Deliver();
+  REQUIRE(again.right.is_holder());
+  // Another machine may have sent just before the first start took the right.
+  REQUIRE_FALSE(again.right.MaySend());
+  store.Deliver();
+  REQUIRE_FALSE(again.right.MaySend());
+}
+
 TEST_CASE("a lost answer to taking the right is read back") {
   asio::io_context loop;
   AsyncMemoryStore store;
