--- /dev/null
+++ b/tests/batch/replay_test.cc
@@ -0,0 +1,61 @@
+// The decisions against the loads that they answer, on the model of engines.
+
+#include "tests/batch_model/replay.h"
+
+#include <catch2/catch.hpp>
+
+namespace briarspread::testing {
+namespace {
+
+ReplayOutcome Play(const LoadShape& shape, const ReplayPolicy& policy) {
+  return Replay(GenerateLoad(shape), ReplayFleet{}, policy);
+}
+
+TEST_CASE("a replay gives the same again, and a load survives its text") {
+  const LoadShape shape;
+  const ReplayLoad load = GenerateLoad(shape);
+  const auto again = ParseLoad(FormatLoad(load));
+  REQUIRE(IsOk(again));
+  const ReplayOutcome first = Replay(load, ReplayFleet{}, ReplayPolicy{});
+  const ReplayOutcome second =
+      Replay(ValueOf(again), ReplayFleet{}, ReplayPolicy{});
+  REQUIRE(first.groups_in_time == second.groups_in_time);
+  REQUIRE(first.idle_seconds == second.idle_seconds);
+  REQUIRE_FALSE(IsOk(ParseLoad("{\"trainers\":7}")));
+}
+
+TEST_CASE("at their worst load, groups are in time oftener than first come") {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    LoadShape shape;
+    shape.seed = seed;
+    shape.load = 1.3;
+    const ReplayOutcome ours = Play(shape, ReplayPolicy{});
+    const ReplayOutcome fcfs = Play(shape, FirstComeFirstServed());
+    REQUIRE(ours.groups_in_time > fcfs.groups_in_time);
+  }
+}
+
+TEST_CASE("slow engines cost fewer groups than in the earlier version") {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    LoadShape shape;
+    shape.seed = seed;
+    shape.slow_engines = 3;
+    const ReplayOutcome ours = Play(shape, ReplayPolicy{});
+    const ReplayOutcome earlier = Play(shape, EarlierVersion());
+    REQUIRE(ours.in_time() > earlier.in_time());
+  }
+}
+
+TEST_CASE("a version on a part of the engines spares loads and groups") {
+  LoadShape shape;
+  shape.load = 1.2;
+  ReplayPolicy everywhere;
+  everywhere.shares_versions = false;
+  const ReplayOutcome ours = Play(shape, ReplayPolicy{});
+  const ReplayOutcome all = Play(shape, everywhere);
+  REQUIRE(ours.loads < all.loads);
+  REQUIRE(ours.in_time() > all.in_time());
+}
+
+}  // namespace
+}  // namespace briarspread::testing
--- /dev/null
+++ b/tests/batch_model/engine_batch.cc
@@ -0,0 +1,78 @@
+#include "tests/batch_model/engine_batch.h"
+
+#include <algorithm>
+
+namespace briarspread::testing {
+namespace {
+
+/// Room for rounding, so that the last event is made.
+constexpr double kSlack = 1e-9;
+
+}  // namespace
+
+void EngineBatch::Start(std::uint64_t item, std::uint64_t prompt, double events,
+                        double made) {
+  BatchRun run{item, events, made, settings_.own_prompt_tokens};
+  const auto at = std::find(cached_.begin(), cached_.end(), prompt);
+  if (at == cached_.end()) {
+    run.prompt_tokens += settings_.shared_prompt_tokens;
+  } else {
+    cached_.erase(at);
+  }
+  cached_.push_back(prompt);
+  if (cached_.size() > settings_.cached_prompts) {
+    cached_.erase(cached_.begin());
+  }
+  // What a run that goes on has made is read again with its prompt.
+  run.prompt_tokens += made * settings_.tokens_an_event;
+  runs_.push_back(run);
+}
+
+double EngineBatch::Stop(std::uint64_t item) {
+  const auto at =
+      std::find_if(runs_.begin(), runs_.end(),
+                   [item](const BatchRun& run) { return run.item == item; });
+  if (at == runs_.end()) return 0;
+  const double made = at->made;
+  runs_.erase(at);
+  return made;
+}
+
+void EngineBatch::Load(TimePoint until) {
+  loads_until_ = until;
+  cached_.clear();
+}
+
+Duration EngineBatch::EventInterval() const {
+  const double token_ms =
+      settings_.step_ms +
+      settings_.step_ms_a_run * static_cast<double>(runs_.size());
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(
+          token_ms * settings_.tokens_an_event * std::max(1.0, slower_)));
+}
+
+std::vector<std::uint64_t> EngineBatch::Work(Duration step) {
+  std::vector<std::uint64_t> whole;
+  if (is_dead()) return whole;
+  double ms = std::chrono::duration<double, std::milli>(step).count();
+  for (BatchRun& run : runs_) {
+    const double rate = settings_.prefill_tokens_a_ms / slower_;
+    const double read = std::min(run.prompt_tokens, ms * rate);
+    run.prompt_tokens -= read;
+    prefilled_ += read;
+    // Reading takes the engine's time from all runs.
+    ms -= read / rate;
+  }
+  const double event_ms =
+      std::chrono::duration<double, std::milli>(EventInterval()).count();
+  for (BatchRun& run : runs_) {
+    if (run.prompt_tokens > kSlack) continue;
+    run.made = std::min(run.events, run.made + ms / event_ms);
+    if (run.made + kSlack >= run.events) whole.push_back(run.item);
+  }
+  for (const std::uint64_t item : whole) Stop(item);
+  return whole;
+}
+
+}  // namespace briarspread::testing
