--- a/briarspread/batch/item_progress.cc
+++ b/briarspread/batch/item_progress.cc
@@ -4,7 +4,7 @@
 
 namespace briarspread::batch {
 
-ItemProgress::Outcome ItemProgress::Add(const StreamEvent& event,
+ItemProgress::Outcome ItemProgress::Add(const proxy::StreamEvent& event,
                                         WeightVersion version) {
   if (!event.id.has_value()) return Outcome::kGap;
   if (has_events() && *event.id <= last_event_id_) return Outcome::kRepeated;
--- a/briarspread/batch/item_progress.h
+++ b/briarspread/batch/item_progress.h
@@ -6,8 +6,8 @@
 #include <utility>
 #include <vector>
 
-#include "briarspread/batch/event_stream_reader.h"
 #include "briarspread/core/ids.h"
+#include "briarspread/proxy/event_stream_reader.h"
 
 namespace briarspread::batch {
 
@@ -33,7 +33,7 @@
         versions_(std::move(versions)) {}
 
   /// Takes an event that `version` made.
-  Outcome Add(const StreamEvent& event, WeightVersion version);
+  Outcome Add(const proxy::StreamEvent& event, WeightVersion version);
 
   /// The text after the first `offset` bytes.
   std::string TextFrom(std::size_t offset) const {
--- a/briarspread/batch/item_run.cc
+++ b/briarspread/batch/item_run.cc
@@ -93,7 +93,6 @@
 }
 
 void ItemRun::OnHead(const proxy::ResponseHead& head) {
-  has_head_ = true;
   last_event_ = context_.clock.Now();
   const std::string* load = head.headers.Find(context_.headers.load);
   if (load != nullptr) context_.directory.NoteLoad(spec_.engine, *load);
@@ -107,9 +106,7 @@
   context_.directory.NoteVersion(spec_.engine, spec_.model, version_);
   if (version_ < spec_.oldest_allowed) {
     End(RunOutcome::kTooOld);
-    return;
   }
-  listener_.OnRunStarted(*this, version_);
 }
 
 void ItemRun::NoteInterval(TimePoint now) {
@@ -124,7 +121,7 @@
 
 void ItemRun::OnBody(std::string_view data) {
   if (expected_ != RunOutcome::kComplete) return;
-  for (const StreamEvent& event : reader_.Feed(data)) {
+  for (const proxy::StreamEvent& event : reader_.Feed(data)) {
     if (event.version.has_value()) {
       version_ = *event.version;
       context_.directory.NoteVersion(spec_.engine, spec_.model, version_);
@@ -136,6 +133,9 @@
     const TimePoint now = context_.clock.Now();
     // The first interval includes the wait for a slot and the prompt.
     if (events_ > 0) NoteInterval(now);
+    if (events_ == 0 && context_.crashes.has_suspects()) {
+      context_.crashes.NoteAnswered(forward::FingerprintOf(spec_.request));
+    }
     ++events_;
     last_event_ = now;
     if (!listener_.OnRunEvent(*this, event, version_)) {
@@ -170,6 +170,11 @@
   if (!failure.was_kept_connection) {
     context_.directory.NoteFailure(spec_.engine);
   }
+  // A run that has made events is none that crashes each engine at once.
+  if (failure.verdict == Verdict::kMayHaveRun && events_ == 0) {
+    context_.crashes.NoteBroken(spec_.engine,
+                                forward::FingerprintOf(spec_.request));
+  }
   End(RunOutcome::kBroken);
 }
 
--- a/briarspread/batch/item_run.h
+++ b/briarspread/batch/item_run.h
@@ -5,9 +5,9 @@
 #include <optional>
 #include <string>
 
-#include "briarspread/batch/event_stream_reader.h"
 #include "briarspread/batch/job.h"
 #include "briarspread/forward/forward_context.h"
+#include "briarspread/proxy/event_stream_reader.h"
 #include "briarspread/proxy/exchange.h"
 
 namespace briarspread::batch {
@@ -37,10 +37,8 @@
 class ItemRunListener {
  public:
   virtual ~ItemRunListener() = default;
-  /// The engine has begun to answer, by this version of its weights.
-  virtual void OnRunStarted(ItemRun& run, WeightVersion version) = 0;
   /// An event, made by `version`. Returns false to end the run as broken.
-  virtual bool OnRunEvent(ItemRun& run, const StreamEvent& event,
+  virtual bool OnRunEvent(ItemRun& run, const proxy::StreamEvent& event,
                           WeightVersion version) = 0;
   /// The run has ended; it may be destroyed from within.
   virtual void OnRunEnded(ItemRun& run, RunOutcome outcome) = 0;
@@ -78,7 +76,6 @@
   TimePoint started() const { return started_; }
   /// When the last event came; the start before the first.
   TimePoint last_event() const { return last_event_; }
-  bool has_started() const { return has_head_; }
   std::uint64_t events() const { return events_; }
 
   void OnHead(const proxy::ResponseHead& head) override;
@@ -97,13 +94,12 @@
   ItemRunListener& listener_;
   std::unique_ptr<proxy::Exchange> exchange_;
   std::shared_ptr<UpstreamCounters> counters_;
-  EventStreamReader reader_;
+  proxy::EventStreamReader reader_;
   TimePoint started_{};
   TimePoint last_event_{};
   std::uint64_t events_ = 0;
   /// The version that makes the events that follow; zero before it is told.
   WeightVersion version_;
-  bool has_head_ = false;
   /// What the head says of the outcome; complete for a stream.
   RunOutcome expected_ = RunOutcome::kComplete;
   bool has_ended_ = false;
--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -61,6 +61,7 @@
   for (const Place& place : waiting) {
     const bool may_go_anywhere = !place.job->avoid.contains(place.item);
     if (may_go_anywhere && full.contains(place.job)) continue;
+    if (MustHold(*place.job, place.item)) continue;
     if (!PlaceItem(*place.job, place.item) && may_go_anywhere) {
       full.insert(place.job);
     }
@@ -144,16 +145,32 @@
   return need;
 }
 
+bool JobRunner::MustHold(const OwnedJob& job, std::size_t i) const {
+  if (!context_.crashes.has_suspects()) return false;
+  const JobSpec& spec = job.ledger.spec();
+  const ItemSpec& item = spec.items[i];
+  return context_.crashes.MustRefuse(
+      forward::FingerprintOf(spec.host, item.path, item.body));
+}
+
+void JobRunner::NoteGivenUp(const OwnedJob& job, std::size_t i,
+                            const std::string& reason) {
+  ++metrics_.items_given_up[reason];
+  const ItemState& state = job.ledger.item(i);
+  LOG(WARNING) << "event=item_given_up job=" << job.ledger.spec().id
+               << " item=" << job.ledger.spec().items[i].id
+               << " reason=" << reason << " failures=" << state.failures
+               << " reward_failures=" << state.reward_failures
+               << " events=" << state.progress.events();
+}
+
 bool JobRunner::PlaceItem(OwnedJob& job, std::size_t i) {
   const JobId& id = job.ledger.spec().id;
   const forward::Route* route = RouteOf(job, i);
   if (route == nullptr) {
     if (context_.configuration.current() == nullptr) return false;
-    LOG(WARNING) << "event=item_given_up job=" << id
-                 << " item=" << job.ledger.spec().items[i].id
-                 << " reason=no_route";
-    ++metrics_.items_given_up;
     job.ledger.GiveUp(i, context_.clock.Now());
+    NoteGivenUp(job, i, "no_route");
     ScheduleListing(id, settings_.listing_pause);
     return true;
   }
@@ -178,7 +195,9 @@
                            job.ledger.terms().wants_single_version)) {
     job.ledger.DropText(i);
   }
-  job.ledger.StartRun(i);
+  const TimePoint now = context_.clock.Now();
+  metrics_.waiting.Record(SecondsOf(now - state.since));
+  job.ledger.StartRun(i, now);
   job.prompt_at[job.ledger.spec().items[i].group] = engine;
   auto run =
       std::make_unique<ItemRun>(context_, MakeRunSpec(job, i, engine), *this);
@@ -221,9 +240,7 @@
   return run;
 }
 
-void JobRunner::OnRunStarted(ItemRun&, WeightVersion) {}
-
-bool JobRunner::OnRunEvent(ItemRun& run, const StreamEvent& event,
+bool JobRunner::OnRunEvent(ItemRun& run, const proxy::StreamEvent& event,
                            WeightVersion version) {
   const auto it = jobs_.find(run.spec().job);
   if (it == jobs_.end()) return false;
@@ -237,10 +254,12 @@
       job.ledger.terms().wants_single_version);
 }
 
-void JobRunner::LogRunEnded(const ItemRun& run, RunOutcome outcome,
-                            TimePoint now) const {
+void JobRunner::NoteRunEnded(const ItemRun& run, RunOutcome outcome,
+                             TimePoint now) {
   const auto taken =
       std::chrono::duration_cast<milliseconds>(now - run.started());
+  ++metrics_.runs[std::string(ToString(outcome))];
+  metrics_.running.Record(SecondsOf(taken));
   LOG(INFO) << "event=run_ended job=" << run.spec().job
             << " item=" << run.spec().attempt_id
             << " upstream=" << run.spec().engine
@@ -252,7 +271,6 @@
   const JobId id = run.spec().job;
   const std::size_t i = run.spec().item;
   const UpstreamId engine = run.spec().engine;
-  ++metrics_.runs[std::string(ToString(outcome))];
   const auto keep = std::move(runs_[ItemKey(id, i)]);
   runs_.erase(ItemKey(id, i));
   const auto it = jobs_.find(id);
@@ -285,11 +303,13 @@
       break;
     }
   }
-  LogRunEnded(run, outcome, now);
+  NoteRunEnded(run, outcome, now);
   if (job.ledger.item(i).phase == ItemPhase::kScoring) {
     waiting_rewards_[ItemKey(id, i)] = now;
   } else if (job.ledger.item(i).phase == ItemPhase::kFinished) {
-    metrics_.items_given_up += job.ledger.item(i).is_given_up;
+    if (job.ledger.item(i).is_given_up) {
+      NoteGivenUp(job, i, std::string(ToString(outcome)));
+    }
     ScheduleListing(id, settings_.listing_pause);
   }
   SchedulePump();
@@ -333,6 +353,7 @@
   if (it == jobs_.end()) return;
   JobLedger& ledger = it->second.ledger;
   const TimePoint now = context_.clock.Now();
+  metrics_.scoring.Record(SecondsOf(now - ledger.item(i).since));
   if (!outcome.score.empty()) {
     ledger.Scored(i, outcome.score, now);
   } else {
@@ -344,6 +365,9 @@
   if (ledger.item(i).phase == ItemPhase::kScoring) {
     waiting_rewards_[key] = now + settings_.reward_retry;
   } else {
+    if (ledger.item(i).is_given_up) {
+      NoteGivenUp(it->second, i, "reward_failed");
+    }
     ScheduleListing(id, settings_.listing_pause);
   }
   SchedulePump();
--- a/briarspread/batch/job_ledger.cc
+++ b/briarspread/batch/job_ledger.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 #include <utility>
 
 namespace briarspread::batch {
@@ -21,7 +22,7 @@
   for (std::size_t i = 0; i < spec_.items.size(); ++i) {
     index_.emplace(spec_.items[i].id, i);
     groups_[spec_.items[i].group].push_back(i);
-    states_[i].waiting_since = now;
+    states_[i].since = now;
     mean_tokens_ += static_cast<double>(spec_.items[i].expected_tokens) /
                     static_cast<double>(spec_.items.size());
   }
@@ -48,13 +49,14 @@
   states_[i].is_carried = true;
 }
 
-void JobLedger::StartRun(std::size_t i) {
+void JobLedger::StartRun(std::size_t i, TimePoint now) {
   assert(states_[i].phase == ItemPhase::kWaiting);
   states_[i].phase = ItemPhase::kRunning;
+  states_[i].since = now;
 }
 
 ItemProgress::Outcome JobLedger::AddEvent(std::size_t i,
-                                          const StreamEvent& event,
+                                          const proxy::StreamEvent& event,
                                           WeightVersion version) {
   assert(states_[i].phase == ItemPhase::kRunning);
   return states_[i].progress.Add(event, version);
@@ -63,7 +65,7 @@
 void JobLedger::RunBroken(std::size_t i, TimePoint now) {
   if (states_[i].phase != ItemPhase::kRunning) return;
   states_[i].phase = ItemPhase::kWaiting;
-  states_[i].waiting_since = now;
+  states_[i].since = now;
 }
 
 void JobLedger::RunFailed(std::size_t i, TimePoint now) {
@@ -81,13 +83,14 @@
 
 void JobLedger::Finish(std::size_t i, TimePoint now) {
   states_[i].phase = ItemPhase::kFinished;
-  states_[i].finished = now;
+  states_[i].since = now;
 }
 
 void JobLedger::RunComplete(std::size_t i, TimePoint now) {
   assert(states_[i].phase == ItemPhase::kRunning);
   if (spec_.items[i].reward.has_value()) {
     states_[i].phase = ItemPhase::kScoring;
+    states_[i].since = now;
     return;
   }
   Finish(i, now);
@@ -106,11 +109,15 @@
   if (states_[i].reward_failures >= limit) GiveUp(i, now);
 }
 
-void JobLedger::Expire(TimePoint now) {
-  if (now < terms_.gives_up) return;
+std::vector<std::size_t> JobLedger::Expire(TimePoint now) {
+  std::vector<std::size_t> expired;
+  if (now < terms_.gives_up) return expired;
   for (std::size_t i = 0; i < states_.size(); ++i) {
-    if (!IsFinal(states_[i].phase)) GiveUp(i, now);
+    if (IsFinal(states_[i].phase)) continue;
+    GiveUp(i, now);
+    expired.push_back(i);
   }
+  return expired;
 }
 
 void JobLedger::DropText(std::size_t i) { states_[i].progress = {}; }
@@ -129,13 +136,13 @@
   for (std::size_t i = 0; i < states_.size(); ++i) {
     if (states_[i].phase != ItemPhase::kFinished) continue;
     final_items.push_back(i);
-    is_due = is_due || CompletesGroup(i) ||
-             now - states_[i].finished >= longest_wait;
+    is_due =
+        is_due || CompletesGroup(i) || now - states_[i].since >= longest_wait;
   }
   if (!is_due) return {};
   std::sort(final_items.begin(), final_items.end(),
             [this](std::size_t a, std::size_t b) {
-              return states_[a].finished < states_[b].finished;
+              return states_[a].since < states_[b].since;
             });
   std::vector<ItemResult> results;
   std::size_t bytes = 0;
@@ -190,14 +197,31 @@
   return page;
 }
 
+bool JobLedger::IsCompleteInList(
+    const std::vector<std::size_t>& members) const {
+  return std::all_of(members.begin(), members.end(), [this](std::size_t i) {
+    return states_[i].phase == ItemPhase::kListed && !states_[i].is_given_up;
+  });
+}
+
 std::size_t JobLedger::CompleteGroups() const {
   std::size_t n = 0;
-  for (const auto& [group, members] : groups_) {
-    n += std::all_of(members.begin(), members.end(), [this](std::size_t i) {
-      return states_[i].phase == ItemPhase::kListed && !states_[i].is_given_up;
-    });
-  }
+  for (const auto& [group, members] : groups_) n += IsCompleteInList(members);
   return n;
 }
 
+std::vector<ItemGroup> JobLedger::GroupsCompletedBy(
+    const std::vector<ItemResult>& results) const {
+  std::set<ItemGroup> touched;
+  for (const ItemResult& result : results) {
+    const auto i = FindItem(result.id);
+    if (i.has_value()) touched.insert(spec_.items[*i].group);
+  }
+  std::vector<ItemGroup> complete;
+  for (const ItemGroup& group : touched) {
+    if (IsCompleteInList(groups_.at(group))) complete.push_back(group);
+  }
+  return complete;
+}
+
 }  // namespace briarspread::batch
--- a/briarspread/batch/job_ledger.h
+++ b/briarspread/batch/job_ledger.h
@@ -46,10 +46,8 @@
   bool is_given_up = false;
   /// Whether text of an earlier job was taken over.
   bool is_carried = false;
-  /// When the result became final.
-  TimePoint finished{};
-  /// When it last began to wait.
-  TimePoint waiting_since{};
+  /// When it last came into its phase; not kept once it is listed.
+  TimePoint since{};
 };
 
 /// Keeps the items of one job and the list of results, and decides what is
@@ -74,8 +72,8 @@
   /// Takes over text of an earlier job, where it fits this one.
   void Carry(std::size_t i, const ItemProgress& progress);
 
-  void StartRun(std::size_t i);
-  ItemProgress::Outcome AddEvent(std::size_t i, const StreamEvent& event,
+  void StartRun(std::size_t i, TimePoint now);
+  ItemProgress::Outcome AddEvent(std::size_t i, const proxy::StreamEvent& event,
                                  WeightVersion version);
   /// A run ended without the whole text; the item waits again.
   void RunBroken(std::size_t i, TimePoint now);
@@ -90,8 +88,8 @@
   /// they are `limit` or more.
   void RewardFailed(std::size_t i, std::uint32_t answers, std::uint32_t limit,
                     TimePoint now);
-  /// Gives up items that are past their time.
-  void Expire(TimePoint now);
+  /// Gives up items that are past their time, and returns them.
+  std::vector<std::size_t> Expire(TimePoint now);
   /// Drops text that the job may not use, so that the item starts anew.
   void DropText(std::size_t i);
 
@@ -108,11 +106,15 @@
   ResultPage Page(std::uint64_t after) const;
   /// Groups of which every item is listed as complete.
   std::size_t CompleteGroups() const;
+  /// Those of them that these results, the last listed, have completed.
+  std::vector<ItemGroup> GroupsCompletedBy(
+      const std::vector<ItemResult>& results) const;
 
  private:
   ItemResult ResultOf(std::size_t i) const;
   void Finish(std::size_t i, TimePoint now);
   bool CompletesGroup(std::size_t i) const;
+  bool IsCompleteInList(const std::vector<std::size_t>& members) const;
 
   const JobSpec spec_;
   const JobTerms terms_;
--- a/briarspread/batch/job_listing.cc
+++ b/briarspread/batch/job_listing.cc
@@ -95,25 +95,79 @@
   return chunk;
 }
 
-void JobRunner::OnChunkWritten(const JobId& id,
-                               const Result<RecordOutcome>& outcome) {
+JobRunner::OwnedJob* JobRunner::FinishWrite(
+    const JobId& id, const std::string& what,
+    const Result<RecordOutcome>& outcome) {
   const auto it = jobs_.find(id);
-  if (it == jobs_.end()) return;
-  OwnedJob& job = it->second;
-  job.is_writing = false;
-  if (!IsOk(outcome)) {
-    LOG(WARNING) << "event=listing_delayed job=" << id << " reason=\""
-                 << ErrorOf(outcome).message << "\"";
-    ScheduleListing(id, settings_.store_retry);
-    return;
+  if (it == jobs_.end()) return nullptr;
+  it->second.is_writing = false;
+  if (IsOk(outcome)) return &it->second;
+  LOG(WARNING) << "event=" << what << "_delayed job=" << id << " reason=\""
+               << ErrorOf(outcome).message << "\"";
+  ScheduleListing(id, settings_.store_retry);
+  return nullptr;
+}
+
+WeightVersion JobRunner::NewestVersion(const ModelName& model) const {
+  WeightVersion newest;
+  for (const auto& [id, engine] : context_.directory.all()) {
+    newest = std::max(newest, engine.VersionOf(model));
+  }
+  return newest;
+}
+
+void JobRunner::NoteListed(const OwnedJob& job,
+                           const std::vector<ItemResult>& results) {
+  const TimePoint now = context_.clock.Now();
+  const JobSpec& spec = job.ledger.spec();
+  const WeightVersion newest = NewestVersion(spec.model);
+  for (const ItemResult& result : results) {
+    if (result.versions.empty()) continue;
+    const WeightVersion oldest = result.versions.front();
+    ++metrics_.staleness[newest > oldest ? newest.value() - oldest.value() : 0];
+  }
+  metrics_.items_listed += results.size();
+  if (!results.empty()) {
+    LOG(INFO) << "event=results_listed job=" << spec.id
+              << " first=" << job.ledger.listed().size() - results.size()
+              << " results=" << results.size();
+  }
+  const auto to_due =
+      std::chrono::duration_cast<milliseconds>(job.ledger.terms().due - now);
+  for (const ItemGroup& group : job.ledger.GroupsCompletedBy(results)) {
+    ++(to_due.count() >= 0 ? metrics_.groups_in_time : metrics_.groups_late);
+    LOG(INFO) << "event=group_listed job=" << spec.id << " group=" << group
+              << " ms_to_due=" << to_due.count();
   }
+}
+
+void JobRunner::NoteTrainerWait(OwnedJob& job) {
+  if (job.is_satisfied) return;
+  const std::uint64_t wanted = job.ledger.spec().target_groups;
+  if (job.ledger.CompleteGroups() < wanted) return;
+  job.is_satisfied = true;
+  metrics_.trainer_wait.Record(SecondsOf(context_.clock.Now() - job.taken));
+}
+
+void JobRunner::OnChunkWritten(const JobId& id,
+                               const Result<RecordOutcome>& outcome) {
+  OwnedJob* found = FinishWrite(id, "listing", outcome);
+  if (found == nullptr) return;
+  OwnedJob& job = *found;
   if (const auto* changed = std::get_if<RecordChanged>(&ValueOf(outcome))) {
     TakeLoss(id, *changed);
     return;
   }
   ++metrics_.chunks_written;
-  metrics_.items_listed += job.chunk.results.size();
+  for (const ItemResult& result : job.chunk.results) {
+    const auto i = job.ledger.FindItem(result.id);
+    if (!i.has_value()) continue;
+    metrics_.listing.Record(
+        SecondsOf(context_.clock.Now() - job.ledger.item(*i).since));
+  }
   job.ledger.MarkListed(job.chunk.results);
+  NoteListed(job, job.chunk.results);
+  NoteTrainerWait(job);
   job.checkpoint_plan.MarkWritten(job.chunk.checkpoint);
   if (!job.chunk.checkpoint.empty()) ++job.next_checkpoint;
   job.chunk = JobChunk{};
@@ -154,16 +208,9 @@
 
 void JobRunner::OnEndWritten(const JobId& id,
                              const Result<RecordOutcome>& outcome) {
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end()) return;
-  OwnedJob& job = it->second;
-  job.is_writing = false;
-  if (!IsOk(outcome)) {
-    LOG(WARNING) << "event=end_delayed job=" << id << " reason=\""
-                 << ErrorOf(outcome).message << "\"";
-    ScheduleListing(id, settings_.store_retry);
-    return;
-  }
+  OwnedJob* found = FinishWrite(id, "end", outcome);
+  if (found == nullptr) return;
+  OwnedJob& job = *found;
   if (const auto* ok = std::get_if<RecordWritten>(&ValueOf(outcome))) {
     job.index = ok->index;
   } else {
@@ -182,7 +229,6 @@
   job.is_ending = false;
   job.delete_after = context_.clock.Now() + settings_.status_time;
   ++metrics_.jobs_ended;
-  metrics_.groups_complete += job.ledger.CompleteGroups();
   metrics_.groups_wanted += job.ledger.spec().target_groups;
   LOG(INFO) << "event=job_ended job=" << id
             << " listed=" << job.ledger.listed().size()
@@ -243,7 +289,9 @@
 void JobRunner::ExpireItems(const JobId& id, OwnedJob& job, TimePoint now) {
   if (now < job.ledger.terms().gives_up) return;
   StopWork(id, job);
-  job.ledger.Expire(now);
+  for (const std::size_t i : job.ledger.Expire(now)) {
+    NoteGivenUp(job, i, "time_to_live");
+  }
 }
 
 void JobRunner::ReviewJob(const JobId& id, OwnedJob& job, TimePoint now) {
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -166,6 +166,7 @@
   OwnedJob& job = it->second;
   job.record = stored.record;
   job.index = stored.index;
+  job.taken = now;
   job.delete_after = now + kOpenStatusTimes * settings_.status_time;
   const auto& items = job.ledger.spec().items;
   for (std::size_t i = 0; i < items.size(); ++i) {
@@ -253,6 +254,15 @@
   return open;
 }
 
+Duration JobRunner::OldestOpenJob() const {
+  Duration oldest{0};
+  for (const JobId& id : OpenJobs()) {
+    oldest =
+        std::max<Duration>(oldest, context_.clock.Now() - jobs_.at(id).taken);
+  }
+  return oldest;
+}
+
 void JobRunner::StopWork(const JobId& id, OwnedJob& job) {
   const TimePoint now = context_.clock.Now();
   for (std::size_t i = 0; i < job.ledger.item_count(); ++i) {
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -107,6 +107,8 @@
 
   /// Own jobs that still have work.
   std::vector<JobId> OpenJobs() const;
+  /// How long ago the oldest of them was taken; zero where there is none.
+  Duration OldestOpenJob() const;
   /// Stops work on an own job and gives what a new owner can use.
   JobHandover PrepareHandover(const JobId& id);
   /// The record of an own job.
@@ -126,8 +128,7 @@
   std::size_t waiting_count() const;
   std::size_t running_count() const { return runs_.size(); }
 
-  void OnRunStarted(ItemRun& run, WeightVersion version) override;
-  bool OnRunEvent(ItemRun& run, const StreamEvent& event,
+  bool OnRunEvent(ItemRun& run, const proxy::StreamEvent& event,
                   WeightVersion version) override;
   void OnRunEnded(ItemRun& run, RunOutcome outcome) override;
 
@@ -167,6 +168,10 @@
     /// Being handed over; nothing runs.
     bool is_paused = false;
     TimePoint delete_after{};
+    /// When this instance took it.
+    TimePoint taken{};
+    /// Whether the groups that its trainer waits for are listed.
+    bool is_satisfied = false;
     std::vector<Done<std::monostate>> end_waiters;
     std::vector<Waiter> readers;
     LoopTimer listing_timer;
@@ -200,6 +205,8 @@
   void SchedulePump();
   void Pump();
   bool PlaceItem(OwnedJob& job, std::size_t i);
+  /// Whether the item has crashed too many engines to be run once more.
+  bool MustHold(const OwnedJob& job, std::size_t i) const;
   EngineViews ViewsOf(const ServiceName& service, const ModelName& model) const;
   /// Tokens of memory that own items take at each engine; a guess.
   std::map<UpstreamId, std::int64_t> OwnTokens() const;
@@ -211,7 +218,9 @@
   void Resume(const JobId& id);
   void ExpireItems(const JobId& id, OwnedJob& job, TimePoint now);
 
-  void LogRunEnded(const ItemRun& run, RunOutcome outcome, TimePoint now) const;
+  void NoteRunEnded(const ItemRun& run, RunOutcome outcome, TimePoint now);
+  void NoteGivenUp(const OwnedJob& job, std::size_t i,
+                   const std::string& reason);
 
   void StartReward(const JobId& id, std::size_t i);
   void OnRewardDone(const JobId& id, std::size_t i,
@@ -223,7 +232,15 @@
   /// What is to be written now; empty for nothing.
   JobChunk NextChunk(const OwnedJob& job) const;
   void WriteEnd(const JobId& id);
+  /// The job whose write has ended, or null where it is gone or the write is
+  /// to be made again.
+  OwnedJob* FinishWrite(const JobId& id, const std::string& what,
+                        const Result<RecordOutcome>& outcome);
   void OnChunkWritten(const JobId& id, const Result<RecordOutcome>& outcome);
+  /// Counts results that were listed, and the groups that they complete.
+  void NoteListed(const OwnedJob& job, const std::vector<ItemResult>& results);
+  void NoteTrainerWait(OwnedJob& job);
+  WeightVersion NewestVersion(const ModelName& model) const;
   void OnEndWritten(const JobId& id, const Result<RecordOutcome>& outcome);
   void TakeLoss(const JobId& id, const RecordChanged& changed);
   void ServeReaders(OwnedJob& job);
--- a/briarspread/contracts/suspect_table.cc
+++ b/briarspread/contracts/suspect_table.cc
@@ -117,6 +117,39 @@
   DropOld(clock_.Now());
 }
 
+std::size_t SuspectTable::DeathsOf(Fingerprint fingerprint) const {
+  std::lock_guard lock(mutex_);
+  const auto cleared = cleared_.find(fingerprint);
+  std::vector<const Held*> deaths;
+  for (const auto& [id, report] : reports_) {
+    if (FindIn(report.in_flight, fingerprint) == nullptr) continue;
+    if (cleared != cleared_.end() && report.died <= cleared->second) continue;
+    const bool is_known =
+        std::any_of(deaths.begin(), deaths.end(), [&](const Held* other) {
+          return other->upstream == report.upstream &&
+                 std::chrono::abs(other->died - report.died) <=
+                     settings_.same_death;
+        });
+    if (!is_known) deaths.push_back(&report);
+  }
+  return deaths.size();
+}
+
+std::size_t SuspectTable::report_count() const {
+  std::lock_guard lock(mutex_);
+  return reports_.size();
+}
+
+void SuspectTable::Clear(Fingerprint fingerprint) {
+  std::lock_guard lock(mutex_);
+  const bool is_suspect =
+      std::any_of(reports_.begin(), reports_.end(), [&](const auto& it) {
+        return FindIn(it.second.in_flight, fingerprint) != nullptr;
+      });
+  if (is_suspect) cleared_[fingerprint] = clock_.Now();
+  DropOld(clock_.Now());
+}
+
 void SuspectTable::DropOld(TimePoint now) {
   const TimePoint oldest = now - settings_.time_to_live;
   std::erase_if(reports_,
--- a/briarspread/contracts/suspect_table.h
+++ b/briarspread/contracts/suspect_table.h
@@ -135,6 +135,15 @@
   /// A trial ended without the upstream's death. Only a whole answer clears.
   void EndTrial(Fingerprint fingerprint, bool is_answered);
 
+  /// Upstreams that died with this request in flight, and were not cleared by
+  /// a later whole answer. Reports of one death count once.
+  std::size_t DeathsOf(Fingerprint fingerprint) const;
+  /// The request was answered whole: deaths until now no longer count.
+  void Clear(Fingerprint fingerprint);
+  /// Whether any report is held.
+  bool has_reports() const { return has_reports_; }
+  std::size_t report_count() const;
+
   /// The newest reports and clearances, at most `limit` of each.
   SuspectDigest Digest(std::size_t limit) const;
   /// Takes a peer's digest. Safe to repeat, in any order.
--- a/briarspread/core/clock.h
+++ b/briarspread/core/clock.h
@@ -13,6 +13,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// A span of time in seconds, for metrics. Thread-safe.
+inline double SecondsOf(Duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
 /// Tells the time. Implementations are safe to call from any thread.
 class Clock {
  public:
--- a/briarspread/fleet/store_watch.h
+++ b/briarspread/fleet/store_watch.h
@@ -44,7 +44,7 @@
   void Restart();
   /// Whether the keys were listed once.
   bool has_listed() const { return has_listed_; }
-  /// When the store last answered.
+  /// When the store last answered, by the steady clock.
   TimePoint last_answer() const { return last_answer_; }
 
  private:
--- a/briarspread/forward/attempt_policy.h
+++ b/briarspread/forward/attempt_policy.h
@@ -3,7 +3,6 @@
 
 #include "briarspread/core/clock.h"
 #include "briarspread/core/verdict.h"
-#include "briarspread/forward/configuration.h"
 
 namespace briarspread::forward {
 
@@ -21,9 +20,11 @@
 /// attempt may have run, and never beyond the route's limit. Holds no thread.
 class AttemptPolicy final {
  public:
-  AttemptPolicy(const AttemptSettings& settings, RouteKind kind,
+  AttemptPolicy(const AttemptSettings& settings, bool is_idempotent,
                 std::uint32_t max_attempts)
-      : settings_(settings), kind_(kind), max_attempts_(max_attempts) {}
+      : settings_(settings),
+        is_idempotent_(is_idempotent),
+        max_attempts_(max_attempts) {}
 
   /// Notes how an attempt ended.
   void Note(Verdict verdict);
@@ -34,7 +35,7 @@
 
  private:
   const AttemptSettings settings_;
-  const RouteKind kind_;
+  const bool is_idempotent_;
   const std::uint32_t max_attempts_;
   /// Attempts that may have run.
   std::uint32_t runs_ = 0;
--- a/briarspread/forward/caller_gateway.cc
+++ b/briarspread/forward/caller_gateway.cc
@@ -1,5 +1,7 @@
 #include "briarspread/forward/caller_gateway.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -70,15 +72,28 @@
   exchange->request->Start();
 }
 
-void CallerGateway::RefuseUnready(proxy::Responder& responder) {
+void CallerGateway::LogRefusal(const proxy::Request& request,
+                               std::string_view reason) {
+  ++context_.metrics.refusals[std::string(reason)];
+  const std::string* id =
+      request.head.headers.Find(context_.headers.attempt_id);
+  LOG(WARNING) << "event=refused request=" << (id == nullptr ? "-" : *id)
+               << " reason=" << reason << " target=\"" << request.head.target
+               << "\"";
+}
+
+void CallerGateway::RefuseUnready(const proxy::Request& request,
+                                  proxy::Responder& responder) {
+  LogRefusal(request, "no_configuration");
   proxy::Response response =
       proxy::MakeResponse(503, "{\"error\":\"no_configuration\"}");
   response.head.headers.Add("Retry-After", "0.5");
   responder.Send(response);
 }
 
-void CallerGateway::RefuseUnrouted(proxy::Responder& responder) {
-  ++context_.metrics.answers[404];
+void CallerGateway::RefuseUnrouted(const proxy::Request& request,
+                                   proxy::Responder& responder) {
+  LogRefusal(request, "no_route");
   responder.Send(proxy::MakeResponse(404, "{\"error\":\"no_route\"}"));
 }
 
--- a/briarspread/forward/caller_gateway.h
+++ b/briarspread/forward/caller_gateway.h
@@ -24,11 +24,15 @@
   void Forward(proxy::Request request, const Route& route,
                const std::shared_ptr<proxy::Responder>& responder);
   /// Answers that no configuration is known yet; the request did not run.
-  void RefuseUnready(proxy::Responder& responder);
+  void RefuseUnready(const proxy::Request& request,
+                     proxy::Responder& responder);
   /// Answers that no route matches.
-  void RefuseUnrouted(proxy::Responder& responder);
+  void RefuseUnrouted(const proxy::Request& request,
+                      proxy::Responder& responder);
 
  private:
+  void LogRefusal(const proxy::Request& request, std::string_view reason);
+
   ForwardContext& context_;
 };
 
--- a/briarspread/forward/configuration.h
+++ b/briarspread/forward/configuration.h
@@ -60,12 +60,17 @@
   milliseconds item_time_to_live{0};
   /// Batch jobs: each sample is to be made by one version of the weights.
   bool wants_single_version = false;
+
+  /// Whether its requests may run more than once.
+  bool is_idempotent() const {
+    return kind == RouteKind::kIdempotent ||
+           (kind == RouteKind::kStream && is_resumable);
+  }
 };
 
 /// A kind of upstream.
 struct Service {
   ServiceName name;
-  std::uint32_t max_connections = 0;
   /// Models that its upstreams run; empty for a plain service.
   std::vector<ModelName> models;
   /// Tokens that the memory of one upstream holds; zero where not known.
--- /dev/null
+++ b/briarspread/forward/crash_guard.cc
@@ -0,0 +1,76 @@
+#include "briarspread/forward/crash_guard.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+#include "briarspread/core/rendezvous.h"
+
+namespace briarspread::forward {
+namespace {
+
+/// Reports told at once; the newest go first.
+constexpr std::size_t kDigestItems = 64;
+
+}  // namespace
+
+Fingerprint FingerprintOf(std::string_view host, std::string_view target,
+                          std::string_view body) {
+  return Fingerprint(StableHash(body, StableHash(target, StableHash(host))));
+}
+
+Fingerprint FingerprintOf(const proxy::Request& request) {
+  const std::string* host = request.head.headers.Find("Host");
+  return FingerprintOf(host == nullptr ? std::string_view{} : *host,
+                       request.head.target, request.body);
+}
+
+CrashGuard::CrashGuard(const CrashGuardSettings& settings,
+                       const ProcessId& self, const Clock& clock)
+    : settings_(settings),
+      clock_(clock),
+      table_(settings.suspects, self, clock) {}
+
+bool CrashGuard::MustRefuse(Fingerprint request) const {
+  return has_suspects() && table_.DeathsOf(request) >= settings_.max_deaths;
+}
+
+void CrashGuard::DropOld() {
+  const TimePoint oldest = clock_.Now() - settings_.confirm_time;
+  while (!broken_.empty() && (broken_.front().at < oldest ||
+                              broken_.size() > settings_.max_pending)) {
+    broken_.pop_front();
+  }
+}
+
+void CrashGuard::NoteBroken(const UpstreamId& upstream, Fingerprint request) {
+  broken_.push_back(Broken{upstream, request, clock_.Now()});
+  DropOld();
+}
+
+void CrashGuard::NoteAnswered(Fingerprint request) {
+  if (has_suspects()) table_.Clear(request);
+}
+
+void CrashGuard::NoteEnded(const UpstreamId& upstream, std::uint64_t start_id) {
+  DropOld();
+  std::vector<Fingerprint> in_flight;
+  for (const Broken& it : broken_) {
+    if (it.upstream == upstream) in_flight.push_back(it.request);
+  }
+  if (in_flight.empty()) return;
+  std::erase_if(broken_, [&upstream](const Broken& it) {
+    return it.upstream == upstream;
+  });
+  LOG(WARNING) << "event=upstream_died upstream=" << upstream
+               << " requests=" << in_flight.size();
+  table_.OnDeath(UpstreamId(upstream.value() + "@" + std::to_string(start_id)),
+                 in_flight);
+  if (on_death_) on_death_();
+}
+
+SuspectDigest CrashGuard::Digest() const { return table_.Digest(kDigestItems); }
+
+void CrashGuard::Merge(const SuspectDigest& digest) { table_.Merge(digest); }
+
+}  // namespace briarspread::forward
--- a/briarspread/forward/forward_context.h
+++ b/briarspread/forward/forward_context.h
@@ -6,6 +6,7 @@
 #include "briarspread/core/clock.h"
 #include "briarspread/core/random_source.h"
 #include "briarspread/forward/configuration.h"
+#include "briarspread/forward/crash_guard.h"
 #include "briarspread/forward/exchange_headers.h"
 #include "briarspread/forward/forward_metrics.h"
 #include "briarspread/forward/upstream_directory.h"
@@ -24,6 +25,7 @@
   UpstreamDirectory& directory;
   Router& router;
   proxy::ConnectionPool& pool;
+  CrashGuard& crashes;
   ForwardMetrics& metrics;
 };
 
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -17,6 +17,8 @@
 /// When a refused caller is to come back, in seconds.
 constexpr char kRetryAfterSeconds[] = "0.2";
 
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
 }  // namespace
 
 LiveRequest::LiveRequest(ForwardContext& context, LiveRequestSpec spec,
@@ -24,8 +26,20 @@
     : context_(context),
       spec_(std::move(spec)),
       sink_(sink),
-      policy_(AttemptSettings{}, spec_.route.kind, spec_.route.max_attempts),
-      timer_(context.loop) {}
+      policy_(AttemptSettings{}, spec_.route.is_idempotent(),
+              spec_.route.max_attempts),
+      timer_(context.loop) {
+  if (spec_.route.kind == RouteKind::kStream && spec_.route.is_resumable) {
+    relay_.emplace(
+        spec_.request.head.headers.FindNumber(context_.headers.last_event_id));
+  }
+}
+
+std::string_view LiveRequest::Id() const {
+  const std::string* id =
+      spec_.request.head.headers.Find(context_.headers.attempt_id);
+  return id == nullptr ? std::string_view{"-"} : std::string_view{*id};
+}
 
 void LiveRequest::Start() {
   self_ = shared_from_this();
@@ -47,10 +61,9 @@
   static const RuleSet no_rules;
   const RoutingTable& table = context_.directory.table();
   auto index = context_.router.Choose(wanted, table, no_rules);
-  if (!index.has_value() && !tried_.empty() &&
-      spec_.route.kind == RouteKind::kIdempotent) {
-    // All were tried once; the one tried first has had the most time.
-    wanted.excluded.erase(wanted.excluded.begin());
+  if (!index.has_value() && !tried_.empty() && spec_.route.is_idempotent()) {
+    // All were tried; the one tried longest ago has had the most time.
+    wanted.excluded = TriedLately();
     index = context_.router.Choose(wanted, table, no_rules);
   }
   if (!index.has_value()) return std::nullopt;
@@ -61,16 +74,41 @@
   return UpstreamId(view.listed.name);
 }
 
+std::vector<UpstreamId> LiveRequest::TriedLately() const {
+  std::vector<UpstreamId> lately;
+  for (auto it = tried_.rbegin(); it != tried_.rend(); ++it) {
+    if (std::find(lately.begin(), lately.end(), *it) == lately.end()) {
+      lately.push_back(*it);
+    }
+  }
+  lately.pop_back();
+  return lately;
+}
+
 std::string LiveRequest::MakeBytes(const UpstreamId& upstream,
                                    milliseconds left) const {
   proxy::RequestHead head = spec_.request.head;
   head.headers.RemoveHopByHop();
   head.headers.Set(context_.headers.deadline, std::to_string(left.count()));
   head.headers.Set(context_.headers.expected_upstream, upstream.value());
+  if (relay_.has_value() && relay_->last_event_id().has_value()) {
+    head.headers.Set(context_.headers.last_event_id,
+                     std::to_string(*relay_->last_event_id()));
+  }
   return proxy::Serialize(head, spec_.request.body);
 }
 
+bool LiveRequest::MayBeSent() const {
+  const CrashGuard& crashes = context_.crashes;
+  return !crashes.has_suspects() ||
+         !crashes.MustRefuse(FingerprintOf(spec_.request));
+}
+
 void LiveRequest::Attempt() {
+  if (!MayBeSent()) {
+    Refuse("crashes_upstreams");
+    return;
+  }
   const ServiceName service =
       ChooseBackend(spec_.route, context_.random.Next());
   const auto chosen = ChooseUpstream(service);
@@ -80,12 +118,18 @@
   }
   const KnownUpstream* upstream = context_.directory.Find(*chosen);
   if (!tried_.empty()) ++context_.metrics.retries;
+  if (is_streaming_) ++context_.metrics.resumed_streams;
   upstream_ = *chosen;
   tried_.push_back(*chosen);
   counters_ = upstream->counters;
   counters_->in_flight.fetch_add(1);
   attempt_started_ = context_.clock.Now();
+  if (tried_.size() == 1) {
+    context_.metrics.wait_time.Record(
+        SecondsOf(attempt_started_ - spec_.arrived));
+  }
   answer_ = {};
+  passes_on_ = false;
   proxy::ExchangeOrder order;
   const milliseconds left = Left();
   order.to = upstream->listed.endpoint;
@@ -102,12 +146,15 @@
 
 void LiveRequest::EndAttempt() {
   exchange_.reset();
-  if (counters_ != nullptr) counters_->in_flight.fetch_sub(1);
+  if (counters_ == nullptr) return;
+  counters_->in_flight.fetch_sub(1);
   counters_.reset();
+  context_.metrics.upstream_time.Record(
+      SecondsOf(context_.clock.Now() - attempt_started_));
 }
 
 bool LiveRequest::IsUnsigned(const proxy::ResponseHead& head) const {
-  return head.status >= 200 && head.status < 300 &&
+  return IsSuccess(head.status) && !context_.headers.signature.empty() &&
          head.headers.Find(context_.headers.signature) == nullptr;
 }
 
@@ -127,18 +174,38 @@
     TakeFailure(Verdict::kMayHaveRun, "unsigned");
     return;
   }
-  if (spec_.route.kind == RouteKind::kStream && !IsNotRun(head)) {
+  if (spec_.route.kind != RouteKind::kStream || !IsSuccess(head.status)) return;
+  if (is_streaming_) {
+    passes_on_ = true;
+  } else {
     StartStreaming();
   }
 }
 
 void LiveRequest::OnBody(std::string_view data) {
-  if (!is_streaming_) {
+  if (!passes_on_) {
     answer_.body.append(data);
-    if (answer_.body.size() <= kMaxHeldBytes) return;
+    // The failure of an upstream that was to go on with a stream is not shown.
+    if (is_streaming_ || answer_.body.size() <= kMaxHeldBytes) return;
     StartStreaming();
     data = answer_.body;
   }
+  if (!relay_.has_value()) {
+    PassOn(data);
+    return;
+  }
+  std::string events;
+  const bool is_fine =
+      relay_->Take(data, events) == StreamRelay::Outcome::kFine;
+  if (!events.empty()) PassOn(events);
+  if (is_fine || self_ == nullptr || exchange_ == nullptr) return;
+  exchange_->Cancel();
+  EndAttempt();
+  relay_->Restart();
+  TakeFailure(Verdict::kMayHaveRun, "event_missing");
+}
+
+void LiveRequest::PassOn(std::string_view data) {
   sink_.OnAnswerBody(data);
   if (self_ != nullptr && exchange_ != nullptr && sink_.unsent() > kHighWater) {
     exchange_->SetPaused(true);
@@ -147,6 +214,7 @@
 
 void LiveRequest::StartStreaming() {
   is_streaming_ = true;
+  passes_on_ = true;
   sink_.OnAnswerHead(answer_.head);
 }
 
@@ -156,10 +224,8 @@
 
 void LiveRequest::OnEnd() {
   EndAttempt();
-  if (is_streaming_) {
-    context_.directory.NoteSuccess(*upstream_);
-    sink_.OnAnswerEnd();
-    Finish();
+  if (passes_on_) {
+    OnStreamEnd();
     return;
   }
   const int status = answer_.head.status;
@@ -168,24 +234,46 @@
     return;
   }
   context_.directory.NoteSuccess(*upstream_);
+  if (context_.crashes.has_suspects()) {
+    context_.crashes.NoteAnswered(FingerprintOf(spec_.request));
+  }
   if (status == 500) ++upstream_errors_;
-  if (status >= 500 && spec_.route.kind == RouteKind::kIdempotent) {
-    failure_answer_ = std::move(answer_);
+  const bool may_differ = status >= 500 && spec_.route.is_idempotent();
+  if (may_differ || is_streaming_) {
+    if (!is_streaming_) failure_answer_ = std::move(answer_);
     TakeFailure(Verdict::kMayHaveRun, "upstream_error");
     return;
   }
   Answer(std::move(answer_));
 }
 
+void LiveRequest::OnStreamEnd() {
+  if (relay_.has_value() && relay_->has_partial()) {
+    // It stopped midway in an event, though its connection ended in order.
+    relay_->Restart();
+    TakeFailure(Verdict::kMayHaveRun, "event_cut");
+    return;
+  }
+  context_.directory.NoteSuccess(*upstream_);
+  NoteAnswer(answer_.head.status);
+  sink_.OnAnswerEnd();
+  Finish();
+}
+
 void LiveRequest::OnFailure(const proxy::ExchangeFailure& failure) {
   EndAttempt();
+  if (failure.verdict == Verdict::kMayHaveRun) {
+    context_.crashes.NoteBroken(*upstream_, FingerprintOf(spec_.request));
+  }
   ++context_.metrics.faults[std::string(ToString(failure.fault))];
   if (!failure.was_kept_connection) {
     context_.directory.NoteFailure(*upstream_);
   }
-  if (is_streaming_) {
-    sink_.OnAnswerBroken();
-    Finish();
+  if (relay_.has_value()) {
+    relay_->Restart();
+  } else if (is_streaming_) {
+    policy_.Note(failure.verdict);
+    BreakAnswer();
     return;
   }
   TakeFailure(failure.verdict, ToString(failure.fault));
@@ -193,9 +281,11 @@
 
 void LiveRequest::TakeFailure(Verdict verdict, std::string_view reason) {
   policy_.Note(verdict);
-  LOG(INFO) << "event=attempt_failed upstream=" << *upstream_
-            << " reason=" << reason << " verdict=" << ToString(verdict)
-            << " attempts=" << tried_.size();
+  LOG(WARNING) << "event=attempt_failed request=" << Id()
+               << " route=" << spec_.route.name << " upstream=" << *upstream_
+               << " reason=" << reason << " verdict=" << ToString(verdict)
+               << " attempts=" << tried_.size()
+               << " ms_left=" << Left().count();
   if (policy_.MayTryAgain(Left())) {
     Attempt();
     return;
@@ -203,7 +293,19 @@
   Refuse(reason);
 }
 
+void LiveRequest::BreakAnswer() {
+  LOG(WARNING) << "event=answer_broken request=" << Id()
+               << " route=" << spec_.route.name << " upstream=" << *upstream_
+               << " attempts=" << tried_.size();
+  sink_.OnAnswerBroken();
+  Finish();
+}
+
 void LiveRequest::Refuse(std::string_view reason) {
+  if (is_streaming_) {
+    BreakAnswer();
+    return;
+  }
   if (failure_answer_.has_value()) {
     Answer(*std::exchange(failure_answer_, std::nullopt));
     return;
@@ -214,10 +316,13 @@
       "{\"error\":\"" + std::string(reason) + "\",\"verdict\":\"" +
           std::string(ToString(policy_.verdict())) + "\"}");
   if (is_not_run) response.head.headers.Add("Retry-After", kRetryAfterSeconds);
-  LOG(INFO) << "event=refused route=" << spec_.route.name
-            << " reason=" << reason << " status=" << response.head.status
-            << " attempts=" << tried_.size();
-  if (tried_.empty()) ++context_.metrics.refused;
+  LOG(WARNING) << "event=refused request=" << Id()
+               << " route=" << spec_.route.name << " reason=" << reason
+               << " status=" << response.head.status
+               << " attempts=" << tried_.size()
+               << " upstreams=" << context_.directory.all().size()
+               << " ms_left=" << Left().count();
+  ++context_.metrics.refusals[std::string(reason)];
   Answer(std::move(response));
 }
 
@@ -235,18 +340,31 @@
     Answer(*std::exchange(failure_answer_, std::nullopt));
     return;
   }
-  LOG(INFO) << "event=timed_out route=" << spec_.route.name
-            << " attempts=" << tried_.size();
+  LOG(WARNING) << "event=timed_out request=" << Id()
+               << " route=" << spec_.route.name << " upstream="
+               << (upstream_.has_value() ? upstream_->value() : "-")
+               << " attempts=" << tried_.size();
   const bool is_not_run = policy_.verdict() == Verdict::kNotRun;
   Answer(
       proxy::MakeResponse(is_not_run ? 503 : 504, "{\"error\":\"timed_out\"}"));
 }
 
+void LiveRequest::NoteAnswer(int status) {
+  const Duration taken = context_.clock.Now() - spec_.arrived;
+  RouteMetrics& metrics = context_.metrics.routes[spec_.route.name];
+  ++metrics.answers[status];
+  metrics.in_goal += IsSuccess(status) && taken <= spec_.route.latency_goal;
+  metrics.latency.Record(SecondsOf(taken));
+  LOG(INFO) << "event=answered request=" << Id()
+            << " route=" << spec_.route.name << " status=" << status
+            << " upstream="
+            << (upstream_.has_value() ? upstream_->value() : "-")
+            << " attempts=" << tried_.size() << " ms="
+            << std::chrono::duration_cast<milliseconds>(taken).count();
+}
+
 void LiveRequest::Answer(proxy::Response response) {
-  ++context_.metrics.answers[response.head.status];
-  context_.metrics.latency.Record(
-      std::chrono::duration<double>(context_.clock.Now() - spec_.arrived)
-          .count());
+  NoteAnswer(response.head.status);
   const auto keep = self_;
   sink_.OnAnswer(std::move(response));
   Finish();
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -10,6 +10,7 @@
 #include "briarspread/fleet/loop_timer.h"
 #include "briarspread/forward/attempt_policy.h"
 #include "briarspread/forward/forward_context.h"
+#include "briarspread/forward/stream_relay.h"
 #include "briarspread/proxy/request_handler.h"
 
 namespace briarspread::forward {
@@ -67,10 +68,19 @@
  private:
   void Attempt();
   std::optional<UpstreamId> ChooseUpstream(const ServiceName& service);
+  /// Upstreams tried, but for the one tried longest ago. Precondition: one was.
+  std::vector<UpstreamId> TriedLately() const;
   std::string MakeBytes(const UpstreamId& upstream, milliseconds left) const;
+  bool MayBeSent() const;
+  std::string_view Id() const;
+  void NoteAnswer(int status);
   void EndAttempt();
   void TakeFailure(Verdict verdict, std::string_view reason);
   void StartStreaming();
+  /// Passes part of the answer on; pauses the upstream where the maker lags.
+  void PassOn(std::string_view data);
+  void BreakAnswer();
+  void OnStreamEnd();
   void OnDeadline();
   void Refuse(std::string_view reason);
   void Answer(proxy::Response response);
@@ -96,7 +106,12 @@
   /// An upstream's own failure, given to the caller where nothing better comes.
   std::optional<proxy::Response> failure_answer_;
   std::uint32_t upstream_errors_ = 0;
+  /// The answer's head was passed on.
   bool is_streaming_ = false;
+  /// What comes from the upstream now is passed on.
+  bool passes_on_ = false;
+  /// Set for a stream that may go on at another upstream.
+  std::optional<StreamRelay> relay_;
 };
 
 }  // namespace briarspread::forward
--- /dev/null
+++ b/briarspread/forward/stream_relay.cc
@@ -0,0 +1,31 @@
+#include "briarspread/forward/stream_relay.h"
+
+namespace briarspread::forward {
+namespace {
+
+proxy::EventStreamReader RawReader() {
+  // Versions of weights are the caller's matter here.
+  return proxy::EventStreamReader("", true);
+}
+
+}  // namespace
+
+StreamRelay::StreamRelay(std::optional<std::uint64_t> last_event_id)
+    : last_event_id_(last_event_id), reader_(RawReader()) {}
+
+void StreamRelay::Restart() { reader_.Reset(); }
+
+StreamRelay::Outcome StreamRelay::Take(std::string_view bytes,
+                                       std::string& out) {
+  for (const proxy::StreamEvent& event : reader_.Feed(bytes)) {
+    if (event.id.has_value() && last_event_id_.has_value()) {
+      if (*event.id <= *last_event_id_) continue;
+      if (*event.id != *last_event_id_ + 1) return Outcome::kGap;
+    }
+    if (event.id.has_value()) last_event_id_ = event.id;
+    out += event.raw;
+  }
+  return Outcome::kFine;
+}
+
+}  // namespace briarspread::forward
--- a/briarspread/forward/upstream_directory.cc
+++ b/briarspread/forward/upstream_directory.cc
@@ -118,10 +118,10 @@
 void UpstreamDirectory::Drop(const UpstreamId& id) {
   const auto it = known_.find(id);
   if (it == known_.end()) return;
-  const Endpoint endpoint = it->second.listed.endpoint;
+  const DiscoveredUpstream listed = std::move(it->second.listed);
   known_.erase(it);
   table_.reset();
-  if (on_gone_) on_gone_(endpoint);
+  if (on_gone_) on_gone_(listed);
 }
 
 void UpstreamDirectory::DropExpired() {
@@ -183,6 +183,15 @@
   }
 }
 
+Duration UpstreamDirectory::OldestLoadAge() const {
+  Duration oldest{0};
+  for (const auto& [id, upstream] : known_) {
+    if (upstream.load.received == TimePoint{}) continue;
+    oldest = std::max<Duration>(oldest, clock_.Now() - upstream.load.received);
+  }
+  return oldest;
+}
+
 void UpstreamDirectory::NoteVersion(const UpstreamId& id,
                                     const ModelName& model,
                                     WeightVersion version) {
--- a/briarspread/forward/upstream_directory.h
+++ b/briarspread/forward/upstream_directory.h
@@ -73,8 +73,8 @@
 /// load and health. Loop's thread only.
 class UpstreamDirectory final {
  public:
-  /// Called with the endpoint of an upstream that is gone.
-  using OnGone = std::function<void(const Endpoint&)>;
+  /// Called with an upstream that is gone.
+  using OnGone = std::function<void(const DiscoveredUpstream&)>;
 
   /// Precondition: `clock` outlives this object.
   UpstreamDirectory(const UpstreamDirectorySettings& settings,
@@ -98,6 +98,10 @@
   /// The table that routers choose from, current in members and load.
   const RoutingTable& table();
 
+  /// How long ago the upstream heard of longest ago told its load; zero where
+  /// none has.
+  Duration OldestLoadAge() const;
+
   /// Notes what an answer said of the load: `running,queued,slots`. Malformed
   /// text changes nothing.
   void NoteLoad(const UpstreamId& id, const std::string& text);
--- a/briarspread/observe/json_log_sink.cc
+++ b/briarspread/observe/json_log_sink.cc
@@ -76,11 +76,13 @@
   const std::string_view text(message, message_len);
   const std::lock_guard lock(mutex_);
   const TimePoint now = clock_.Now();
-  const double elapsed = std::chrono::duration<double>(now - refilled_).count();
+  const double elapsed = SecondsOf(now - refilled_);
   refilled_ = now;
   tokens_ =
       std::min(settings_.burst, tokens_ + elapsed * settings_.lines_per_second);
-  if (tokens_ < 1 || held_.size() > settings_.max_held_bytes) {
+  const double kept =
+      severity >= google::GLOG_WARNING ? 0 : settings_.kept_for_failures;
+  if (tokens_ < 1 + kept || held_.size() > settings_.max_held_bytes) {
     ++dropped_;
     return;
   }
--- a/briarspread/observe/json_log_sink.h
+++ b/briarspread/observe/json_log_sink.h
@@ -17,6 +17,9 @@
   /// Lines a second, and at once.
   double lines_per_second = 100;
   double burst = 400;
+  /// Of these, kept for warnings and errors, so that lines of what went well
+  /// are dropped first.
+  double kept_for_failures = 100;
   /// Bytes held while standard output takes none.
   std::size_t max_held_bytes = std::size_t{256} * 1024;
 };
--- /dev/null
+++ b/briarspread/observe/log_trace.cc
@@ -0,0 +1,120 @@
+#include "briarspread/observe/log_trace.h"
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+
+namespace briarspread {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+/// Fields that name what a line is about.
+constexpr const char* kIdFields[] = {"request", "item", "job", "group",
+                                     "upstream"};
+
+std::string FieldOf(const LogLine& line, const char* name) {
+  const auto it = line.fields.find(name);
+  if (it == line.fields.end() || !it->is_string()) return {};
+  return it->get<std::string>();
+}
+
+bool Names(const LogLine& line, const std::string& id) {
+  return std::any_of(
+      std::begin(kIdFields), std::end(kIdFields),
+      [&](const char* field) { return FieldOf(line, field) == id; });
+}
+
+/// Whether a line tells of a whole job, not of one of its items or groups.
+bool IsOfJob(const LogLine& line, const std::set<std::string>& jobs) {
+  return jobs.contains(FieldOf(line, "job")) && FieldOf(line, "item").empty() &&
+         FieldOf(line, "group").empty() && FieldOf(line, "upstream").empty();
+}
+
+/// Whether a line tells of what an instance depends on.
+bool IsOfDependency(const LogLine& line, const std::set<std::string>& upstreams,
+                    const std::set<std::string>& instances) {
+  static const std::set<std::string> store_events = {"store_lost", "store_back",
+                                                     "store_unreachable"};
+  if (store_events.contains(line.event)) {
+    return instances.contains(line.instance);
+  }
+  return line.event == "upstream_died" &&
+         upstreams.contains(FieldOf(line, "upstream"));
+}
+
+bool IsEarlier(const LogLine& a, const LogLine& b) {
+  return a.time_ms < b.time_ms;
+}
+
+}  // namespace
+
+void ReadLogLines(std::istream& in, CollectedLogs& logs) {
+  for (std::string text; std::getline(in, text);) {
+    const std::size_t start = text.find('{');
+    Json json =
+        start == std::string::npos
+            ? Json()
+            : Json::parse(text.begin() + static_cast<std::ptrdiff_t>(start),
+                          text.end(), nullptr, false);
+    const bool is_line = json.is_object() && json.contains("time_ms") &&
+                         json["time_ms"].is_number_integer();
+    if (!is_line) {
+      ++logs.skipped;
+      continue;
+    }
+    LogLine line;
+    line.time_ms = json["time_ms"].get<std::int64_t>();
+    line.fields = std::move(json);
+    line.instance = FieldOf(line, "instance");
+    line.event = FieldOf(line, "event");
+    logs.lines.push_back(std::move(line));
+  }
+}
+
+std::vector<LogLine> FollowId(const CollectedLogs& logs,
+                              const std::string& id) {
+  std::set<std::string> jobs;
+  std::set<std::string> upstreams;
+  std::set<std::string> instances;
+  std::int64_t first = 0;
+  std::int64_t last = -1;
+  for (const LogLine& line : logs.lines) {
+    if (!Names(line, id)) continue;
+    if (last < 0) first = line.time_ms;
+    first = std::min(first, line.time_ms);
+    last = std::max(last, line.time_ms);
+    instances.insert(line.instance);
+    for (auto& [field, found] :
+         {std::pair{"job", &jobs}, std::pair{"upstream", &upstreams}}) {
+      const std::string value = FieldOf(line, field);
+      if (!value.empty()) found->insert(value);
+    }
+  }
+  std::vector<LogLine> way;
+  for (const LogLine& line : logs.lines) {
+    const bool is_meanwhile = line.time_ms >= first && line.time_ms <= last;
+    if (Names(line, id) || IsOfJob(line, jobs) ||
+        (is_meanwhile && IsOfDependency(line, upstreams, instances))) {
+      way.push_back(line);
+    }
+  }
+  std::stable_sort(way.begin(), way.end(), IsEarlier);
+  return way;
+}
+
+std::string FormatForPeople(const LogLine& line, std::int64_t first_ms) {
+  static const std::set<std::string> shown_elsewhere = {"time_ms", "instance",
+                                                        "event"};
+  std::ostringstream out;
+  out << "+" << line.time_ms - first_ms << " ms  " << line.instance << "  "
+      << line.event;
+  for (const auto& [name, value] : line.fields.items()) {
+    if (shown_elsewhere.contains(name)) continue;
+    out << "  " << name << "="
+        << (value.is_string() ? value.get<std::string>() : value.dump());
+  }
+  return out.str();
+}
+
+}  // namespace briarspread
--- a/briarspread/batch/event_stream_reader.cc
+++ b/briarspread/proxy/event_stream_reader.cc
@@ -1,13 +1,13 @@
-#include "briarspread/batch/event_stream_reader.h"
+#include "briarspread/proxy/event_stream_reader.h"
 
 #include <utility>
 
 #include "briarspread/proxy/http_message.h"
 
-namespace briarspread::batch {
+namespace briarspread::proxy {
 
-EventStreamReader::EventStreamReader(std::string version_field)
-    : version_field_(std::move(version_field)) {}
+EventStreamReader::EventStreamReader(std::string version_field, bool keeps_raw)
+    : version_field_(std::move(version_field)), keeps_raw_(keeps_raw) {}
 
 std::vector<StreamEvent> EventStreamReader::Feed(std::string_view bytes) {
   std::vector<StreamEvent> events;
@@ -16,6 +16,7 @@
     line_.append(bytes.substr(0, end));
     if (end == std::string_view::npos) break;
     bytes.remove_prefix(end + 1);
+    if (keeps_raw_) event_.raw.append(line_).push_back('\n');
     if (!line_.empty() && line_.back() == '\r') line_.pop_back();
     TakeLine(events);
     line_.clear();
@@ -23,6 +24,12 @@
   return events;
 }
 
+void EventStreamReader::Reset() {
+  line_.clear();
+  event_ = {};
+  has_field_ = false;
+}
+
 void EventStreamReader::TakeLine(std::vector<StreamEvent>& events) {
   if (line_.empty()) {
     if (has_field_) events.push_back(std::exchange(event_, {}));
@@ -43,11 +50,11 @@
     event_.has_data = true;
     event_.data.append(value);
   } else if (name == "id") {
-    event_.id = proxy::ParseNumber(value);
-  } else if (proxy::IsSameName(name, version_field_)) {
-    const auto version = proxy::ParseNumber(value);
+    event_.id = ParseNumber(value);
+  } else if (IsSameName(name, version_field_)) {
+    const auto version = ParseNumber(value);
     if (version.has_value()) event_.version = WeightVersion(*version);
   }
 }
 
-}  // namespace briarspread::batch
+}  // namespace briarspread::proxy
--- a/briarspread/batch/event_stream_reader.h
+++ b/briarspread/proxy/event_stream_reader.h
@@ -1,5 +1,5 @@
-#ifndef BRIARSPREAD_BATCH_EVENT_STREAM_READER_H_
-#define BRIARSPREAD_BATCH_EVENT_STREAM_READER_H_
+#ifndef BRIARSPREAD_PROXY_EVENT_STREAM_READER_H_
+#define BRIARSPREAD_PROXY_EVENT_STREAM_READER_H_
 
 #include <cstdint>
 #include <optional>
@@ -9,7 +9,7 @@
 
 #include "briarspread/core/ids.h"
 
-namespace briarspread::batch {
+namespace briarspread::proxy {
 
 /// One whole event of a stream.
 struct StreamEvent {
@@ -19,6 +19,8 @@
   bool has_data = false;
   /// The version of the weights from this event on, where it changes here.
   std::optional<WeightVersion> version;
+  /// The bytes as they came, where the reader keeps them.
+  std::string raw;
 };
 
 /// Cuts a `text/event-stream` into events. An event counts once its empty line
@@ -26,10 +28,13 @@
 class EventStreamReader final {
  public:
   /// `version_field` names the field that tells a change of version.
-  explicit EventStreamReader(std::string version_field);
+  /// `keeps_raw` fills `StreamEvent::raw`.
+  explicit EventStreamReader(std::string version_field, bool keeps_raw = false);
 
   /// Takes bytes and returns the events that they complete.
   std::vector<StreamEvent> Feed(std::string_view bytes);
+  /// Drops what is held of an event; another stream follows.
+  void Reset();
   /// Whether bytes of an event without its end are held.
   bool has_partial() const { return !line_.empty() || has_field_; }
 
@@ -37,12 +42,13 @@
   void TakeLine(std::vector<StreamEvent>& events);
 
   const std::string version_field_;
+  const bool keeps_raw_;
   /// The line being read.
   std::string line_;
   StreamEvent event_;
   bool has_field_ = false;
 };
 
-}  // namespace briarspread::batch
+}  // namespace briarspread::proxy
 
-#endif  // BRIARSPREAD_BATCH_EVENT_STREAM_READER_H_
+#endif  // BRIARSPREAD_PROXY_EVENT_STREAM_READER_H_
--- a/briarspread/rollout/trainer_share.cc
+++ b/briarspread/rollout/trainer_share.cc
@@ -6,9 +6,7 @@
 namespace briarspread {
 namespace {
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
+double Seconds(Duration duration) { return SecondsOf(duration); }
 
 template <typename Less>
 std::size_t IndexOfLeast(std::span<const ShareClaim> claims, const Less& less) {
--- a/tests/batch/job_runner_test.cc
+++ b/tests/batch/job_runner_test.cc
@@ -363,5 +363,41 @@
   }
 }
 
+TEST_CASE("an item that crashes engines at once is held after the third") {
+  World world;
+  FakeUpstream crashes(
+      world.loop, [](const proxy::Request&, const ResponderPtr& responder) {
+        responder->Abort();
+      });
+  for (int i = 0; i < 3; ++i) {
+    world.AddEngine("e" + std::to_string(i), crashes);
+  }
+  std::size_t runs = 0;
+  REQUIRE(world.Accept(World::Spec()));
+  for (int i = 0; i < 3; ++i) {
+    world.AwaitStore([&] { return crashes.requests.size() > runs; });
+    world.AwaitStore([&] { return world.runner.running_count() == 0; });
+    runs = crashes.requests.size();
+    // The engines that it broke at are seen to have ended.
+    for (int k = 0; k < 3; ++k) {
+      world.crashes.NoteEnded(UpstreamId("e" + std::to_string(k)),
+                              static_cast<std::uint64_t>(i));
+    }
+    world.directory.Remove({UpstreamId("e" + std::to_string(i))});
+  }
+  FakeUpstream sound(world.loop, world.Makes(3));
+  world.AddEngine("sound", sound);
+  // Another job's item runs there, and this one does not.
+  JobSpec other = World::Spec();
+  other.id = JobId("other");
+  other.items[0].path = "/p/y";
+  REQUIRE(world.Accept(other));
+  world.AwaitStore([&] {
+    return !sound.requests.empty() && world.runner.running_count() == 0;
+  });
+  REQUIRE(sound.requests.size() == 1);
+  REQUIRE(sound.requests[0].head.target == "/p/y");
+}
+
 }  // namespace
 }  // namespace briarspread::batch
--- a/tests/batch/ledger_test.cc
+++ b/tests/batch/ledger_test.cc
@@ -1,18 +1,18 @@
 #include <catch2/catch.hpp>
 
 #include "briarspread/batch/carry_cache.h"
-#include "briarspread/batch/event_stream_reader.h"
 #include "briarspread/batch/job_checkpoint.h"
 #include "briarspread/batch/job_handover.h"
 #include "briarspread/batch/job_ledger.h"
+#include "briarspread/proxy/event_stream_reader.h"
 
 namespace briarspread::batch {
 namespace {
 
 const TimePoint kNow{};
 
-StreamEvent Event(std::uint64_t id, const std::string& data) {
-  StreamEvent event;
+proxy::StreamEvent Event(std::uint64_t id, const std::string& data) {
+  proxy::StreamEvent event;
   event.id = id;
   event.data = data;
   event.has_data = true;
@@ -46,7 +46,7 @@
 }
 
 void Complete(JobLedger& ledger, std::size_t i, TimePoint now = kNow) {
-  ledger.StartRun(i);
+  ledger.StartRun(i, now);
   ledger.AddEvent(i, Event(1, "x"), WeightVersion(4));
   ledger.RunComplete(i, now);
 }
@@ -56,9 +56,9 @@
       ":comment\r\nid: 1\r\ndata: a\r\ndata: b\r\n\r\n"
       "X-Weights: 7\nid: 2\ndata:c\n\nid: 3\ndata: lost";
   for (std::size_t cut = 1; cut < stream.size(); ++cut) {
-    EventStreamReader reader("x-weights");
+    proxy::EventStreamReader reader("x-weights");
     auto events = reader.Feed(stream.substr(0, cut));
-    for (StreamEvent& event : reader.Feed(stream.substr(cut))) {
+    for (proxy::StreamEvent& event : reader.Feed(stream.substr(cut))) {
       events.push_back(std::move(event));
     }
     REQUIRE(events.size() == 2);
@@ -139,14 +139,14 @@
 
 TEST_CASE("an item is given up after its failures, or its time, not before") {
   JobLedger ledger(Spec(1, 3), Terms(), kNow);
-  ledger.StartRun(0);
+  ledger.StartRun(0, kNow);
   ledger.RunFailed(0, kNow);
   REQUIRE(ledger.item(0).phase == ItemPhase::kWaiting);
-  ledger.StartRun(0);
+  ledger.StartRun(0, kNow);
   ledger.RunFailed(0, kNow);
   REQUIRE(ledger.item(0).is_given_up);
 
-  ledger.StartRun(1);
+  ledger.StartRun(1, kNow);
   ledger.RunBroken(1, kNow);
   ledger.Expire(kNow + seconds(39));
   REQUIRE_FALSE(ledger.item(1).is_given_up);
@@ -284,5 +284,17 @@
   }
 }
 
+TEST_CASE("a group is told as complete with the last of its results only") {
+  JobLedger ledger(Spec(1, 2), Terms(), kNow);
+  Complete(ledger, 0);
+  const auto first = ledger.TakeDue(kNow, seconds(0));
+  ledger.MarkListed(first);
+  REQUIRE(ledger.GroupsCompletedBy(first).empty());
+  Complete(ledger, 1);
+  const auto second = ledger.TakeDue(kNow, seconds(0));
+  ledger.MarkListed(second);
+  REQUIRE(ledger.GroupsCompletedBy(second).size() == 1);
+}
+
 }  // namespace
 }  // namespace briarspread::batch
--- a/tests/contracts/suspect_table_test.cc
+++ b/tests/contracts/suspect_table_test.cc
@@ -185,5 +185,20 @@
   });
 }
 
+TEST_CASE("deaths are counted once each, and not after a whole answer") {
+  Fleet fleet(2);
+  SuspectTable& one = *fleet.tables[0];
+  one.OnDeath(UpstreamId("u1"), {kCulprit});
+  fleet.tables[1]->OnDeath(UpstreamId("u1"), {kCulprit});
+  fleet.Gossip();
+  REQUIRE(one.DeathsOf(kCulprit) == 1);
+  fleet.clock.Advance(SuspectSettings{}.same_death + seconds(1));
+  one.OnDeath(UpstreamId("u1"), {kCulprit, Fingerprint(2)});
+  REQUIRE(one.DeathsOf(kCulprit) == 2);
+  one.Clear(kCulprit);
+  REQUIRE(one.DeathsOf(kCulprit) == 0);
+  REQUIRE(one.DeathsOf(Fingerprint(2)) == 1);
+}
+
 }  // namespace
 }  // namespace briarspread::testing
--- a/tests/forward/configuration_test.cc
+++ b/tests/forward/configuration_test.cc
@@ -55,7 +55,7 @@
 
 TEST_CASE(
     "attempts end at the route's limit, and after one that may have run") {
-  AttemptPolicy idempotent({}, RouteKind::kIdempotent, 2);
+  AttemptPolicy idempotent({}, true, 2);
   REQUIRE(idempotent.MayTryAgain(seconds(1)));
   idempotent.Note(Verdict::kMayHaveRun);
   REQUIRE(idempotent.MayTryAgain(seconds(1)));
@@ -63,7 +63,7 @@
   idempotent.Note(Verdict::kMayHaveRun);
   REQUIRE_FALSE(idempotent.MayTryAgain(seconds(1)));
 
-  AttemptPolicy once({}, RouteKind::kOnce, 3);
+  AttemptPolicy once({}, false, 3);
   once.Note(Verdict::kNotRun);
   REQUIRE(once.MayTryAgain(seconds(1)));
   once.Note(Verdict::kMayHaveRun);
@@ -72,7 +72,7 @@
 
 // The load: every upstream is full and refuses at once.
 TEST_CASE("refusals without end do not keep a request going round") {
-  AttemptPolicy policy({}, RouteKind::kIdempotent, 2);
+  AttemptPolicy policy({}, true, 2);
   int tries = 0;
   while (policy.MayTryAgain(seconds(1))) {
     policy.Note(Verdict::kNotRun);
@@ -102,7 +102,8 @@
 TEST_CASE("one registration that goes is gone at once") {
   Directory d;
   Endpoint gone;
-  d.directory.SetOnGone([&](const Endpoint& endpoint) { gone = endpoint; });
+  d.directory.SetOnGone(
+      [&](const DiscoveredUpstream& listed) { gone = listed.endpoint; });
   d.directory.Remove({UpstreamId("a")});
   REQUIRE(d.size() == 3);
   REQUIRE(gone.port == 1);
--- /dev/null
+++ b/tests/forward/crash_guard_test.cc
@@ -0,0 +1,118 @@
+#include "briarspread/forward/crash_guard.h"
+
+#include <catch2/catch.hpp>
+
+#include "briarspread/fleet/peer_client.h"
+#include "briarspread/forward/suspect_exchange.h"
+#include "tests/forward/forward_world.h"
+#include "tests/support/manual_clock.h"
+
+namespace briarspread::forward {
+namespace {
+
+using briarspread::testing::ManualClock;
+
+const Fingerprint kCulprit(1);
+const Fingerprint kInnocent(2);
+
+UpstreamId Upstream(int n) { return UpstreamId("u" + std::to_string(n)); }
+
+struct Guarded {
+  explicit Guarded(const std::string& name = "one")
+      : guard(CrashGuardSettings{}, ProcessId{InstanceId(name), Incarnation(1)},
+              clock) {}
+  /// A request breaks at an upstream that then is seen to have ended.
+  void Crash(int upstream, Fingerprint request) {
+    guard.NoteBroken(Upstream(upstream), request);
+    guard.NoteEnded(Upstream(upstream), 1);
+  }
+  ManualClock clock;
+  CrashGuard guard;
+};
+
+TEST_CASE("a request that three upstreams died with is sent to none") {
+  Guarded one;
+  for (int i = 0; i < 2; ++i) one.Crash(i, kCulprit);
+  REQUIRE_FALSE(one.guard.MustRefuse(kCulprit));
+  one.Crash(2, kCulprit);
+  REQUIRE(one.guard.MustRefuse(kCulprit));
+  REQUIRE_FALSE(one.guard.MustRefuse(kInnocent));
+}
+
+TEST_CASE("a broken exchange alone says nothing of its request") {
+  Guarded one;
+  for (int i = 0; i < 9; ++i) one.guard.NoteBroken(Upstream(i), kInnocent);
+  REQUIRE_FALSE(one.guard.has_suspects());
+  // Its upstream ended long after.
+  one.clock.Advance(CrashGuardSettings{}.confirm_time + seconds(1));
+  for (int i = 0; i < 9; ++i) one.guard.NoteEnded(Upstream(i), 1);
+  REQUIRE_FALSE(one.guard.MustRefuse(kInnocent));
+}
+
+TEST_CASE("a whole answer clears a request of the deaths before it") {
+  Guarded one;
+  for (int i = 0; i < 3; ++i) {
+    one.guard.NoteBroken(Upstream(i), kInnocent);
+    one.Crash(i, kCulprit);
+    one.clock.Advance(seconds(20));
+    one.guard.NoteAnswered(kInnocent);
+  }
+  REQUIRE(one.guard.MustRefuse(kCulprit));
+  REQUIRE_FALSE(one.guard.MustRefuse(kInnocent));
+}
+
+TEST_CASE("one death that several instances report counts once") {
+  Guarded one("one");
+  Guarded two("two");
+  for (int i = 0; i < 2; ++i) {
+    one.Crash(i, kCulprit);
+    two.Crash(i, kCulprit);
+  }
+  one.guard.Merge(two.guard.Digest());
+  REQUIRE_FALSE(one.guard.MustRefuse(kCulprit));
+}
+
+TEST_CASE("deaths seen at different instances add up at all of them") {
+  ForwardWorld world;
+  PeerClient peers(world.loop);
+  Guarded one("one");
+  Guarded two("two");
+  struct Handler final : proxy::RequestHandler {
+    void OnRequest(proxy::Request request,
+                   std::shared_ptr<proxy::Responder> responder) override {
+      REQUIRE(exchange->TryAnswer(request, responder));
+    }
+    SuspectExchange* exchange = nullptr;
+  } handler;
+  proxy::HttpListener listener(world.loop, handler);
+  REQUIRE(IsOk(listener.Start(Endpoint{"127.0.0.1", 0})));
+  const Endpoint at{"127.0.0.1", listener.port()};
+  const SuspectExchangeSettings settings{milliseconds(1)};
+  SuspectExchange from_one(
+      world.loop, one.guard, peers, [at] { return std::vector{at}; }, settings);
+  SuspectExchange to_two(
+      world.loop, two.guard, peers, [] { return std::vector<Endpoint>{}; },
+      settings);
+  handler.exchange = &to_two;
+  two.Crash(0, kCulprit);
+  one.Crash(1, kCulprit);
+  one.Crash(2, kCulprit);
+  world.Await([&] { return two.guard.MustRefuse(kCulprit); });
+  REQUIRE_FALSE(one.guard.MustRefuse(kCulprit));
+}
+
+TEST_CASE("the same request is known whoever sends it, another is not") {
+  proxy::Request request;
+  request.head.target = "/a";
+  request.head.headers.Add("Host", "h");
+  request.head.headers.Add("Id", "1");
+  request.body = "body";
+  proxy::Request again = request;
+  again.head.headers.Set("Id", "2");
+  REQUIRE(FingerprintOf(request) == FingerprintOf(again));
+  again.body = "other";
+  REQUIRE(FingerprintOf(request) != FingerprintOf(again));
+}
+
+}  // namespace
+}  // namespace briarspread::forward
--- a/tests/forward/forward_world.h
+++ b/tests/forward/forward_world.h
@@ -47,8 +47,14 @@
         directory(UpstreamDirectorySettings{}, Locality{}, clock),
         router(TwoChoicesSettings{}, random, clock),
         pool(loop, proxy::UpstreamConnectionSettings{}),
+        crashes(CrashGuardSettings{},
+                ProcessId{InstanceId("self"), Incarnation(1)}, clock),
         context{loop,      clock,  random, headers, configuration,
-                directory, router, pool,   metrics} {}
+                directory, router, pool,   crashes, metrics} {
+    directory.SetOnGone([this](const DiscoveredUpstream& gone) {
+      if (!gone.is_leaving) crashes.NoteEnded(gone.id, gone.start_id);
+    });
+  }
 
   /// Registers an upstream of service `s`.
   void Add(const std::string& id, const FakeUpstream& upstream,
@@ -76,6 +82,7 @@
   UpstreamDirectory directory;
   TwoChoicesRouter router;
   proxy::ConnectionPool pool;
+  CrashGuard crashes;
   ForwardMetrics metrics;
   ForwardContext context;
 };
--- a/tests/forward/live_request_test.cc
+++ b/tests/forward/live_request_test.cc
@@ -43,7 +43,7 @@
 
 struct Sent {
   Sent(ForwardWorld& world, RouteKind kind, std::uint32_t max_attempts = 2,
-       milliseconds time = seconds(20))
+       milliseconds time = seconds(20), bool is_resumable = false)
       : world(world) {
     LiveRequestSpec spec;
     spec.request.head.method = "POST";
@@ -53,6 +53,7 @@
     spec.request.head.headers.Add(world.headers.deadline, "999999");
     spec.request.body = "body";
     spec.route.kind = kind;
+    spec.route.is_resumable = is_resumable;
     spec.route.max_attempts = max_attempts;
     spec.route.backends = {{ServiceName("s"), 1}};
     spec.arrived = world.clock.Now();
@@ -199,5 +200,112 @@
   REQUIRE_FALSE(sent.sink.answer.has_value());
 }
 
+/// An upstream of a stream of `last` events, which goes on after the last event
+/// that the request names; after `breaks_after` of them it breaks off midway.
+FakeUpstream::Answer Streams(const ExchangeHeaders& headers, std::uint64_t last,
+                             std::uint64_t breaks_after) {
+  return [&headers, last, breaks_after](const proxy::Request& request,
+                                        const ResponderPtr& responder) {
+    proxy::ResponseHead head;
+    head.status = 200;
+    head.headers.Add(headers.signature, "sig");
+    responder->Start(head);
+    const std::uint64_t from =
+        request.head.headers.FindNumber(headers.last_event_id).value_or(0) + 1;
+    for (std::uint64_t n = from; n <= last; ++n) {
+      const std::string event =
+          "id: " + std::to_string(n) + "\ndata: " + std::to_string(n) + "\n\n";
+      if (n == from + breaks_after) {
+        responder->Write(event.substr(0, event.size() / 2));
+        responder->SetOnDrained([responder] {
+          if (responder->unsent() == 0) responder->Abort();
+        });
+        return;
+      }
+      responder->Write(event);
+    }
+    responder->End();
+  };
+}
+
+std::string EventsUpTo(std::uint64_t last) {
+  std::string events;
+  for (std::uint64_t n = 1; n <= last; ++n) {
+    events +=
+        "id: " + std::to_string(n) + "\ndata: " + std::to_string(n) + "\n\n";
+  }
+  return events;
+}
+
+TEST_CASE("a stream that breaks goes on elsewhere within one response") {
+  ForwardWorld world;
+  FakeUpstream breaks(world.loop, Streams(world.headers, 6, 2));
+  FakeUpstream also(world.loop, Streams(world.headers, 6, 2));
+  world.Add("a", breaks);
+  world.Add("b", also);
+  Sent sent(world, RouteKind::kStream, 9, seconds(20), true);
+  world.Await([&] { return sent.sink.has_ended || sent.sink.is_broken; });
+  REQUIRE(sent.sink.has_ended);
+  REQUIRE(sent.sink.body == EventsUpTo(6));
+  REQUIRE(world.metrics.resumed_streams >= 2);
+}
+
+TEST_CASE("a stream that may not be resumed is visibly broken, and run once") {
+  ForwardWorld world;
+  FakeUpstream breaks(world.loop, Streams(world.headers, 6, 2));
+  FakeUpstream also(world.loop, Streams(world.headers, 6, 2));
+  world.Add("a", breaks);
+  world.Add("b", also);
+  Sent sent(world, RouteKind::kStream, 9);
+  world.Await([&] { return sent.sink.has_ended || sent.sink.is_broken; });
+  REQUIRE(sent.sink.is_broken);
+  REQUIRE(breaks.requests.size() + also.requests.size() == 1);
+}
+
+TEST_CASE("a resumed stream passes on no failure of its next upstream") {
+  ForwardWorld world;
+  FakeUpstream breaks(world.loop, Streams(world.headers, 6, 2));
+  FakeUpstream fails(world.loop, Always(Signed(world.headers, 500, "why")));
+  world.Add("a", breaks);
+  Sent sent(world, RouteKind::kStream, 2, seconds(20), true);
+  world.Await([&] { return sent.sink.head.has_value(); });
+  world.Add("b", fails);
+  world.Await([&] { return sent.sink.has_ended || sent.sink.is_broken; });
+  REQUIRE(sent.sink.is_broken);
+  REQUIRE(sent.sink.body.find("why") == std::string::npos);
+  REQUIRE(EventsUpTo(6).starts_with(sent.sink.body));
+}
+
+TEST_CASE("a stream refused before its first event may go elsewhere") {
+  for (const bool is_resumable : {false, true}) {
+    ForwardWorld world;
+    FakeUpstream full(world.loop, Always(NotRun(world.headers)));
+    FakeUpstream free(world.loop, Streams(world.headers, 3, 9));
+    world.Add("full", full);
+    world.Add("free", free);
+    Sent sent(world, RouteKind::kStream, 1, seconds(20), is_resumable);
+    world.Await([&] { return sent.sink.has_ended; });
+    REQUIRE(sent.sink.body == EventsUpTo(3));
+  }
+}
+
+TEST_CASE("a request that crashes upstreams is refused after the third") {
+  ForwardWorld world;
+  FakeUpstream crashes(world.loop, Breaks());
+  for (int i = 0; i < 3; ++i) {
+    const std::string id = "u" + std::to_string(i);
+    world.Add(id, crashes);
+    Sent sent(world, RouteKind::kIdempotent, 1);
+    REQUIRE(sent.Await().head.status == 502);
+    // Its registration lapses.
+    world.directory.Remove({UpstreamId(id)});
+  }
+  FakeUpstream sound(world.loop, Always(Signed(world.headers, 200, "a")));
+  world.Add("sound", sound);
+  Sent again(world, RouteKind::kIdempotent, 1);
+  REQUIRE(again.Await().head.status == 503);
+  REQUIRE(sound.requests.empty());
+}
+
 }  // namespace
 }  // namespace briarspread::forward
--- /dev/null
+++ b/tests/observe/log_trace_test.cc
@@ -0,0 +1,128 @@
+#include "briarspread/observe/log_trace.h"
+
+#include <unistd.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <sstream>
+
+#include "briarspread/observe/json_log_sink.h"
+#include "briarspread/observe/prometheus_writer.h"
+#include "tests/support/manual_clock.h"
+
+namespace briarspread {
+namespace {
+
+/// Lines as instances write them, from several machines, in no order; the
+/// second part stands as a collector puts it, with text before each line.
+std::string RunLogs() {
+  const auto at = [](int ms, const std::string& instance,
+                     const std::string& message) {
+    return FormatLogLine(WallTime(milliseconds(ms)), "INFO", instance, message);
+  };
+  return at(300, "edge-2",
+            "event=run_ended job=j1 item=a upstream=u1 outcome=broken") +
+         at(100, "edge-1", "event=job_accepted job=j1 items=2") +
+         at(150, "edge-1", "event=job_accepted job=j2 items=1") +
+         "12.3 edge-1 " + at(250, "edge-1", "event=upstream_died upstream=u1") +
+         at(260, "edge-3", "event=upstream_died upstream=u9") +
+         at(310, "edge-2", "event=job_adopted job=j1 listed=0") +
+         at(320, "edge-2", "event=store_lost") +
+         at(330, "edge-7", "event=store_lost") +
+         at(350, "edge-2",
+            "event=run_ended job=j1 item=b upstream=u2 outcome=complete") +
+         "no line of ours\n" +
+         at(400, "edge-2",
+            "event=item_given_up job=j1 item=a reason=failed failures=2") +
+         at(500, "edge-2", "event=answered request=r1 status=200 ms=31");
+}
+
+std::vector<std::string> EventsOf(const std::string& id) {
+  std::istringstream in(RunLogs());
+  CollectedLogs logs;
+  ReadLogLines(in, logs);
+  REQUIRE(logs.skipped == 1);
+  std::vector<std::string> events;
+  for (const LogLine& line : FollowId(logs, id)) {
+    events.push_back(line.instance + " " + line.event);
+  }
+  return events;
+}
+
+TEST_CASE("an item's way has its job, its upstreams' deaths, and its store") {
+  REQUIRE(EventsOf("a") ==
+          std::vector<std::string>{"edge-1 job_accepted", "edge-2 run_ended",
+                                   "edge-2 job_adopted", "edge-2 store_lost",
+                                   "edge-2 item_given_up"});
+}
+
+TEST_CASE("a job's way has all its items; a request's way only itself") {
+  REQUIRE(EventsOf("j1").size() == 7);
+  REQUIRE(EventsOf("r1") == std::vector<std::string>{"edge-2 answered"});
+  REQUIRE(EventsOf("none").empty());
+}
+
+TEST_CASE("a line for people has its time from the first, and its fields") {
+  std::istringstream in(RunLogs());
+  CollectedLogs logs;
+  ReadLogLines(in, logs);
+  const auto way = FollowId(logs, "r1");
+  REQUIRE(FormatForPeople(way.front(), 480) ==
+          "+20 ms  edge-2  answered  level=INFO  request=r1  status=200  "
+          "ms=31");
+}
+
+/// Sends lines of a level through a sink into a pipe that nobody reads.
+struct SinkIntoPipe {
+  explicit SinkIntoPipe(const JsonLogSettings& settings) {
+    REQUIRE(pipe(ends.data()) == 0);
+    sink.emplace(ends[1], "i", settings, clock);
+  }
+  ~SinkIntoPipe() {
+    sink.reset();
+    close(ends[0]);
+    close(ends[1]);
+  }
+  void Send(google::LogSeverity severity, int n) {
+    const std::string text = "event=x";
+    for (int i = 0; i < n; ++i) {
+      sink->send(severity, "", "", 0, nullptr, text.data(), text.size());
+    }
+  }
+  std::array<int, 2> ends{};
+  testing::ManualClock clock;
+  std::optional<JsonLogSink> sink;
+};
+
+TEST_CASE("lines beyond the bound are dropped, those of failures last") {
+  JsonLogSettings settings;
+  settings.burst = 10;
+  settings.kept_for_failures = 4;
+  SinkIntoPipe pipe(settings);
+  pipe.Send(google::GLOG_INFO, 10);
+  REQUIRE(pipe.sink->dropped() == 4);
+  pipe.Send(google::GLOG_WARNING, 4);
+  REQUIRE(pipe.sink->dropped() == 4);
+  pipe.Send(google::GLOG_WARNING, 1);
+  REQUIRE(pipe.sink->dropped() == 5);
+}
+
+TEST_CASE("a reader that takes nothing never blocks a writer") {
+  JsonLogSettings settings;
+  settings.burst = 1e6;
+  settings.max_held_bytes = 4096;
+  SinkIntoPipe pipe(settings);
+  pipe.Send(google::GLOG_ERROR, 20000);
+  REQUIRE(pipe.sink->dropped() > 0);
+}
+
+TEST_CASE("labels are escaped, and a sample without labels has no braces") {
+  PrometheusWriter out;
+  out.Gauge("g", 2);
+  out.Sample("s", PrometheusWriter::Label("l", "a\"b\\c\nd"), 1);
+  REQUIRE(out.Text() == "# TYPE g gauge\ng 2\ns{l=\"a\\\"b\\\\c d\"} 1\n");
+}
+
+}  // namespace
+}  // namespace briarspread
--- a/tests/platform/edge_node_test.cc
+++ b/tests/platform/edge_node_test.cc
@@ -26,6 +26,14 @@
   void OnRequest(proxy::Request request,
                  std::shared_ptr<proxy::Responder> responder) override {
     ++requests;
+    if (request.head.target.starts_with("/stream/")) {
+      StreamTo(request, responder);
+      return;
+    }
+    if (breaks) {
+      responder->Abort();
+      return;
+    }
     proxy::Response response = proxy::MakeResponse(200, "whole");
     response.head.headers.Add("X-Server-Stamp", "sig");
     response.head.headers.Add("X-Attempt-Id",
@@ -48,8 +56,36 @@
         .dump();
   }
   int requests = 0;
+  /// Whether plain requests and streams break off.
+  bool breaks = false;
 
  private:
+  /// Four events, after the last that the caller has; two before a break.
+  void StreamTo(const proxy::Request& request,
+                const std::shared_ptr<proxy::Responder>& responder) const {
+    constexpr std::uint64_t kLast = 4;
+    proxy::ResponseHead head;
+    head.status = 200;
+    head.headers.Add("X-Server-Stamp", "sig");
+    head.headers.Add("Content-Type", "text/event-stream");
+    responder->Start(head);
+    std::uint64_t n =
+        request.head.headers.FindNumber("Last-Event-Id").value_or(0);
+    const std::uint64_t last = breaks ? n + 2 : kLast;
+    while (n < std::min(last, kLast)) {
+      ++n;
+      responder->Write("id: " + std::to_string(n) + "\ndata: x\n\n");
+    }
+    if (n < kLast) {
+      responder->Write("id: ");
+      responder->SetOnDrained([responder] {
+        if (responder->unsent() == 0) responder->Abort();
+      });
+      return;
+    }
+    responder->End();
+  }
+
   proxy::HttpListener listener_;
 };
 
@@ -63,6 +99,19 @@
          {"TimeoutMs", 5000},
          {"Service", "desk"},
          {"MaxAttempts", 2}},
+        {{"Host", "h"},
+         {"Prefix", "/once/"},
+         {"Type", "unsafe"},
+         {"TimeoutMs", 5000},
+         {"Service", "desk"},
+         {"MaxAttempts", 3}},
+        {{"Host", "h"},
+         {"Prefix", "/stream/"},
+         {"Type", "stream"},
+         {"Resumable", true},
+         {"TimeoutMs", 5000},
+         {"Service", "desk"},
+         {"MaxAttempts", 3}},
         {{"Host", "h"},
          {"Prefix", "/roll/"},
          {"Type", "rollout"},
@@ -274,6 +323,81 @@
   REQUIRE(world.replica.requests == 0);
 }
 
+TEST_CASE("a request that may run once is sent once, and promises nothing") {
+  World world;
+  world.replica.breaks = true;
+  Node edge(world, world.Settings("one"));
+  const auto answer = world.Call(*edge.settings.frontend, "POST", "/once/x");
+  REQUIRE(answer.head.status == 502);
+  REQUIRE(world.replica.requests == 1);
+}
+
+TEST_CASE("a resumable stream is whole though its replica breaks it off") {
+  World world;
+  world.replica.breaks = true;
+  Node edge(world, world.Settings("one"));
+  const auto answer = world.Call(*edge.settings.frontend, "GET", "/stream/x");
+  REQUIRE(answer.head.status == 200);
+  REQUIRE(*answer.head.headers.Find("X-Server-Stamp") == "sig");
+  REQUIRE(answer.body ==
+          "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
+          "id: 4\ndata: x\n\n");
+  REQUIRE(world.replica.requests == 2);
+}
+
+TEST_CASE("a request that crashes replicas is refused at all instances") {
+  World world;
+  world.replica.breaks = true;
+  Node one(world, world.Settings("one"));
+  Node two(world, world.Settings("two"));
+  const std::vector<Endpoint> at = {*one.settings.frontend,
+                                    *two.settings.frontend};
+  for (const Node* node : {&one, &two}) {
+    world.Await([&] {
+      return node->node.FormatMetrics().find("briarspread_instances 2") !=
+             std::string::npos;
+    });
+  }
+  for (int i = 0; i < 3; ++i) {
+    REQUIRE(world.Call(at[static_cast<std::size_t>(i) % 2], "POST", "/once/x")
+                .head.status == 502);
+    // The replica starts anew at its address, under its id.
+    Json entry = Json::parse(world.replica.Entry("desk"));
+    entry["born"] = 2 + i;
+    world.store.memory().Write("servers/desk", entry.dump());
+    const std::string known =
+        "briarspread_upstream_deaths_known " + std::to_string(i + 1);
+    for (const Node* node : {&one, &two}) {
+      world.Await([&] {
+        return node->node.FormatMetrics().find(known) != std::string::npos;
+      });
+    }
+  }
+  for (const Endpoint& endpoint : at) {
+    REQUIRE(world.Call(endpoint, "POST", "/once/x").head.status == 503);
+  }
+  REQUIRE(world.replica.requests == 3);
+  // Another request is served.
+  world.replica.breaks = false;
+  REQUIRE(world.Call(at[0], "POST", "/once/y").head.status == 200);
+}
+
+TEST_CASE("two roles on one machine do not get in each other's way") {
+  World world;
+  const PlatformSettings settings = world.Settings("both");
+  StorageNode storage(world.loop, settings, world.clock, world.random);
+  storage.Start();
+  Node edge(world, settings);
+  REQUIRE(world.Call(*settings.frontend, "POST", "/plain/x").head.status ==
+          200);
+  world.store.memory().Write("op/retire/both", "{\"DurationS\":10}");
+  world.Await([&] {
+    return world.store.memory().items().contains("status/retire/both");
+  });
+  REQUIRE(world.Call(*settings.frontend, "POST", "/plain/x").head.status ==
+          200);
+}
+
 TEST_CASE("a request to empty a machine with a disk is answered") {
   World world;
   PlatformSettings settings = world.Settings("disk-1");
--- a/tests/versions/version_driver_test.cc
+++ b/tests/versions/version_driver_test.cc
@@ -60,7 +60,7 @@
                Settings()) {
     auto made = std::make_shared<forward::Configuration>();
     made->version = forward::ConfigurationVersion(1);
-    made->services.push_back({ServiceName("s"), 0, {kModel}, 0});
+    made->services.push_back({ServiceName("s"), {kModel}, 0});
     configuration.Offer(made);
     directory.Put(Engine());
     registry.Start();
