--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -260,8 +260,10 @@
       std::chrono::duration_cast<milliseconds>(now - run.started());
   ++metrics_.runs[std::string(ToString(outcome))];
   metrics_.running.Record(SecondsOf(taken));
+  const JobLedger& ledger = jobs_.at(run.spec().job).ledger;
   LOG(INFO) << "event=run_ended job=" << run.spec().job
             << " item=" << run.spec().attempt_id
+            << " group=" << ledger.spec().items[run.spec().item].group
             << " upstream=" << run.spec().engine
             << " outcome=" << ToString(outcome) << " ms=" << taken.count()
             << " events=" << run.events();
@@ -360,6 +362,7 @@
     ledger.RewardFailed(i, outcome.upstream_errors, outcome.max_attempts, now);
     LOG(INFO) << "event=reward_failed job=" << id
               << " item=" << ledger.spec().items[i].id
+              << " request=" << ledger.spec().items[i].reward->id
               << " upstream_errors=" << outcome.upstream_errors;
   }
   if (ledger.item(i).phase == ItemPhase::kScoring) {
--- a/briarspread/proxy/http_message.cc
+++ b/briarspread/proxy/http_message.cc
@@ -198,6 +198,14 @@
   return response;
 }
 
+Response MakeTextResponse(std::string text) {
+  Response response;
+  response.head.status = 200;
+  response.head.headers.Add("Content-Type", "text/plain");
+  response.body = std::move(text);
+  return response;
+}
+
 Target SplitTarget(std::string_view target) {
   const std::size_t mark = target.find('?');
   if (mark == std::string_view::npos) return Target{target, {}};
--- a/briarspread/proxy/http_message.h
+++ b/briarspread/proxy/http_message.h
@@ -87,6 +87,9 @@
 /// A response of this system's own with a JSON body. Thread-safe.
 Response MakeResponse(int status, std::string json_body);
 
+/// A response of 200 with a body of plain text. Thread-safe.
+Response MakeTextResponse(std::string text);
+
 /// The path of a target, and its query without the question mark.
 struct Target {
   std::string_view path;
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,64 @@
+#!/usr/bin/env bash
+# Random faults around real edge processes on loopback, and the promises of the
+# platform's pages checked meanwhile. Build first.
+#   scripts/soak.sh [SEED [SECONDS [EDGES]]]    default: seed 1, 20 s, 4 edges
+# Exit code 1: a promise was broken. BRIARSPREAD_KEEP=1 keeps the logs.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+bin="${BRIARSPREAD_BIN:-$PWD/build/bin}"
+base="${BRIARSPREAD_BASE_PORT:-24000}"
+seed="${1:-1}"
+length="${2:-20}"
+edges="${3:-4}"
+out="$(mktemp -d)"
+. scripts/lib/processes.sh
+trap stop_all EXIT
+: >"$processes"
+
+seeds=""
+for i in $(seq 0 $((edges - 1))); do
+  seeds="$seeds${seeds:+,}127.0.0.1:$((base + i * 10 + 3))"
+done
+for i in $(seq 0 $((edges - 1))); do
+  cat >"$out/edge-$i.conf" <<CONF
+NodeName=edge-$i
+Ip=127.0.0.1
+Zone=z$((i % 2 + 1))
+Region=r1
+Zones.z1=r1
+Zones.z2=r1
+Listen.Frontend=127.0.0.1:$((base + i * 10 + 1))
+Listen.Ready=127.0.0.1:$((base + i * 10 + 2))
+Listen.ControlPlane=127.0.0.1:$((base + i * 10 + 3))
+SeedNodes=$seeds
+Platform.Address=127.0.0.1:$((base + 510 + i))
+Bounds.GraceS=8
+Bounds.LeaseMs=3000
+Bounds.StatusS=120
+CONF
+done
+
+start soak 0 "$bin/briarspread-soak" --seed="$seed" --seconds="$length" \
+  --edges="$edges" --base_port="$base" --processes="$processes"
+soak="$(pid_of soak)"
+sleep 0.5
+for i in $(seq 0 $((edges - 1))); do
+  BRIARSPREAD_SETTINGS="$out/edge-$i.conf" \
+    start "edge-$i" $((base + i * 10 + 1)) "$bin/briarspread-edge"
+done
+
+# Processes that have ended are started again after a short time, as on the
+# platform.
+while kill -0 "$soak" 2>/dev/null; do
+  for i in $(seq 0 $((edges - 1))); do
+    if ! kill -0 "$(pid_of "edge-$i")" 2>/dev/null; then
+      BRIARSPREAD_SETTINGS="$out/edge-$i.conf" restart "edge-$i"
+    fi
+  done
+  sleep 0.3
+done
+status=0
+wait "$soak" || status=$?
+cat "$out/soak.log"
+exit "$status"
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -11,7 +11,7 @@
 namespace {
 
 const std::string kSettings =
-    "NodeName=edge-1\nZone=z1\nRegion=r1\nZones.z1=r1\nZones.z2=r2\n"
+    "NodeName=edge-1\nIp=127.0.0.1\nZone=z1\nRegion=r1\nZones.z1=r1\nZones.z2=r2\n"
     "Listen.Frontend=127.0.0.1:8001\nListen.Ready=127.0.0.1:8002\n"
     "Listen.ControlPlane=127.0.0.1:8003\n"
     "SeedNodes=127.0.0.1:8003,127.0.0.2:8003\n"
@@ -24,6 +24,7 @@
   REQUIRE(IsOk(parsed));
   const PlatformSettings& settings = ValueOf(parsed);
   REQUIRE(settings.instance == InstanceId("edge-1"));
+  REQUIRE(settings.address == "127.0.0.1");
   REQUIRE(settings.zones.at(ZoneId("z2")) == RegionId("r2"));
   REQUIRE(settings.peer->port == 8003);
   REQUIRE(settings.seeds.size() == 2);
--- a/tests/platform/store_stand_in.cc
+++ b/tests/platform/store_stand_in.cc
@@ -1,6 +1,7 @@
 #include "tests/platform/store_stand_in.h"
 
-#include <catch2/catch.hpp>
+#include <glog/logging.h>
+
 #include <nlohmann/json.hpp>
 
 #include "platform/base64.h"
@@ -31,14 +32,45 @@
   responder.Send(proxy::MakeResponse(status, body.dump()));
 }
 
+/// Answers an error as the store would; a lost call or answer is never
+/// answered. Returns whether there was an error.
+template <typename T>
+bool SendError(proxy::Responder& responder, const Result<T>& result) {
+  if (IsOk(result)) return false;
+  const Error& error = ErrorOf(result);
+  if (error.code == ErrorCode::kNotFound) {
+    Send(responder, 404, Json::object());
+  } else if (error.code == ErrorCode::kStale) {
+    Send(responder, 410, Json::object());
+  } else if (error.verdict == Verdict::kNotRun) {
+    Send(responder, 503, Json::object());
+  }
+  return true;
+}
+
 std::string Parameter(std::string_view query, std::string_view name) {
   return proxy::FindParameter(query, name).value_or("");
 }
 
 }  // namespace
 
-StoreStandIn::StoreStandIn(asio::io_context& loop) : listener_(loop, *this) {
-  REQUIRE(IsOk(listener_.Start(Endpoint{"127.0.0.1", 0})));
+StoreStandIn::StoreStandIn(asio::io_context& loop, std::uint16_t port)
+    : listener_(loop, *this) {
+  CHECK(IsOk(listener_.Start(Endpoint{"127.0.0.1", port})));
+}
+
+void StoreStandIn::Tick(TimePoint now) {
+  now_ = now;
+  std::vector<StoreLeaseId> over;
+  for (auto& [id, lease] : lease_times_) {
+    if (lease.renewed == TimePoint{}) lease.renewed = now;
+    if (now - lease.renewed > lease.time_to_live) over.push_back(id);
+  }
+  for (const StoreLeaseId id : over) {
+    memory_.ExpireLease(id);
+    lease_times_.erase(id);
+  }
+  memory_.Deliver();
 }
 
 void StoreStandIn::OnRequest(proxy::Request request, ResponderPtr responder) {
@@ -53,25 +85,28 @@
   } else if (path == "/briarspread/kv-lease") {
     const milliseconds ttl(
         Json::parse(request.body).at("TtlMs").get<std::int64_t>());
-    memory_.GrantLease(ttl, [responder](const Result<StoreLease>& lease) {
-      Send(*responder, 200,
-           {{"Lease", ValueOf(lease).id.value()},
-            {"TtlMs", ValueOf(lease).time_to_live.count()}});
-    });
+    memory_.GrantLease(ttl,
+                       [this, ttl, responder](const Result<StoreLease>& lease) {
+                         if (SendError(*responder, lease)) return;
+                         lease_times_[ValueOf(lease).id] = LeaseTime{ttl, now_};
+                         Send(*responder, 200,
+                              {{"Lease", ValueOf(lease).id.value()},
+                               {"TtlMs", ValueOf(lease).time_to_live.count()}});
+                       });
   } else if (path.starts_with("/briarspread/kv-keep/")) {
     const StoreLeaseId id(
         *proxy::ParseNumber(path.substr(path.rfind('/') + 1)));
-    memory_.KeepLease(id, [responder](const Result<StoreLease>& kept) {
-      if (IsOk(kept)) {
-        Send(*responder, 200, {{"TtlMs", 1000}});
-      } else {
-        Send(*responder, 404, Json::object());
-      }
-    });
+    memory_.KeepLease(id,
+                      [this, id, responder](const Result<StoreLease>& kept) {
+                        if (SendError(*responder, kept)) return;
+                        lease_times_[id].renewed = now_;
+                        Send(*responder, 200, {{"TtlMs", 1000}});
+                      });
   } else if (path.starts_with("/briarspread/kv-lease-end/")) {
     const StoreLeaseId id(
         *proxy::ParseNumber(path.substr(path.rfind('/') + 1)));
-    memory_.EndLease(id, [responder](const Result<std::monostate>&) {
+    memory_.EndLease(id, [responder](const Result<std::monostate>& ended) {
+      if (SendError(*responder, ended)) return;
       Send(*responder, 200, Json::object());
     });
   } else {
@@ -85,6 +120,7 @@
   if (what == "/briarspread/kv-key") {
     memory_.Get(Parameter(query, "Key"),
                 [responder](const Result<std::optional<KeyValue>>& read) {
+                  if (SendError(*responder, read)) return;
                   if (!ValueOf(read).has_value()) {
                     Send(*responder, 404, Json::object());
                   } else {
@@ -99,10 +135,7 @@
     memory_.Watch(
         prefix, after, milliseconds(0),
         [responder](const Result<StoreChanges>& changes) {
-          if (!IsOk(changes)) {
-            Send(*responder, 410, Json::object());
-            return;
-          }
+          if (SendError(*responder, changes)) return;
           Json events = Json::array();
           for (const auto& change : ValueOf(changes).changes) {
             events.push_back(ToJson(change));
@@ -113,15 +146,15 @@
         });
     return;
   }
-  // Pages of two, so that paging is met.
   const std::string after = Parameter(query, "After");
-  memory_.List(prefix, [responder, after](const Result<StoreListing>& all) {
-    constexpr std::size_t kPage = 2;
+  memory_.List(prefix, [page = page_size_, responder,
+                        after](const Result<StoreListing>& all) {
+    if (SendError(*responder, all)) return;
     Json items = Json::array();
     bool has_more = false;
     for (const KeyValue& item : ValueOf(all).items) {
       if (item.key <= after) continue;
-      has_more = items.size() == kPage;
+      has_more = items.size() == page;
       if (has_more) break;
       items.push_back(ToJson(item));
     }
@@ -150,6 +183,7 @@
   }
   memory_.Commit(
       std::move(transaction), [responder](const Result<StoreOutcome>& outcome) {
+        if (SendError(*responder, outcome)) return;
         const auto* ok = std::get_if<StoreCommitted>(&ValueOf(outcome));
         if (ok != nullptr) {
           Send(*responder, 200, {{"Revision", ok->index.value()}});
--- /dev/null
+++ b/tests/soak/loopback_proxy.cc
@@ -0,0 +1,132 @@
+#include "tests/soak/loopback_proxy.h"
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/ip/address.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <utility>
+
+namespace briarspread::soak {
+namespace {
+
+using asio::ip::tcp;
+
+tcp::endpoint OnLoopback(std::uint16_t port) {
+  return {asio::ip::address_v4::loopback(), port};
+}
+
+}  // namespace
+
+/// One connection and its counterpart at the target.
+class LoopbackProxy::Link final : public std::enable_shared_from_this<Link> {
+ public:
+  Link(tcp::socket from, std::shared_ptr<LinkFault> fault)
+      : there_{std::move(from), tcp::socket(from.get_executor())},
+        fault_(std::move(fault)) {}
+
+  void Start(const tcp::endpoint& target) {
+    there_.to.async_connect(
+        target, [self = shared_from_this()](asio::error_code ec) {
+          if (ec) {
+            self->Reset();
+            return;
+          }
+          self->Pump(self->there_.from, self->there_.to, self->buf_there_,
+                     &LinkFault::is_cut_there);
+          self->Pump(self->there_.to, self->there_.from, self->buf_back_,
+                     &LinkFault::is_cut_back);
+        });
+  }
+
+  void Reset() {
+    asio::error_code ec;
+    for (tcp::socket* socket : {&there_.from, &there_.to}) {
+      socket->set_option(asio::socket_base::linger(true, 0), ec);
+      socket->close(ec);
+    }
+  }
+
+ private:
+  using Buffer = std::array<char, 16384>;
+  struct Ends {
+    tcp::socket from;
+    tcp::socket to;
+  };
+
+  void Pump(tcp::socket& from, tcp::socket& to, Buffer& buf,
+            bool LinkFault::*is_cut) {
+    from.async_read_some(asio::buffer(buf),
+                         [self = shared_from_this(), &from, &to, &buf, is_cut](
+                             asio::error_code ec, std::size_t n) {
+                           if (ec == asio::error::eof) {
+                             asio::error_code ignored;
+                             to.shutdown(tcp::socket::shutdown_send, ignored);
+                             return;
+                           }
+                           if (ec) {
+                             self->Reset();
+                             return;
+                           }
+                           self->Pass(from, to, buf, n, is_cut);
+                         });
+  }
+
+  void Pass(tcp::socket& from, tcp::socket& to, Buffer& buf, std::size_t n,
+            bool LinkFault::*is_cut) {
+    if ((*fault_).*is_cut) {
+      Pump(from, to, buf, is_cut);
+      return;
+    }
+    const auto timer = std::make_shared<asio::steady_timer>(from.get_executor(),
+                                                            fault_->delay);
+    timer->async_wait([self = shared_from_this(), timer, &from, &to, &buf, n,
+                       is_cut](asio::error_code) {
+      asio::async_write(
+          to, asio::buffer(buf.data(), n),
+          [self, &from, &to, &buf, is_cut](asio::error_code ec, std::size_t) {
+            if (ec) {
+              self->Reset();
+              return;
+            }
+            self->Pump(from, to, buf, is_cut);
+          });
+    });
+  }
+
+  Ends there_;
+  std::shared_ptr<LinkFault> fault_;
+  Buffer buf_there_{};
+  Buffer buf_back_{};
+};
+
+LoopbackProxy::LoopbackProxy(asio::io_context& loop, std::uint16_t port,
+                             const Endpoint& target)
+    : loop_(loop),
+      acceptor_(loop, OnLoopback(port)),
+      target_(OnLoopback(target.port)),
+      fault_(std::make_shared<LinkFault>()) {
+  Accept();
+}
+
+LoopbackProxy::~LoopbackProxy() = default;
+
+void LoopbackProxy::Accept() {
+  acceptor_.async_accept([this](asio::error_code ec, tcp::socket socket) {
+    if (ec == asio::error::operation_aborted) return;
+    if (!ec) {
+      const auto link = std::make_shared<Link>(std::move(socket), fault_);
+      std::erase_if(links_, [](const auto& it) { return it.use_count() == 1; });
+      links_.insert(link);
+      link->Start(target_);
+    }
+    Accept();
+  });
+}
+
+void LoopbackProxy::ResetAll() {
+  for (const auto& link : links_) link->Reset();
+  links_.clear();
+}
+
+}  // namespace briarspread::soak
--- /dev/null
+++ b/tests/soak/main.cc
@@ -0,0 +1,221 @@
+// briarspread-soak: callers, trainers, replicas, the store and faults around
+// real edge processes that scripts/soak.sh starts. Checks the promises while it
+// runs; see scripts/soak.sh.
+
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <iostream>
+
+#include "tests/soak/soak_faults.h"
+#include "tests/soak/soak_trainer.h"
+
+DEFINE_uint64(seed, 1, "seed of the faults");
+DEFINE_uint32(seconds, 20, "how long faults come");
+DEFINE_uint32(edges, 4, "edge processes");
+DEFINE_uint32(base_port, 24000, "first port; see scripts/soak.sh");
+DEFINE_string(processes, "", "file of the processes that were started");
+
+namespace briarspread::soak {
+namespace {
+
+constexpr int kExitBroken = 1;
+/// Ports beyond the first; the script's edges use those below.
+constexpr std::uint32_t kStorePort = 500;
+constexpr std::uint32_t kStoreLinks = 510;
+constexpr std::uint32_t kReplicas = 600;
+constexpr std::uint32_t kReplicaLinks = 700;
+constexpr std::uint32_t kModelReplicas = 4;
+constexpr std::uint32_t kDeskReplicas = 3;
+/// Ports of one edge.
+constexpr std::uint32_t kPortsOfEdge = 10;
+constexpr milliseconds kStartTime{2500};
+constexpr milliseconds kSettleTime{7000};
+constexpr milliseconds kEndTime{30000};
+
+std::uint16_t Port(std::uint32_t offset) {
+  return static_cast<std::uint16_t>(FLAGS_base_port + offset);
+}
+
+/// One run of the soak.
+class Soak final {
+ public:
+  Soak()
+      : random_(FLAGS_seed),
+        record_(clock_),
+        store_(loop_, Port(kStorePort)),
+        world_{loop_, clock_, random_, record_, store_},
+        processes_(FLAGS_processes, ""),
+        caller_(loop_, random_, Edges()),
+        live_(loop_, caller_, random_, record_),
+        faults_(loop_, random_,
+                {processes_, store_links_, replica_links_, replicas_, store_}),
+        timer_(loop_),
+        tick_(loop_) {
+    constexpr std::size_t kPage = 500;
+    store_.SetPageSize(kPage);
+    store_.memory().Write("op/config", SoakConfiguration(1, 2000));
+    for (std::uint32_t i = 0; i < FLAGS_edges; ++i) {
+      store_links_.push_back(std::make_unique<LoopbackProxy>(
+          loop_, Port(kStoreLinks + i),
+          Endpoint{"127.0.0.1", Port(kStorePort)}));
+    }
+    for (std::uint32_t i = 0; i < kModelReplicas + kDeskReplicas; ++i) {
+      AddReplica(i);
+    }
+    for (std::size_t i = 0; i < 2; ++i) {
+      trainers_.push_back(std::make_unique<SoakTrainer>(loop_, clock_, caller_,
+                                                        record_, store_, i));
+    }
+  }
+
+  int Run() {
+    // Answers of watches, and leases whose time is up.
+    constexpr milliseconds kStoreTick{5};
+    tick_.Every(kStoreTick, [this] { store_.Tick(clock_.Now()); });
+    timer_.After(kStartTime, [this] { Begin(); });
+    loop_.run();
+    Print();
+    return record_.violations().empty() ? 0 : kExitBroken;
+  }
+
+ private:
+  static SoakEdges Edges() {
+    SoakEdges edges;
+    for (std::uint32_t i = 0; i < FLAGS_edges; ++i) {
+      edges.frontends.push_back(
+          Endpoint{"127.0.0.1", Port(i * kPortsOfEdge + 1)});
+    }
+    return edges;
+  }
+
+  void AddReplica(std::uint32_t i) {
+    ReplicaSettings settings;
+    const bool is_model = i < kModelReplicas;
+    settings.name = (is_model ? "llm-" : "desk-") + std::to_string(i);
+    settings.service = is_model ? "llm" : "desk";
+    settings.zone = i % 2 == 0 ? "z1" : "z2";
+    settings.port = Port(kReplicas + i);
+    settings.registered_port = Port(kReplicaLinks + i);
+    replica_links_.push_back(std::make_unique<LoopbackProxy>(
+        loop_, settings.registered_port, Endpoint{"127.0.0.1", settings.port}));
+    replicas_.push_back(std::make_unique<SoakReplica>(world_, settings));
+  }
+
+  void Begin() {
+    live_.Start();
+    for (const auto& trainer : trainers_) trainer->Start();
+    faults_.Start();
+    timer_.After(seconds(FLAGS_seconds), [this] {
+      faults_.Stop([this] { timer_.After(kSettleTime, [this] { Settle(); }); });
+    });
+  }
+
+  /// Faults are over: everything must work again, and nothing be lost.
+  void Settle() {
+    live_.Stop();
+    for (const auto& trainer : trainers_) trainer->Stop();
+    for (std::size_t edge = 0; edge < caller_.edge_count(); ++edge) {
+      AskUntilServed(edge, 20);
+      for (const std::string& job : record_.AcceptedJobs()) {
+        ReadUntilRead(job, edge, 20);
+      }
+    }
+    give_up_ = clock_.Now() + kEndTime;
+    AwaitEnd();
+  }
+
+  void AskUntilServed(std::size_t edge, int tries) {
+    ++open_;
+    live_.Ask(edge, [this, edge, tries](bool is_served) {
+      --open_;
+      if (is_served) return;
+      if (tries == 0) {
+        record_.Break("RECOVER", "edge " + std::to_string(edge));
+        return;
+      }
+      Later([this, edge, tries] { AskUntilServed(edge, tries - 1); });
+    });
+  }
+
+  void ReadUntilRead(const std::string& job, std::size_t edge, int tries) {
+    ++open_;
+    trainers_[0]->ReadAgain(job, edge, [this, job, edge, tries](bool is_read) {
+      --open_;
+      if (is_read) return;
+      if (tries == 0) {
+        record_.Break("LOST", "job " + job + " cannot be read");
+        return;
+      }
+      Later([this, job, edge, tries] { ReadUntilRead(job, edge, tries - 1); });
+    });
+  }
+
+  void Later(std::function<void()> action) {
+    constexpr milliseconds kPause{300};
+    ++open_;
+    const auto timer = std::make_shared<LoopTimer>(loop_);
+    timer->After(kPause, [this, timer, action = std::move(action)] {
+      --open_;
+      action();
+    });
+  }
+
+  void AwaitEnd() {
+    bool is_idle = open_ == 0;
+    for (const auto& trainer : trainers_) is_idle &= trainer->is_idle();
+    if (!is_idle && clock_.Now() > give_up_) {
+      record_.Break("RECOVER", "a trainer's step does not end");
+      is_idle = true;
+    }
+    if (is_idle) {
+      loop_.stop();
+      return;
+    }
+    timer_.After(milliseconds(50), [this] { AwaitEnd(); });
+  }
+
+  void Print() const {
+    std::uint64_t steps = 0;
+    for (const auto& trainer : trainers_) steps += trainer->steps();
+    std::cout << "soak seed " << FLAGS_seed << ": " << record_.checked()
+              << " operations checked, " << live_.served() << " of "
+              << live_.asked() << " live requests served, " << steps
+              << " steps, faults";
+    for (const auto& [kind, n] : faults_.counts()) {
+      std::cout << " " << kind << " " << n;
+    }
+    std::cout << ", " << record_.violations().size() << " violations\n";
+  }
+
+  asio::io_context loop_{1};
+  SystemClock clock_;
+  SeededRandom random_;
+  SoakRecord record_;
+  platform::StoreStandIn store_;
+  ReplicaWorld world_;
+  ProcessTable processes_;
+  std::vector<std::unique_ptr<LoopbackProxy>> store_links_;
+  std::vector<std::unique_ptr<LoopbackProxy>> replica_links_;
+  std::vector<std::unique_ptr<SoakReplica>> replicas_;
+  EdgeCaller caller_;
+  LiveCallers live_;
+  std::vector<std::unique_ptr<SoakTrainer>> trainers_;
+  SoakFaults faults_;
+  LoopTimer timer_;
+  LoopTimer tick_;
+  TimePoint give_up_{};
+  /// Calls and pauses under way at the end.
+  int open_ = 0;
+};
+
+}  // namespace
+}  // namespace briarspread::soak
+
+int main(int argc, char** argv) {
+  google::InitGoogleLogging(argv[0]);
+  FLAGS_minloglevel = google::GLOG_ERROR;
+  gflags::SetUsageMessage("faults around real edge processes; see soak.sh");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return briarspread::soak::Soak().Run();
+}
--- /dev/null
+++ b/tests/soak/soak_faults.cc
@@ -0,0 +1,184 @@
+#include "tests/soak/soak_faults.h"
+
+#include <signal.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace briarspread::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+/// Between two faults.
+constexpr std::int64_t kLeastPauseMs = 200;
+constexpr std::int64_t kPauseSpreadMs = 1200;
+
+Json RouteOf(const std::string& prefix, const std::string& type,
+             const std::string& service, std::uint64_t timeout_ms) {
+  return {{"Host", "h"},        {"Prefix", prefix}, {"Type", type},
+          {"Service", service}, {"MaxAttempts", 3}, {"TimeoutMs", timeout_ms},
+          {"DueMs", 8000},      {"ItemTtlS", 120},  {"LatencyGoalMs", 400}};
+}
+
+}  // namespace
+
+std::string SoakConfiguration(std::uint64_t version, std::uint64_t timeout_ms) {
+  Json routes = Json::array();
+  routes.push_back(RouteOf("/safe/", "safe", "desk", timeout_ms));
+  routes.push_back(RouteOf("/once/", "unsafe", "desk", timeout_ms));
+  routes.push_back(RouteOf("/roll0/", "rollout", "llm", timeout_ms));
+  routes.push_back(RouteOf("/roll1/", "rollout", "llm", timeout_ms));
+  const Json models = {{{"Name", "m0"}}, {{"Name", "m1"}}};
+  return Json{{"Version", version},
+              {"Routes", std::move(routes)},
+              {"Services",
+               {{{"Name", "desk"}},
+                {{"Name", "llm"}, {"Engine", {{"Models", models}}}}}}}
+      .dump();
+}
+
+SoakFaults::SoakFaults(asio::io_context& loop, RandomSource& random,
+                       const SoakTargets& targets)
+    : loop_(loop), random_(random), targets_(targets), timer_(loop) {}
+
+void SoakFaults::Next() {
+  const auto pause = milliseconds(
+      kLeastPauseMs + static_cast<std::int64_t>(random_.Below(kPauseSpreadMs)));
+  timer_.After(pause, [this] {
+    Begin();
+    Next();
+  });
+}
+
+void SoakFaults::Stop(std::function<void()> done) {
+  is_stopping_ = true;
+  timer_.Cancel();
+  on_stopped_ = std::move(done);
+  if (open_ == 0) on_stopped_();
+}
+
+void SoakFaults::EndLater(milliseconds least, milliseconds most,
+                          std::function<void()> end) {
+  ++open_;
+  const auto spread = static_cast<std::uint64_t>((most - least).count());
+  const auto timer = std::make_shared<LoopTimer>(loop_);
+  timer->After(
+      least + milliseconds(static_cast<std::int64_t>(random_.Below(spread))),
+      [this, timer, end = std::move(end)] {
+        end();
+        if (--open_ == 0 && is_stopping_) on_stopped_();
+      });
+}
+
+void SoakFaults::Begin() {
+  constexpr std::uint64_t kKinds = 8;
+  switch (random_.Below(kKinds)) {
+    case 0:
+      SignalEdge("kill", SIGKILL);
+      break;
+    case 1:
+      SignalEdge("stop", SIGTERM);
+      break;
+    case 2:
+      SignalEdge("hangup", SIGHUP);
+      break;
+    case 3:
+      FreezeEdge();
+      break;
+    case 4:
+      HarmStore();
+      break;
+    case 5:
+      HarmLink();
+      break;
+    case 6:
+      CrashReplica();
+      break;
+    default:
+      ChangeConfiguration();
+  }
+}
+
+std::string SoakFaults::RandomEdge() {
+  targets_.processes.Reload();
+  const auto edges = targets_.processes.WithPrefix("edge-");
+  return edges[random_.Below(edges.size())].name;
+}
+
+void SoakFaults::SignalEdge(const std::string& kind, int signal_number) {
+  // The script starts a process again that has ended.
+  if (IsOk(targets_.processes.Signal(RandomEdge(), signal_number))) {
+    ++counts_[kind];
+  }
+}
+
+void SoakFaults::FreezeEdge() {
+  const std::string edge = RandomEdge();
+  if (!IsOk(targets_.processes.Signal(edge, SIGSTOP))) return;
+  ++counts_["freeze"];
+  EndLater(milliseconds(300), milliseconds(4000), [this, edge] {
+    // Where it has ended meanwhile, there is nothing to thaw.
+    targets_.processes.Signal(edge, SIGCONT);
+  });
+}
+
+void SoakFaults::HarmStore() {
+  using Fault = briarspread::testing::AsyncMemoryStore::Fault;
+  static const std::vector<Fault> faults = {Fault::kRefuse, Fault::kLoseAnswer,
+                                            Fault::kLoseCall};
+  ++counts_["store"];
+  if (random_.Below(4) == 0) {
+    targets_.store.memory().ForgetHistory();
+    return;
+  }
+  if (random_.Below(2) == 0) {
+    targets_.store.SetRefusal(503);
+  } else {
+    targets_.store.memory().SetFault(faults[random_.Below(faults.size())]);
+  }
+  EndLater(milliseconds(300), milliseconds(3000), [this] {
+    targets_.store.SetRefusal(0);
+    targets_.store.memory().SetFault(Fault::kNone);
+  });
+}
+
+void SoakFaults::HarmLink() {
+  auto& links =
+      random_.Below(2) == 0 ? targets_.store_links : targets_.replica_links;
+  LoopbackProxy& link = *links[random_.Below(links.size())];
+  ++counts_["link"];
+  const std::uint64_t how = random_.Below(4);
+  if (how == 0) {
+    link.ResetAll();
+    return;
+  }
+  LinkFault fault;
+  if (how == 1) fault.delay = milliseconds(100);
+  if (how == 2) fault.is_cut_there = true;
+  if (how == 3) fault.is_cut_back = true;
+  link.SetFault(fault);
+  EndLater(milliseconds(300), milliseconds(3000), [&link] {
+    link.SetFault(LinkFault{});
+    // What was swallowed leaves the streams broken.
+    link.ResetAll();
+  });
+}
+
+void SoakFaults::CrashReplica() {
+  SoakReplica& replica =
+      *targets_.replicas[random_.Below(targets_.replicas.size())];
+  ++counts_["replica"];
+  replica.Crash(
+      milliseconds(500 + static_cast<std::int64_t>(random_.Below(2000))));
+}
+
+void SoakFaults::ChangeConfiguration() {
+  ++counts_["configuration"];
+  configuration_ += 1 + random_.Below(3);
+  targets_.store.memory().Write(
+      "op/config",
+      SoakConfiguration(configuration_, 1500 + random_.Below(1000)));
+}
+
+}  // namespace briarspread::soak
--- /dev/null
+++ b/tests/soak/soak_faults.h
@@ -0,0 +1,70 @@
+#ifndef TESTS_SOAK_SOAK_FAULTS_H_
+#define TESTS_SOAK_SOAK_FAULTS_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "programs/scenario/process_table.h"
+#include "tests/soak/loopback_proxy.h"
+#include "tests/soak/soak_replica.h"
+
+namespace briarspread::soak {
+
+/// All that faults are done to.
+struct SoakTargets {
+  ProcessTable& processes;
+  /// Between each edge and the store, and before each replica.
+  std::vector<std::unique_ptr<LoopbackProxy>>& store_links;
+  std::vector<std::unique_ptr<LoopbackProxy>>& replica_links;
+  std::vector<std::unique_ptr<SoakReplica>>& replicas;
+  platform::StoreStandIn& store;
+};
+
+/// Brings faults about at random times, several at once, in series. Each ends
+/// by itself. Loop's thread only.
+class SoakFaults final {
+ public:
+  SoakFaults(asio::io_context& loop, RandomSource& random,
+             const SoakTargets& targets);
+
+  void Start() { Next(); }
+  /// Begins no further fault; `done` is called once all have ended.
+  void Stop(std::function<void()> done);
+  /// Faults by kind.
+  const std::map<std::string, std::uint64_t>& counts() const { return counts_; }
+
+ private:
+  void Next();
+  void Begin();
+  void SignalEdge(const std::string& kind, int signal_number);
+  void FreezeEdge();
+  void HarmStore();
+  void HarmLink();
+  void CrashReplica();
+  void ChangeConfiguration();
+  /// Calls `end` after a random time.
+  void EndLater(milliseconds least, milliseconds most,
+                std::function<void()> end);
+  std::string RandomEdge();
+
+  asio::io_context& loop_;
+  RandomSource& random_;
+  SoakTargets targets_;
+  LoopTimer timer_;
+  std::map<std::string, std::uint64_t> counts_;
+  /// Faults that have not ended.
+  int open_ = 0;
+  bool is_stopping_ = false;
+  std::function<void()> on_stopped_;
+  std::uint64_t configuration_ = 1;
+};
+
+/// The text of a configuration of the soak's routes.
+std::string SoakConfiguration(std::uint64_t version, std::uint64_t timeout_ms);
+
+}  // namespace briarspread::soak
+
+#endif  // TESTS_SOAK_SOAK_FAULTS_H_
--- /dev/null
+++ b/tests/soak/soak_record.cc
@@ -0,0 +1,251 @@
+#include "tests/soak/soak_record.h"
+
+#include <algorithm>
+#include <iostream>
+
+#include "briarspread/core/rendezvous.h"
+
+namespace briarspread::soak {
+namespace {
+
+/// Not run any more so long after the acknowledgement of an end.
+constexpr milliseconds kCancelTime{3000};
+/// After this time an accepted job is known everywhere.
+constexpr milliseconds kSettleTime{1000};
+/// Orders of two holders lie at least this far apart.
+constexpr milliseconds kLease{3000};
+/// Answers that promise that nothing ran.
+bool IsPromise(int status) {
+  return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+}  // namespace
+
+std::string SoakRecord::BodyOf(const std::string& id) {
+  return "body of " + id;
+}
+
+std::string SoakRecord::EventOf(const std::string& item, std::uint64_t event) {
+  return item + "/" + std::to_string(event);
+}
+
+std::uint64_t SoakRecord::EventCountOf(const std::string& item) {
+  constexpr std::uint64_t kMost = 40;
+  return 1 + StableHash(item) % kMost;
+}
+
+void SoakRecord::Break(const std::string& promise, const std::string& what) {
+  violations_.push_back(promise + ": " + what);
+  std::cerr << "soak: " << violations_.back() << "\n";
+}
+
+// --- Live requests
+
+void SoakRecord::NoteSent(const std::string& id, bool may_run_again) {
+  requests_[id].may_run_again = may_run_again;
+}
+
+void SoakRecord::NoteRun(const std::string& id) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) {
+    Break("UNASKED", "a request that nobody sent ran: " + id);
+    return;
+  }
+  ++checked_;
+  Request& request = it->second;
+  ++request.runs;
+  if (request.may_run_again) return;
+  if (request.runs > 1) Break("TWICE", "request " + id);
+  if (request.is_refused) Break("REFUSED", "request " + id + " ran afterwards");
+}
+
+void SoakRecord::NoteAnswer(const std::string& id, int status,
+                            const std::string& body) {
+  ++checked_;
+  Request& request = requests_[id];
+  const bool is_success = status >= 200 && status < 300;
+  if (is_success && body != BodyOf(id)) {
+    Break("MIXED", "request " + id + " got '" + body + "'");
+  }
+  if (!IsPromise(status)) return;
+  request.is_refused = true;
+  if (!request.may_run_again && request.runs > 0) {
+    Break("REFUSED", "request " + id + " had run");
+  }
+}
+
+// --- Batch jobs
+
+void SoakRecord::NoteSubmitted(const std::string& job,
+                               std::uint64_t oldest_allowed,
+                               const std::vector<std::string>& items) {
+  jobs_[job].items = items;
+  jobs_[job].oldest_allowed = oldest_allowed;
+  for (const std::string& item : items) items_[item].job = job;
+}
+
+void SoakRecord::NoteAccepted(const std::string& job) {
+  if (!jobs_[job].accepted.has_value()) jobs_[job].accepted = clock_.Now();
+}
+
+void SoakRecord::NoteRefused(const std::string& job) {
+  jobs_[job].is_refused = true;
+  for (const std::string& item : jobs_[job].items) {
+    if (!items_[item].made.empty()) {
+      Break("REFUSED", "item " + item + " had run");
+    }
+  }
+}
+
+void SoakRecord::NoteEnded(const std::string& job) {
+  if (!jobs_[job].ended.has_value()) jobs_[job].ended = clock_.Now();
+}
+
+void SoakRecord::NoteItemRun(const std::string& item) {
+  const auto it = items_.find(item);
+  if (it == items_.end()) {
+    Break("UNASKED", "an item that nobody submitted ran: " + item);
+    return;
+  }
+  ++checked_;
+  const Job& job = jobs_[it->second.job];
+  if (job.is_refused) Break("REFUSED", "item " + item + " runs");
+  if (job.ended.has_value() && clock_.Now() - *job.ended > kCancelTime) {
+    Break("UNASKED", "item " + item + " runs after its job's end");
+  }
+}
+
+void SoakRecord::NoteEvent(const std::string& item, std::uint64_t event,
+                           std::uint64_t version) {
+  items_[item].made[event].insert(version);
+}
+
+void SoakRecord::NoteScored(const std::string& item) {
+  const auto it = items_.find(item);
+  if (it == items_.end()) return;
+  if (it->second.made.size() < EventCountOf(item)) {
+    Break("MIXED", "item " + item + " was scored before its text was whole");
+  }
+  it->second.is_scored = true;
+}
+
+void SoakRecord::CheckVersions(const std::string& job,
+                               const SeenResult& result) {
+  const auto& made = items_[result.item].made;
+  const std::set<std::uint64_t> told(result.versions.begin(),
+                                     result.versions.end());
+  std::set<std::uint64_t> possible;
+  for (const auto& [event, versions] : made) {
+    possible.insert(versions.begin(), versions.end());
+    const bool is_told =
+        std::any_of(versions.begin(), versions.end(),
+                    [&](std::uint64_t v) { return told.contains(v); });
+    if (!is_told) {
+      Break("VERSION", "item " + result.item +
+                           " does not tell the version of "
+                           "event " +
+                           std::to_string(event));
+    }
+  }
+  for (const std::uint64_t version : told) {
+    if (!possible.contains(version)) {
+      Break("VERSION", "item " + result.item + " tells version " +
+                           std::to_string(version) + " that made nothing");
+    }
+    if (version < jobs_[job].oldest_allowed) {
+      Break("VERSION", "item " + result.item + " is too old");
+    }
+  }
+}
+
+void SoakRecord::CheckResult(const std::string& job, const SeenResult& result) {
+  Item& item = items_[result.item];
+  if (item.job != job)
+    Break("MIXED", "item " + result.item + " of another job");
+  if (item.is_listed) Break("TWICE", "item " + result.item + " listed twice");
+  item.is_listed = true;
+  if (!result.is_complete) {
+    const bool has_ended = jobs_[job].ended.has_value();
+    // No item of the soak fails or lives so long that it may be given up.
+    if (!has_ended) Break("MIXED", "item " + result.item + " given up");
+    return;
+  }
+  std::string whole;
+  for (std::uint64_t n = 1; n <= EventCountOf(result.item); ++n) {
+    if (n > 1) whole += "\n";
+    whole += EventOf(result.item, n);
+  }
+  if (result.text != whole) Break("MIXED", "text of item " + result.item);
+  if (result.score != "score-" + result.item || !item.is_scored) {
+    Break("MIXED", "score of item " + result.item);
+  }
+  CheckVersions(job, result);
+}
+
+void SoakRecord::NotePage(const std::string& job, std::size_t after,
+                          std::size_t total,
+                          const std::vector<SeenResult>& results) {
+  Job& known = jobs_[job];
+  if (total != known.items.size()) {
+    Break("MIXED", "total of job " + job + " is " + std::to_string(total));
+  }
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    ++checked_;
+    const std::size_t position = after + i;
+    if (position < known.results.size()) {
+      if (known.results[position] == results[i]) continue;
+      Break("TWICE", "position " + std::to_string(position) + " of job " + job +
+                         " has changed");
+      continue;
+    }
+    known.results.push_back(results[i]);
+    CheckResult(job, results[i]);
+  }
+}
+
+void SoakRecord::NoteUnknownJob(const std::string& job) {
+  ++checked_;
+  const auto& accepted = jobs_[job].accepted;
+  if (accepted.has_value() && clock_.Now() - *accepted > kSettleTime) {
+    Break("LOST", "job " + job + " is said not to exist");
+  }
+}
+
+bool SoakRecord::IsAccepted(const std::string& job) const {
+  return jobs_.at(job).accepted.has_value();
+}
+
+std::vector<std::string> SoakRecord::AcceptedJobs() const {
+  std::vector<std::string> accepted;
+  for (const auto& [id, job] : jobs_) {
+    if (job.accepted.has_value()) accepted.push_back(id);
+  }
+  return accepted;
+}
+
+std::size_t SoakRecord::ListedOf(const std::string& job) const {
+  return jobs_.at(job).results.size();
+}
+
+// --- Orders
+
+void SoakRecord::NoteOrder(const std::string& replica, const SeenOrder& order) {
+  ++checked_;
+  std::vector<SeenOrder>& seen = orders_[replica];
+  if (!seen.empty()) {
+    const SeenOrder& last = seen.back();
+    if (order.fence < last.fence) {
+      Break("ONE", replica + " got a lower fence of " + order.holder);
+    }
+    if (order.holder != last.holder && order.fence == last.fence) {
+      Break("ONE", replica + " got one fence of two holders");
+    }
+    if (order.holder != last.holder && order.when - last.when < kLease) {
+      Break("ONE", replica + " got orders of " + last.holder + " and " +
+                       order.holder + " within the lease");
+    }
+  }
+  seen.push_back(order);
+}
+
+}  // namespace briarspread::soak
--- /dev/null
+++ b/tests/soak/soak_record.h
@@ -0,0 +1,119 @@
+#ifndef TESTS_SOAK_SOAK_RECORD_H_
+#define TESTS_SOAK_SOAK_RECORD_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "briarspread/core/clock.h"
+
+namespace briarspread::soak {
+
+/// A result as a reader sees it.
+struct SeenResult {
+  std::string item;
+  bool is_complete = false;
+  std::string text;
+  std::vector<std::uint64_t> versions;
+  std::string score;
+
+  friend bool operator==(const SeenResult&, const SeenResult&) = default;
+};
+
+/// An order as a replica sees it.
+struct SeenOrder {
+  std::string holder;
+  std::uint64_t fence = 0;
+  TimePoint when{};
+};
+
+/// What callers and replicas saw, and what of it breaks a promise. Each check
+/// holds at any speed of the machine. Not thread-safe.
+class SoakRecord final {
+ public:
+  explicit SoakRecord(const Clock& clock) : clock_(clock) {}
+
+  /// Live requests, by the id of the attempt.
+  void NoteSent(const std::string& id, bool may_run_again);
+  void NoteRun(const std::string& id);
+  void NoteAnswer(const std::string& id, int status, const std::string& body);
+
+  /// Batch jobs. `items` are in the order of submission.
+  void NoteSubmitted(const std::string& job, std::uint64_t oldest_allowed,
+                     const std::vector<std::string>& items);
+  void NoteAccepted(const std::string& job);
+  /// Every submission was answered that no part of it runs.
+  void NoteRefused(const std::string& job);
+  /// An end was acknowledged.
+  void NoteEnded(const std::string& job);
+  void NoteItemRun(const std::string& item);
+  void NoteEvent(const std::string& item, std::uint64_t event,
+                 std::uint64_t version);
+  void NoteScored(const std::string& item);
+  /// A read from a position on gave these results.
+  void NotePage(const std::string& job, std::size_t after, std::size_t total,
+                const std::vector<SeenResult>& results);
+  /// An instance said that there is no such job.
+  void NoteUnknownJob(const std::string& job);
+
+  void NoteOrder(const std::string& replica, const SeenOrder& order);
+  void NoteReplicaRestart(const std::string& replica) {
+    orders_.erase(replica);
+  }
+
+  /// A promise that is broken, as its name and what was seen.
+  void Break(const std::string& promise, const std::string& what);
+
+  bool IsAccepted(const std::string& job) const;
+  std::vector<std::string> AcceptedJobs() const;
+  std::size_t ListedOf(const std::string& job) const;
+
+  std::uint64_t checked() const { return checked_; }
+  const std::vector<std::string>& violations() const { return violations_; }
+
+  /// The body that a request's answer has, and the data of an item's event.
+  static std::string BodyOf(const std::string& id);
+  static std::string EventOf(const std::string& item, std::uint64_t event);
+  static std::uint64_t EventCountOf(const std::string& item);
+
+ private:
+  struct Request {
+    bool may_run_again = false;
+    bool is_refused = false;
+    int runs = 0;
+  };
+  struct Job {
+    std::vector<std::string> items;
+    std::uint64_t oldest_allowed = 0;
+    std::optional<TimePoint> accepted;
+    std::optional<TimePoint> ended;
+    bool is_refused = false;
+    /// By position, as first seen.
+    std::vector<SeenResult> results;
+  };
+  struct Item {
+    std::string job;
+    /// Versions that made each event, over all runs.
+    std::map<std::uint64_t, std::set<std::uint64_t>> made;
+    bool is_scored = false;
+    bool is_listed = false;
+  };
+
+  void CheckResult(const std::string& job, const SeenResult& result);
+  void CheckVersions(const std::string& job, const SeenResult& result);
+
+  const Clock& clock_;
+  std::map<std::string, Request> requests_;
+  std::map<std::string, Job> jobs_;
+  std::map<std::string, Item> items_;
+  std::map<std::string, std::vector<SeenOrder>> orders_;
+  std::uint64_t checked_ = 0;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace briarspread::soak
+
+#endif  // TESTS_SOAK_SOAK_RECORD_H_
--- /dev/null
+++ b/tests/soak/soak_replica.cc
@@ -0,0 +1,251 @@
+#include "tests/soak/soak_replica.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace briarspread::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string HeaderOf(const proxy::Request& request, const char* name) {
+  const std::string* value = request.head.headers.Find(name);
+  return value == nullptr ? "" : *value;
+}
+
+}  // namespace
+
+struct SoakReplica::Stream {
+  Stream(asio::io_context& loop, ResponderPtr responder)
+      : responder(std::move(responder)), timer(loop) {}
+  ResponderPtr responder;
+  LoopTimer timer;
+  std::string item;
+  std::size_t model = 0;
+  std::uint64_t next = 1;
+  /// The version that the caller was told last.
+  std::uint64_t told = 0;
+  /// The start of the replica that runs it.
+  std::uint64_t born = 0;
+  bool is_over = false;
+};
+
+SoakReplica::SoakReplica(ReplicaWorld& world, const ReplicaSettings& settings)
+    : world_(world),
+      settings_(settings),
+      listener_(world.loop, *this),
+      load_timer_(world.loop),
+      restart_timer_(world.loop),
+      born_(1 + world.random.Below(1000000)) {
+  const Status started = listener_.Start(Endpoint{"127.0.0.1", settings.port});
+  if (!IsOk(started)) world.record.Break("SETUP", ErrorOf(started).message);
+  Register();
+}
+
+void SoakReplica::Register() {
+  Json models = Json::array();
+  for (std::size_t i = 0; i < versions_.size(); ++i) {
+    models.push_back({{"Name", "m" + std::to_string(i)},
+                      {"Version", versions_[i]},
+                      {"Adapters", Json::array()}});
+  }
+  const Json entry = {
+      {"Service", settings_.service},
+      {"Address", "127.0.0.1:" + std::to_string(settings_.registered_port)},
+      {"Zone", settings_.zone},
+      {"Slots", settings_.slots},
+      {"State", "ready"},
+      {"born", born_},
+      {"Models", std::move(models)}};
+  world_.store.memory().Write("servers/" + settings_.name, entry.dump());
+}
+
+void SoakReplica::Crash(milliseconds after) {
+  if (!is_up_) return;
+  is_up_ = false;
+  ++born_;
+  orders_ = 0;
+  running_ = 0;
+  is_loading_ = false;
+  load_timer_.Cancel();
+  listener_.Stop();
+  world_.record.NoteReplicaRestart(settings_.name);
+  world_.store.memory().Erase("servers/" + settings_.name);
+  restart_timer_.After(after, [this] {
+    const Status started =
+        listener_.Start(Endpoint{"127.0.0.1", settings_.port});
+    if (!IsOk(started)) world_.record.Break("SETUP", ErrorOf(started).message);
+    is_up_ = true;
+    Register();
+  });
+}
+
+std::string SoakReplica::LoadHeader() const {
+  return std::to_string(running_) + ",0," + std::to_string(settings_.slots);
+}
+
+void SoakReplica::Refuse(proxy::Responder& responder, int status) {
+  proxy::Response response = proxy::MakeResponse(status, "{}");
+  response.head.headers.Add("X-Not-Executed", "1");
+  response.head.headers.Add("X-Instance-Load", LoadHeader());
+  responder.Send(response);
+}
+
+void SoakReplica::OnRequest(proxy::Request request, ResponderPtr responder) {
+  const std::string expected = HeaderOf(request, "X-Expect-Instance");
+  const std::string path(proxy::SplitTarget(request.head.target).path);
+  if (!expected.empty() && expected != settings_.name) {
+    Refuse(*responder, 421);
+  } else if (path == "/briarspread/report") {
+    responder->Send(proxy::MakeResponse(200, Report()));
+  } else if (path == "/briarspread/order") {
+    TakeOrder(request, *responder);
+  } else if (running_ >= settings_.slots) {
+    Refuse(*responder, 503);
+  } else if (path.starts_with("/roll")) {
+    StartStream(request, responder);
+  } else {
+    Answer(request, responder);
+  }
+}
+
+void SoakReplica::Answer(const proxy::Request& request,
+                         const ResponderPtr& responder) {
+  const std::string id = HeaderOf(request, "X-Attempt-Id");
+  const bool is_score = id.starts_with("score-");
+  if (!is_score) world_.record.NoteRun(id);
+  ++running_;
+  const auto timer = std::make_shared<LoopTimer>(world_.loop);
+  timer->After(settings_.work, [this, timer, id, is_score, responder,
+                                born = born_] {
+    if (born != born_) return;
+    --running_;
+    if (is_score) world_.record.NoteScored(id.substr(6));
+    proxy::Response response = proxy::MakeResponse(200, SoakRecord::BodyOf(id));
+    response.head.headers.Add("X-Attempt-Id", id);
+    response.head.headers.Add("X-Server-Stamp", is_score ? id : "sig");
+    response.head.headers.Add("X-Instance-Load", LoadHeader());
+    responder->Send(response);
+  });
+}
+
+// --- Items
+
+void SoakReplica::StartStream(const proxy::Request& request,
+                              const ResponderPtr& responder) {
+  const auto stream = std::make_shared<Stream>(world_.loop, responder);
+  stream->item = HeaderOf(request, "X-Attempt-Id");
+  stream->model = request.head.target.starts_with("/roll1/") ? 1 : 0;
+  if (is_loading_) {
+    Refuse(*responder, 503);
+    return;
+  }
+  stream->born = born_;
+  stream->next =
+      request.head.headers.FindNumber("Last-Event-Id").value_or(0) + 1;
+  world_.record.NoteItemRun(stream->item);
+  ++running_;
+  proxy::ResponseHead head;
+  head.status = 200;
+  head.headers.Add("Content-Type", "text/event-stream");
+  head.headers.Add("X-Attempt-Id", stream->item);
+  head.headers.Add("X-Server-Stamp", "sig");
+  head.headers.Add("X-Instance-Load", LoadHeader());
+  stream->told = versions_[stream->model];
+  if (stream->next <= SoakRecord::EventCountOf(stream->item)) {
+    head.headers.Add("X-Weight-Versions", std::to_string(stream->told));
+  }
+  responder->SetOnGone([this, weak = std::weak_ptr<Stream>(stream)] {
+    const auto gone = weak.lock();
+    if (gone == nullptr || gone->is_over) return;
+    gone->is_over = true;
+    if (gone->born == born_) --running_;
+  });
+  responder->Start(head);
+  MakeEvent(stream);
+}
+
+void SoakReplica::MakeEvent(const std::shared_ptr<Stream>& stream) {
+  if (stream->is_over || stream->born != born_) return;
+  if (stream->next > SoakRecord::EventCountOf(stream->item)) {
+    stream->is_over = true;
+    --running_;
+    stream->responder->End();
+    return;
+  }
+  if (!is_loading_) {
+    const std::uint64_t version = versions_[stream->model];
+    std::string event;
+    if (version != stream->told) {
+      event = "x-weight-versions: " + std::to_string(version) + "\n";
+      stream->told = version;
+    }
+    world_.record.NoteEvent(stream->item, stream->next, version);
+    event += "id: " + std::to_string(stream->next) +
+             "\ndata: " + SoakRecord::EventOf(stream->item, stream->next) +
+             "\n\n";
+    stream->responder->Write(event);
+    ++stream->next;
+  }
+  stream->timer.After(settings_.event_interval,
+                      [this, stream] { MakeEvent(stream); });
+}
+
+// --- Versions
+
+std::string SoakReplica::Report() const {
+  Json models = Json::array();
+  for (std::size_t i = 0; i < versions_.size(); ++i) {
+    models.push_back({{"Name", "m" + std::to_string(i)},
+                      {"Version", versions_[i]},
+                      {"Adapters", Json::array()}});
+  }
+  return Json{{"Stage", "both"},     {"Models", std::move(models)},
+              {"Busy", is_loading_}, {"Sequence", orders_},
+              {"Queued", 0},         {"Active", running_},
+              {"KvUsed", 0},         {"KvTotal", 1000000},
+              {"Handles", 0}}
+      .dump();
+}
+
+void SoakReplica::TakeOrder(const proxy::Request& request,
+                            proxy::Responder& responder) {
+  const Json order = Json::parse(request.body, nullptr, false);
+  const auto answer = [&responder](int status) {
+    responder.Send(proxy::MakeResponse(status, "{}"));
+  };
+  if (!order.is_object() || !order.contains("Holder")) {
+    answer(400);
+    return;
+  }
+  world_.record.NoteOrder(
+      settings_.name,
+      SeenOrder{order["Holder"].get<std::string>(),
+                order["Fence"].get<std::uint64_t>(), world_.clock.Now()});
+  const std::size_t model = order["Model"] == "m1" ? 1 : 0;
+  const auto version = order["Version"].get<std::uint64_t>();
+  const bool is_counted = !order.contains("Expected") ||
+                          order["Expected"].get<std::uint64_t>() == orders_;
+  if (is_loading_ || !is_counted) {
+    answer(409);
+    return;
+  }
+  if (versions_[model] >= version) {
+    answer(200);
+    return;
+  }
+  ++orders_;
+  Load(model, version);
+  answer(202);
+}
+
+void SoakReplica::Load(std::size_t model, std::uint64_t version) {
+  is_loading_ = true;
+  load_timer_.After(settings_.load_time, [this, model, version] {
+    is_loading_ = false;
+    versions_[model] = version;
+    Register();
+  });
+}
+
+}  // namespace briarspread::soak
--- /dev/null
+++ b/tests/soak/soak_replica.h
@@ -0,0 +1,83 @@
+#ifndef TESTS_SOAK_SOAK_REPLICA_H_
+#define TESTS_SOAK_SOAK_REPLICA_H_
+
+#include <memory>
+#include <string>
+
+#include "briarspread/core/random_source.h"
+#include "briarspread/fleet/loop_timer.h"
+#include "briarspread/proxy/http_listener.h"
+#include "tests/platform/store_stand_in.h"
+#include "tests/soak/soak_record.h"
+
+namespace briarspread::soak {
+
+/// What replicas work with.
+struct ReplicaWorld {
+  asio::io_context& loop;
+  const Clock& clock;
+  RandomSource& random;
+  SoakRecord& record;
+  platform::StoreStandIn& store;
+};
+
+/// How a replica works.
+struct ReplicaSettings {
+  std::string name;
+  std::string service;
+  std::string zone;
+  /// Where it listens, and the proxied port under which it registers.
+  std::uint16_t port = 0;
+  std::uint16_t registered_port = 0;
+  std::uint32_t slots = 8;
+  milliseconds work{10};
+  milliseconds event_interval{15};
+  milliseconds load_time{300};
+};
+
+/// A replica of a plain service and of models, as the platform's pages describe
+/// it. Records all that runs. Loop's thread only.
+class SoakReplica final : public proxy::RequestHandler {
+ public:
+  SoakReplica(ReplicaWorld& world, const ReplicaSettings& settings);
+
+  void OnRequest(proxy::Request request,
+                 std::shared_ptr<proxy::Responder> responder) override;
+  /// Crashes: all runs end without a word. It is back after `after`, and its
+  /// entry lapses meanwhile.
+  void Crash(milliseconds after);
+  const std::string& name() const { return settings_.name; }
+
+ private:
+  using ResponderPtr = std::shared_ptr<proxy::Responder>;
+  /// One item's stream.
+  struct Stream;
+
+  void Register();
+  void Refuse(proxy::Responder& responder, int status);
+  void Answer(const proxy::Request& request, const ResponderPtr& responder);
+  void StartStream(const proxy::Request& request,
+                   const ResponderPtr& responder);
+  void MakeEvent(const std::shared_ptr<Stream>& stream);
+  void TakeOrder(const proxy::Request& request, proxy::Responder& responder);
+  void Load(std::size_t model, std::uint64_t version);
+  std::string Report() const;
+  std::string LoadHeader() const;
+
+  ReplicaWorld& world_;
+  const ReplicaSettings settings_;
+  proxy::HttpListener listener_;
+  LoopTimer load_timer_;
+  LoopTimer restart_timer_;
+  std::uint64_t born_ = 0;
+  std::uint64_t orders_ = 0;
+  std::uint32_t running_ = 0;
+  bool is_loading_ = false;
+  bool is_up_ = true;
+  /// Versions by model.
+  std::vector<std::uint64_t> versions_ = {1, 1};
+};
+
+}  // namespace briarspread::soak
+
+#endif  // TESTS_SOAK_SOAK_REPLICA_H_
--- /dev/null
+++ b/tests/soak/soak_trainer.h
@@ -0,0 +1,60 @@
+#ifndef TESTS_SOAK_SOAK_TRAINER_H_
+#define TESTS_SOAK_SOAK_TRAINER_H_
+
+#include <string>
+#include <vector>
+
+#include "tests/platform/store_stand_in.h"
+#include "tests/soak/soak_callers.h"
+
+namespace briarspread::soak {
+
+/// A trainer: submits a step, reads it at any edge until it is whole, ends it,
+/// names the next version. Loop's thread only.
+class SoakTrainer final {
+ public:
+  SoakTrainer(asio::io_context& loop, const Clock& clock, EdgeCaller& caller,
+              SoakRecord& record, platform::StoreStandIn& store,
+              std::size_t number);
+
+  void Start() { Submit(); }
+  /// Begins no further step.
+  void Stop() { is_stopping_ = true; }
+  bool is_idle() const { return is_idle_; }
+  std::uint64_t steps() const { return step_; }
+  /// Reads a job from the start at an edge; `done` hears whether it could.
+  void ReadAgain(const std::string& job, std::size_t edge,
+                 std::function<void(bool)> done);
+
+ private:
+  void Submit();
+  void SendSubmission();
+  void OnSubmitted(const proxy::CallResult& result);
+  void Read();
+  void End();
+  void NameNext();
+  bool TakePage(const std::string& job, std::size_t after,
+                const proxy::CallResult& result);
+  std::string Prefix() const;
+
+  const Clock& clock_;
+  EdgeCaller& caller_;
+  SoakRecord& record_;
+  platform::StoreStandIn& store_;
+  const std::size_t number_;
+  LoopTimer timer_;
+  std::uint64_t step_ = 0;
+  std::uint64_t version_ = 1;
+  std::string job_;
+  std::string body_;
+  std::size_t items_ = 0;
+  TimePoint give_up_{};
+  /// Whether any submission may have been taken.
+  bool may_be_taken_ = false;
+  bool is_stopping_ = false;
+  bool is_idle_ = false;
+};
+
+}  // namespace briarspread::soak
+
+#endif  // TESTS_SOAK_SOAK_TRAINER_H_
