--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -333,7 +333,6 @@
   }
   if (exchange_ != nullptr) {
     exchange_->Cancel();
-    context_.directory.NoteSilence(*upstream_, attempt_started_);
     EndAttempt();
     policy_.Note(Verdict::kMayHaveRun);
   }
--- a/briarspread/forward/upstream_directory.cc
+++ b/briarspread/forward/upstream_directory.cc
@@ -205,16 +205,10 @@
 
 void UpstreamDirectory::NoteSuccess(const UpstreamId& id) {
   if (KnownUpstream* upstream = Find(id)) {
-    upstream->heard = clock_.Now();
     upstream->breaker->OnSuccess(clock_.Now());
   }
 }
 
-void UpstreamDirectory::NoteSilence(const UpstreamId& id, TimePoint since) {
-  const KnownUpstream* upstream = Find(id);
-  if (upstream != nullptr && upstream->heard < since) NoteFailure(id);
-}
-
 void UpstreamDirectory::NoteFailure(const UpstreamId& id) {
   if (KnownUpstream* upstream = Find(id)) {
     upstream->breaker->OnFailure(clock_.Now());
--- a/briarspread/forward/upstream_directory.h
+++ b/briarspread/forward/upstream_directory.h
@@ -46,8 +46,6 @@
   std::shared_ptr<CircuitBreaker> breaker;
   /// What it last said of its load, here or in an answer.
   LoadReport load;
-  /// When it last answered a request.
-  TimePoint heard{};
   /// Until when it is known to refuse requests that have not started.
   TimePoint refuses_until{};
   /// Moving average of the time between two events of a stream; zero before
@@ -112,10 +110,6 @@
                    WeightVersion version);
   void NoteSuccess(const UpstreamId& id);
   void NoteFailure(const UpstreamId& id);
-  /// A request that was sent at `since` got no answer. Counts as a failure
-  /// where the upstream has answered no other since then: it is silent, not
-  /// merely full.
-  void NoteSilence(const UpstreamId& id, TimePoint since);
 
  private:
   void Insert(DiscoveredUpstream listed);
