--- a/briarspread/contracts/suspect_table.cc
+++ b/briarspread/contracts/suspect_table.cc
@@ -124,10 +124,11 @@
   for (const auto& [id, report] : reports_) {
     if (FindIn(report.in_flight, fingerprint) == nullptr) continue;
     if (cleared != cleared_.end() && report.died <= cleared->second) continue;
+    const Held& death = report;
     const bool is_known =
         std::any_of(deaths.begin(), deaths.end(), [&](const Held* other) {
-          return other->upstream == report.upstream &&
-                 std::chrono::abs(other->died - report.died) <=
+          return other->upstream == death.upstream &&
+                 std::chrono::abs(other->died - death.died) <=
                      settings_.same_death;
         });
     if (!is_known) deaths.push_back(&report);
--- a/briarspread/fleet/instance_registry.cc
+++ b/briarspread/fleet/instance_registry.cc
@@ -166,6 +166,9 @@
     } else {
       TakeRemoval(change.key);
     }
+    LOG(INFO) << "event=registration_changed key=" << change.key
+              << " is_there=" << change.value.has_value()
+              << " instances=" << instances_.size();
   }
   listener_.OnInstancesChanged();
 }
--- a/briarspread/forward/upstream_directory.cc
+++ b/briarspread/forward/upstream_directory.cc
@@ -1,5 +1,7 @@
 #include "briarspread/forward/upstream_directory.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <array>
 #include <set>
@@ -49,9 +51,21 @@
   }
   Remove(missing);
   for (DiscoveredUpstream& upstream : listed) Insert(std::move(upstream));
+  LOG(INFO) << "event=upstreams_listed upstreams=" << known_.size()
+            << " gone=" << missing.size();
 }
 
 void UpstreamDirectory::Put(DiscoveredUpstream listed) {
+  const KnownUpstream* known = Find(listed.id);
+  const bool is_change = known == nullptr ||
+                         known->listed.is_leaving != listed.is_leaving ||
+                         known->listed.start_id != listed.start_id;
+  if (is_change) {
+    LOG(INFO) << "event=upstream_changed upstream=" << listed.id
+              << " service=" << listed.service
+              << " is_new=" << (known == nullptr)
+              << " is_leaving=" << listed.is_leaving;
+  }
   Insert(std::move(listed));
 }
 
@@ -119,6 +133,9 @@
   const auto it = known_.find(id);
   if (it == known_.end()) return;
   const DiscoveredUpstream listed = std::move(it->second.listed);
+  LOG(INFO) << "event=upstream_gone upstream=" << id
+            << " service=" << listed.service
+            << " was_leaving=" << listed.is_leaving;
   known_.erase(it);
   table_.reset();
   if (on_gone_) on_gone_(listed);
--- a/briarspread/observe/log_trace.cc
+++ b/briarspread/observe/log_trace.cc
@@ -13,6 +13,9 @@
 constexpr const char* kIdFields[] = {"request", "item", "job", "group",
                                      "upstream"};
 
+/// What befell an instance so long before a request may be its cause.
+constexpr std::int64_t kBeforeMs = 3000;
+
 std::string FieldOf(const LogLine& line, const char* name) {
   const auto it = line.fields.find(name);
   if (it == line.fields.end() || !it->is_string()) return {};
@@ -31,12 +34,13 @@
          FieldOf(line, "group").empty() && FieldOf(line, "upstream").empty();
 }
 
-/// Whether a line tells of what an instance depends on.
-bool IsOfDependency(const LogLine& line, const std::set<std::string>& upstreams,
-                    const std::set<std::string>& instances) {
-  static const std::set<std::string> store_events = {"store_lost", "store_back",
-                                                     "store_unreachable"};
-  if (store_events.contains(line.event)) {
+/// Whether a line tells of the state of an instance, or of an upstream's death.
+bool IsOfState(const LogLine& line, const std::set<std::string>& upstreams,
+               const std::set<std::string>& instances) {
+  static const std::set<std::string> state_events = {
+      "started",           "stopping",   "configuration_in_force", "store_lost",
+      "store_unreachable", "store_back", "handover_done"};
+  if (state_events.contains(line.event)) {
     return instances.contains(line.instance);
   }
   return line.event == "upstream_died" &&
@@ -93,9 +97,10 @@
   }
   std::vector<LogLine> way;
   for (const LogLine& line : logs.lines) {
-    const bool is_meanwhile = line.time_ms >= first && line.time_ms <= last;
+    const bool is_near =
+        line.time_ms >= first - kBeforeMs && line.time_ms <= last;
     if (Names(line, id) || IsOfJob(line, jobs) ||
-        (is_meanwhile && IsOfDependency(line, upstreams, instances))) {
+        (is_near && IsOfState(line, upstreams, instances))) {
       way.push_back(line);
     }
   }
--- a/briarspread/observe/log_trace.h
+++ b/briarspread/observe/log_trace.h
@@ -31,9 +31,9 @@
 void ReadLogLines(std::istream& in, CollectedLogs& logs);
 
 /// The way of an id through the logs of several instances: all lines that name
-/// it, the lines of the job that an item belongs to, and those of upstreams'
-/// deaths and of the store while it was under way; in the order of time.
-/// Thread-safe.
+/// it, the lines of the job that an item belongs to, and, from shortly before,
+/// those of the state of its instances and of its upstreams' deaths; in the
+/// order of time. Thread-safe.
 std::vector<LogLine> FollowId(const CollectedLogs& logs, const std::string& id);
 
 /// A line for people: time since the first line, instance, event, fields.
--- a/tests/observe/log_trace_test.cc
+++ b/tests/observe/log_trace_test.cc
@@ -2,8 +2,10 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
+#include <fstream>
 #include <optional>
 #include <sstream>
 
@@ -51,24 +53,59 @@
 }
 
 TEST_CASE("an item's way has its job, its upstreams' deaths, and its store") {
-  REQUIRE(EventsOf("a") ==
-          std::vector<std::string>{"edge-1 job_accepted", "edge-2 run_ended",
-                                   "edge-2 job_adopted", "edge-2 store_lost",
-                                   "edge-2 item_given_up"});
+  REQUIRE(EventsOf("a") == std::vector<std::string>{
+                               "edge-1 job_accepted", "edge-1 upstream_died",
+                               "edge-2 run_ended", "edge-2 job_adopted",
+                               "edge-2 store_lost", "edge-2 item_given_up"});
 }
 
-TEST_CASE("a job's way has all its items; a request's way only itself") {
+TEST_CASE("a job's way has its items, a request's its instance's state") {
   REQUIRE(EventsOf("j1").size() == 7);
-  REQUIRE(EventsOf("r1") == std::vector<std::string>{"edge-2 answered"});
+  REQUIRE(EventsOf("r1") ==
+          std::vector<std::string>{"edge-2 store_lost", "edge-2 answered"});
   REQUIRE(EventsOf("none").empty());
 }
 
+/// Lines of the instances of a played day, as the bench collects them; a part.
+std::vector<LogLine> WayInPlayedDay(const std::string& file,
+                                    const std::string& id) {
+  std::ifstream in(std::string(BRIARSPREAD_TEST_DATA) + "/" + file);
+  REQUIRE(in);
+  CollectedLogs logs;
+  ReadLogLines(in, logs);
+  REQUIRE(logs.skipped == 0);
+  return FollowId(logs, id);
+}
+
+TEST_CASE("in a played day an id leads to its cause") {
+  const auto lookup = WayInPlayedDay("played_day_2.log", "c5ab1e5f28c0e85f");
+  REQUIRE(lookup.size() == 2);
+  REQUIRE(lookup[0].event == "started");
+  REQUIRE(lookup[1].fields["reason"] == "no_configuration");
+
+  const auto item = WayInPlayedDay("played_day_1.log", "e743018e5d77e937");
+  REQUIRE(item.front().event == "job_accepted");
+  const auto lost = std::find_if(
+      item.begin(), item.end(),
+      [](const LogLine& line) { return line.event == "item_given_up"; });
+  REQUIRE(lost != item.end());
+  REQUIRE(lost->fields["reason"] == "reward_failed");
+
+  std::vector<std::string> events;
+  for (const LogLine& line : WayInPlayedDay("played_day_1.log", "g89")) {
+    if (line.event != "results_listed") events.push_back(line.event);
+  }
+  REQUIRE(events == std::vector<std::string>{"job_accepted", "started",
+                                             "takeover", "job_adopted",
+                                             "group_listed", "job_ended"});
+}
+
 TEST_CASE("a line for people has its time from the first, and its fields") {
   std::istringstream in(RunLogs());
   CollectedLogs logs;
   ReadLogLines(in, logs);
   const auto way = FollowId(logs, "r1");
-  REQUIRE(FormatForPeople(way.front(), 480) ==
+  REQUIRE(FormatForPeople(way.back(), 480) ==
           "+20 ms  edge-2  answered  level=INFO  request=r1  status=200  "
           "ms=31");
 }
--- a/tests/soak/loopback_proxy.cc
+++ b/tests/soak/loopback_proxy.cc
@@ -102,8 +102,7 @@
 
 LoopbackProxy::LoopbackProxy(asio::io_context& loop, std::uint16_t port,
                              const Endpoint& target)
-    : loop_(loop),
-      acceptor_(loop, OnLoopback(port)),
+    : acceptor_(loop, OnLoopback(port)),
       target_(OnLoopback(target.port)),
       fault_(std::make_shared<LinkFault>()) {
   Accept();
--- a/tests/soak/loopback_proxy.h
+++ b/tests/soak/loopback_proxy.h
@@ -41,7 +41,6 @@
 
   void Accept();
 
-  asio::io_context& loop_;
   asio::ip::tcp::acceptor acceptor_;
   const asio::ip::tcp::endpoint target_;
   /// Shared with connections, which may outlive the proxy.
--- a/tests/soak/soak_record.cc
+++ b/tests/soak/soak_record.cc
@@ -160,8 +160,9 @@
 
 void SoakRecord::CheckResult(const std::string& job, const SeenResult& result) {
   Item& item = items_[result.item];
-  if (item.job != job)
+  if (item.job != job) {
     Break("MIXED", "item " + result.item + " of another job");
+  }
   if (item.is_listed) Break("TWICE", "item " + result.item + " listed twice");
   item.is_listed = true;
   if (!result.is_complete) {
