--- a/briarspread/batch/item_order.cc
+++ b/briarspread/batch/item_order.cc
@@ -1,7 +1,5 @@
 #include "briarspread/batch/item_order.h"
 
-#include <algorithm>
-
 namespace briarspread::batch {
 
 bool RunsBefore(const WaitingItem& a, const WaitingItem& b) {
@@ -10,10 +8,4 @@
   return a.remaining_tokens > b.remaining_tokens;
 }
 
-std::optional<std::size_t> ChooseNext(const std::vector<WaitingItem>& waiting) {
-  if (waiting.empty()) return std::nullopt;
-  const auto it = std::min_element(waiting.begin(), waiting.end(), RunsBefore);
-  return static_cast<std::size_t>(it - waiting.begin());
-}
-
 }  // namespace briarspread::batch
--- a/briarspread/batch/item_order.h
+++ b/briarspread/batch/item_order.h
@@ -1,10 +1,7 @@
 #ifndef BRIARSPREAD_BATCH_ITEM_ORDER_H_
 #define BRIARSPREAD_BATCH_ITEM_ORDER_H_
 
-#include <cstddef>
 #include <cstdint>
-#include <optional>
-#include <vector>
 
 #include "briarspread/core/clock.h"
 
@@ -27,9 +24,6 @@
 /// starts last ends last. Thread-safe.
 bool RunsBefore(const WaitingItem& a, const WaitingItem& b);
 
-/// The index of the item to run next; nothing where none waits. Thread-safe.
-std::optional<std::size_t> ChooseNext(const std::vector<WaitingItem>& waiting);
-
 }  // namespace briarspread::batch
 
 #endif  // BRIARSPREAD_BATCH_ITEM_ORDER_H_
--- a/tests/batch/decisions_test.cc
+++ b/tests/batch/decisions_test.cc
@@ -35,10 +35,11 @@
       {now + seconds(3), false, 900},
       {now + seconds(3), true, 5},
   };
-  REQUIRE(ChooseNext(waiting) == 3);
+  for (std::size_t i = 0; i < 3; ++i) {
+    REQUIRE(RunsBefore(waiting[3], waiting[i]));
+  }
   REQUIRE(RunsBefore(waiting[2], waiting[1]));
   REQUIRE(RunsBefore(waiting[1], waiting[0]));
-  REQUIRE_FALSE(ChooseNext({}).has_value());
 }
 
 // The load: a step of items far more than slots. Those beyond the batches wait
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -1,18 +1,16 @@
 #include <catch2/catch.hpp>
 
 #include "briarspread/fleet/delegated_store.h"
-#include "briarspread/fleet/instance_registry.h"
-#include "briarspread/fleet/order_right.h"
 #include "briarspread/fleet/store_watch.h"
 #include "briarspread/proxy/http_listener.h"
-#include "tests/support/async_memory_store.h"
-#include "tests/support/loop_runner.h"
-#include "tests/support/manual_clock.h"
+#include "tests/fleet/instance_world.h"
 
 namespace briarspread {
 namespace {
 
 using testing::AsyncMemoryStore;
+using testing::Await;
+using testing::Instance;
 using testing::ManualClock;
 using Fault = AsyncMemoryStore::Fault;
 
@@ -190,58 +188,6 @@
   REQUIRE(log.at() == StoreIndex(14));
 }
 
-struct Quiet final : InstanceRegistry::Listener {
-  void OnInstancesChanged() override { ++changes; }
-  void OnStoreReachable(bool is_reachable) override {
-    reachable = is_reachable;
-  }
-  int changes = 0;
-  bool reachable = true;
-};
-
-InstanceRecord Record(const std::string& name, std::uint64_t incarnation) {
-  InstanceRecord record;
-  record.name = InstanceId(name);
-  record.incarnation = Incarnation(incarnation);
-  record.peer_endpoint = Endpoint{"127.0.0.1", 1};
-  return record;
-}
-
-/// One instance: its registry and its part in the right to order.
-struct Instance {
-  Instance(asio::io_context& loop, AsyncMemoryStore& store, const Clock& clock,
-           const std::string& name, std::uint64_t incarnation = 1)
-      : registry(loop, store, store, nullptr, InstanceRegistrySettings{},
-                 Record(name, incarnation), quiet),
-        right(store, registry, OrderRightSettings{}, clock) {
-    registry.Start();
-  }
-  Quiet quiet;
-  InstanceRegistry registry;
-  OrderRight right;
-};
-
-/// Lets watches run: their pauses are real, and short.
-template <typename IsDone>
-void Await(asio::io_context& loop, AsyncMemoryStore& store,
-           const IsDone& is_done) {
-  REQUIRE(testing::RunUntil(loop, [&] {
-    store.Deliver();
-    return is_done();
-  }));
-}
-
-/// Lets an instance that may contend take the right.
-void Acquire(asio::io_context& loop, AsyncMemoryStore& store,
-             Instance& instance) {
-  Await(loop, store, [&] {
-    return instance.registry.has_listed() &&
-           instance.registry.lease().value() != 0;
-  });
-  instance.right.Step();
-  store.Deliver();
-}
-
 TEST_CASE("instances know each other, and one whose lease ended is gone") {
   asio::io_context loop;
   AsyncMemoryStore store;
@@ -268,185 +214,5 @@
   REQUIRE(a.registry.Peers().empty());
 }
 
-TEST_CASE("a new holder waits until the one before can no longer send") {
-  asio::io_context loop;
-  AsyncMemoryStore store;
-  ManualClock clock;
-  Instance a(loop, store, clock, "a");
-  Acquire(loop, store, a);
-  REQUIRE(a.right.is_holder());
-  const OrderRightSettings settings;
-  REQUIRE_FALSE(a.right.MaySend());
-  clock.Advance(settings.lease + settings.confidence);
-  REQUIRE_FALSE(a.right.MaySend());
-  clock.Advance(settings.margin);
-  // The record is to say first that the wait is over.
-  REQUIRE_FALSE(a.right.MaySend());
-  store.Deliver();
-  REQUIRE(a.right.MaySend());
-}
-
-TEST_CASE("a holder that gives up tells the next one what is left to wait") {
-  const OrderRightSettings settings;
-  const Duration between = settings.lease + settings.margin;
-  for (const milliseconds since_order :
-       {milliseconds(0), milliseconds(1000), milliseconds(9000)}) {
-    asio::io_context loop;
-    AsyncMemoryStore store;
-    ManualClock clock;
-    Instance a(loop, store, clock, "a");
-    Acquire(loop, store, a);
-    clock.Advance(seconds(10));
-    a.right.MaySend();
-    store.Deliver();
-    REQUIRE(a.right.MaySend());
-    a.right.NoteSent();
-    clock.Advance(since_order);
-    a.right.Release();
-    store.Deliver();
-    REQUIRE_FALSE(a.right.is_holder());
-    Instance b(loop, store, clock, "b");
-    Acquire(loop, store, b);
-    clock.Advance(settings.stagger);
-    b.right.Step();
-    store.Deliver();
-    REQUIRE(b.right.is_holder());
-    const Duration left =
-        std::max<Duration>(Duration(0), between - since_order);
-    if (left > Duration(0)) {
-      clock.Advance(left - milliseconds(1));
-      REQUIRE_FALSE(b.right.MaySend());
-      store.Deliver();
-      REQUIRE_FALSE(b.right.MaySend());
-    }
-    clock.Advance(milliseconds(1));
-    b.right.MaySend();
-    store.Deliver();
-    REQUIRE(b.right.MaySend());
-  }
-}
-
-TEST_CASE("an upstream that knows a later holder makes the right doubtful") {
-  asio::io_context loop;
-  AsyncMemoryStore store;
-  ManualClock clock;
-  Instance a(loop, store, clock, "a");
-  Acquire(loop, store, a);
-  store.Erase(InstanceRegistry::kOrderRightKey);
-  a.right.Doubt();
-  store.Deliver();
-  REQUIRE_FALSE(a.right.is_holder());
-}
-
-TEST_CASE("a holder that cannot confirm its right stops, suspended or not") {
-  asio::io_context loop;
-  AsyncMemoryStore store;
-  ManualClock clock;
-  Instance a(loop, store, clock, "a");
-  Acquire(loop, store, a);
-  clock.Advance(seconds(10));
-  a.right.MaySend();
-  store.Deliver();
-  REQUIRE(a.right.MaySend());
-  store.SetFault(Fault::kRefuse);
-  clock.Advance(OrderRightSettings{}.confidence);
-  REQUIRE_FALSE(a.right.MaySend());
-  store.Deliver();
-  REQUIRE_FALSE(a.right.MaySend());
-}
-
-TEST_CASE(
-    "a holder whose record was taken away knows at its next confirmation") {
-  asio::io_context loop;
-  AsyncMemoryStore store;
-  ManualClock clock;
-  Instance a(loop, store, clock, "a");
-  Acquire(loop, store, a);
-  store.Erase(InstanceRegistry::kOrderRightKey);
-  clock.Advance(seconds(10));
-  REQUIRE_FALSE(a.right.MaySend());
-  store.Deliver();
-  REQUIRE_FALSE(a.right.is_holder());
-}
-
-TEST_CASE("a machine that starts again goes on with its own right at once") {
-  asio::io_context loop;
-  AsyncMemoryStore store;
-  ManualClock clock;
-  FencingNumber before;
-  {
-    Instance a(loop, store, clock, "a", 1);
-    Await(loop, store, [&] {
-      return a.registry.has_listed() && a.registry.lease().value() != 0;
-    });
-    a.right.Step();
-    store.Deliver();
-    REQUIRE(a.right.is_holder());
-    clock.Advance(seconds(10));
-    a.right.MaySend();
-    store.Deliver();
-    REQUIRE(a.right.MaySend());
-    before = a.right.fencing();
-    store.Disconnect();
-  }
-  Instance again(loop, store, clock, "a", 2);
-  Instance other(loop, store, clock, "b", 1);
-  Await(loop, store, [&] {
-    return again.registry.order_right().has_value() &&
-           again.registry.lease().value() != 0 &&
-           other.registry.order_right().has_value();
-  });
-  other.right.Step();
-  again.right.Step();
-  store.Deliver();
-  REQUIRE_FALSE(other.right.is_holder());
-  REQUIRE(again.right.is_holder());
-  REQUIRE(again.right.fencing() > before);
-  REQUIRE(again.right.MaySend());
-}
-
-TEST_CASE("a machine that starts again before its wait is over waits anew") {
-  asio::io_context loop;
-  AsyncMemoryStore store;
-  ManualClock clock;
-  {
-    Instance a(loop, store, clock, "a", 1);
-    Acquire(loop, store, a);
-    REQUIRE(a.right.is_holder());
-    store.Disconnect();
-  }
-  Instance again(loop, store, clock, "a", 2);
-  Await(loop, store, [&] {
-    return again.registry.order_right().has_value() &&
-           again.registry.lease().value() != 0;
-  });
-  again.right.Step();
-  store.Deliver();
-  REQUIRE(again.right.is_holder());
-  // Another machine may have sent just before the first start took the right.
-  REQUIRE_FALSE(again.right.MaySend());
-  store.Deliver();
-  REQUIRE_FALSE(again.right.MaySend());
-}
-
-TEST_CASE("a lost answer to taking the right is read back") {
-  asio::io_context loop;
-  AsyncMemoryStore store;
-  ManualClock clock;
-  Instance a(loop, store, clock, "a");
-  Await(loop, store, [&] {
-    return a.registry.has_listed() && a.registry.lease().value() != 0;
-  });
-  store.SetFault(Fault::kLoseAnswer);
-  a.right.Step();
-  store.SetFault(Fault::kNone);
-  store.Deliver();
-  REQUIRE_FALSE(a.right.is_holder());
-  a.right.Step();
-  store.Deliver();
-  REQUIRE(a.right.is_holder());
-  REQUIRE_FALSE(a.right.MaySend());
-}
-
 }  // namespace
 }  // namespace briarspread
--- /dev/null
+++ b/tests/fleet/instance_world.h
@@ -0,0 +1,81 @@
+#ifndef TESTS_FLEET_INSTANCE_WORLD_H_
+#define TESTS_FLEET_INSTANCE_WORLD_H_
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "briarspread/fleet/instance_registry.h"
+#include "briarspread/fleet/order_right.h"
+#include "tests/support/async_memory_store.h"
+#include "tests/support/loop_runner.h"
+#include "tests/support/manual_clock.h"
+
+namespace briarspread::testing {
+
+struct Quiet final : InstanceRegistry::Listener {
+  void OnInstancesChanged() override { ++changes; }
+  void OnStoreReachable(bool is_reachable) override {
+    reachable = is_reachable;
+  }
+  int changes = 0;
+  bool reachable = true;
+};
+
+inline InstanceRecord Record(const std::string& name,
+                             std::uint64_t incarnation) {
+  InstanceRecord record;
+  record.name = InstanceId(name);
+  record.incarnation = Incarnation(incarnation);
+  record.peer_endpoint = Endpoint{"127.0.0.1", 1};
+  return record;
+}
+
+/// One instance: its registry and its part in the right to order.
+struct Instance {
+  Instance(asio::io_context& loop, AsyncMemoryStore& store, const Clock& clock,
+           const std::string& name, std::uint64_t incarnation = 1)
+      : registry(loop, store, store, nullptr, InstanceRegistrySettings{},
+                 Record(name, incarnation), quiet),
+        right(store, registry, OrderRightSettings{}, clock) {
+    registry.Start();
+  }
+  Quiet quiet;
+  InstanceRegistry registry;
+  OrderRight right;
+};
+
+/// Lets watches run: their pauses are real, and short.
+template <typename IsDone>
+void Await(asio::io_context& loop, AsyncMemoryStore& store,
+           const IsDone& is_done) {
+  REQUIRE(RunUntil(loop, [&] {
+    store.Deliver();
+    return is_done();
+  }));
+}
+
+/// Lets an instance that may contend take the right.
+inline void Acquire(asio::io_context& loop, AsyncMemoryStore& store,
+                    Instance& instance) {
+  Await(loop, store, [&] {
+    return instance.registry.has_listed() &&
+           instance.registry.lease().value() != 0;
+  });
+  instance.right.Step();
+  store.Deliver();
+}
+
+/// Lets an instance take the right and wait until it may send.
+inline void AcquireAndWait(asio::io_context& loop, AsyncMemoryStore& store,
+                           ManualClock& clock, Instance& instance) {
+  Acquire(loop, store, instance);
+  REQUIRE(instance.right.is_holder());
+  clock.Advance(seconds(10));
+  instance.right.MaySend();
+  store.Deliver();
+  REQUIRE(instance.right.MaySend());
+}
+
+}  // namespace briarspread::testing
+
+#endif  // TESTS_FLEET_INSTANCE_WORLD_H_
--- /dev/null
+++ b/tests/fleet/order_right_test.cc
@@ -0,0 +1,186 @@
+#include "briarspread/fleet/order_right.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "tests/fleet/instance_world.h"
+
+namespace briarspread {
+namespace {
+
+using testing::Acquire;
+using testing::AcquireAndWait;
+using testing::AsyncMemoryStore;
+using testing::Await;
+using testing::Instance;
+using testing::ManualClock;
+using Fault = AsyncMemoryStore::Fault;
+
+TEST_CASE("a new holder waits until the one before can no longer send") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  Instance a(loop, store, clock, "a");
+  Acquire(loop, store, a);
+  REQUIRE(a.right.is_holder());
+  const OrderRightSettings settings;
+  REQUIRE_FALSE(a.right.MaySend());
+  clock.Advance(settings.lease + settings.confidence);
+  REQUIRE_FALSE(a.right.MaySend());
+  clock.Advance(settings.margin);
+  // The record is to say first that the wait is over.
+  REQUIRE_FALSE(a.right.MaySend());
+  store.Deliver();
+  REQUIRE(a.right.MaySend());
+}
+
+TEST_CASE("a holder that gives up tells the next one what is left to wait") {
+  const OrderRightSettings settings;
+  const Duration between = settings.lease + settings.margin;
+  for (const milliseconds since_order :
+       {milliseconds(0), milliseconds(1000), milliseconds(9000)}) {
+    asio::io_context loop;
+    AsyncMemoryStore store;
+    ManualClock clock;
+    Instance a(loop, store, clock, "a");
+    AcquireAndWait(loop, store, clock, a);
+    a.right.NoteSent();
+    clock.Advance(since_order);
+    a.right.Release();
+    store.Deliver();
+    REQUIRE_FALSE(a.right.is_holder());
+    Instance b(loop, store, clock, "b");
+    Acquire(loop, store, b);
+    clock.Advance(settings.stagger);
+    b.right.Step();
+    store.Deliver();
+    REQUIRE(b.right.is_holder());
+    const Duration left =
+        std::max<Duration>(Duration(0), between - since_order);
+    if (left > Duration(0)) {
+      clock.Advance(left - milliseconds(1));
+      REQUIRE_FALSE(b.right.MaySend());
+      store.Deliver();
+      REQUIRE_FALSE(b.right.MaySend());
+    }
+    clock.Advance(milliseconds(1));
+    b.right.MaySend();
+    store.Deliver();
+    REQUIRE(b.right.MaySend());
+  }
+}
+
+TEST_CASE("an upstream that knows a later holder makes the right doubtful") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  Instance a(loop, store, clock, "a");
+  Acquire(loop, store, a);
+  store.Erase(InstanceRegistry::kOrderRightKey);
+  a.right.Doubt();
+  store.Deliver();
+  REQUIRE_FALSE(a.right.is_holder());
+}
+
+TEST_CASE("a holder that cannot confirm its right stops, suspended or not") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  Instance a(loop, store, clock, "a");
+  AcquireAndWait(loop, store, clock, a);
+  store.SetFault(Fault::kRefuse);
+  clock.Advance(OrderRightSettings{}.confidence);
+  REQUIRE_FALSE(a.right.MaySend());
+  store.Deliver();
+  REQUIRE_FALSE(a.right.MaySend());
+}
+
+TEST_CASE(
+    "a holder whose record was taken away knows at its next confirmation") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  Instance a(loop, store, clock, "a");
+  Acquire(loop, store, a);
+  store.Erase(InstanceRegistry::kOrderRightKey);
+  clock.Advance(seconds(10));
+  REQUIRE_FALSE(a.right.MaySend());
+  store.Deliver();
+  REQUIRE_FALSE(a.right.is_holder());
+}
+
+TEST_CASE("a machine that starts again goes on with its own right at once") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  FencingNumber before;
+  {
+    Instance a(loop, store, clock, "a", 1);
+    Await(loop, store, [&] {
+      return a.registry.has_listed() && a.registry.lease().value() != 0;
+    });
+    AcquireAndWait(loop, store, clock, a);
+    before = a.right.fencing();
+    store.Disconnect();
+  }
+  Instance again(loop, store, clock, "a", 2);
+  Instance other(loop, store, clock, "b", 1);
+  Await(loop, store, [&] {
+    return again.registry.order_right().has_value() &&
+           again.registry.lease().value() != 0 &&
+           other.registry.order_right().has_value();
+  });
+  other.right.Step();
+  again.right.Step();
+  store.Deliver();
+  REQUIRE_FALSE(other.right.is_holder());
+  REQUIRE(again.right.is_holder());
+  REQUIRE(again.right.fencing() > before);
+  REQUIRE(again.right.MaySend());
+}
+
+TEST_CASE("a machine that starts again before its wait is over waits anew") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  {
+    Instance a(loop, store, clock, "a", 1);
+    Acquire(loop, store, a);
+    REQUIRE(a.right.is_holder());
+    store.Disconnect();
+  }
+  Instance again(loop, store, clock, "a", 2);
+  Await(loop, store, [&] {
+    return again.registry.order_right().has_value() &&
+           again.registry.lease().value() != 0;
+  });
+  again.right.Step();
+  store.Deliver();
+  REQUIRE(again.right.is_holder());
+  // Another machine may have sent just before the first start took the right.
+  REQUIRE_FALSE(again.right.MaySend());
+  store.Deliver();
+  REQUIRE_FALSE(again.right.MaySend());
+}
+
+TEST_CASE("a lost answer to taking the right is read back") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  Instance a(loop, store, clock, "a");
+  Await(loop, store, [&] {
+    return a.registry.has_listed() && a.registry.lease().value() != 0;
+  });
+  store.SetFault(Fault::kLoseAnswer);
+  a.right.Step();
+  store.SetFault(Fault::kNone);
+  store.Deliver();
+  REQUIRE_FALSE(a.right.is_holder());
+  a.right.Step();
+  store.Deliver();
+  REQUIRE(a.right.is_holder());
+  REQUIRE_FALSE(a.right.MaySend());
+}
+
+}  // namespace
+}  // namespace briarspread
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -11,7 +11,8 @@
 namespace {
 
 const std::string kSettings =
-    "NodeName=edge-1\nIp=127.0.0.1\nZone=z1\nRegion=r1\nZones.z1=r1\nZones.z2=r2\n"
+    "NodeName=edge-1\nIp=127.0.0.1\nZone=z1\nRegion=r1\nZones.z1=r1\nZones.z2="
+    "r2\n"
     "Listen.Frontend=127.0.0.1:8001\nListen.Ready=127.0.0.1:8002\n"
     "Listen.ControlPlane=127.0.0.1:8003\n"
     "SeedNodes=127.0.0.1:8003,127.0.0.2:8003\n"
