Soak: refuses ports that another run still uses

Change: the script looks at its ports first and ends with 2 where one is in use; tried with a second run beside the first.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,7 +2,8 @@
 # Random faults around real edge processes on loopback, and the promises of the
 # platform's pages checked meanwhile. Build first.
 #   scripts/soak.sh [SEED [SECONDS [EDGES]]]    default: seed 1, 20 s, 4 edges
-# Exit code 1: a promise was broken. BRIARSPREAD_KEEP=1 keeps the logs.
+# Exit code 1: a promise was broken; 2: ports in use. BRIARSPREAD_KEEP=1 keeps
+# the logs. Runs side by side need a BRIARSPREAD_BASE_PORT each, 1,000 apart.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -16,6 +17,14 @@
 trap stop_all EXIT
 : >"$processes"
 
+# Another run's edges, still leaving, would answer for this run's.
+for port in $((base + 500)) $(seq $((base + 1)) 10 $((base + edges * 10))); do
+  if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+    echo "soak: port $port is in use; choose another BRIARSPREAD_BASE_PORT" >&2
+    exit 2
+  fi
+done
+
 seeds=""
 for i in $(seq 0 $((edges - 1))); do
   seeds="$seeds${seeds:+,}127.0.0.1:$((base + i * 10 + 3))"
