Soak: its own lag counts in what it tells apart by time

Cause: the soak's process may look at its sockets late beside other work; two orders, or an end and a run, then seem closer together, or further apart, than they were.

--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_SOAK_SOAK_RECORD_H_
 #define TESTS_SOAK_SOAK_RECORD_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -36,6 +37,10 @@
  public:
   explicit SoakRecord(const Clock& clock) : clock_(clock) {}
 
+  /// This process was so late to look at its sockets. What it notes may have
+  /// come so much earlier, so that two times are told apart only beyond it.
+  void NoteOwnLag(Duration lag) { own_lag_ = std::max(own_lag_, lag); }
+
   /// Live requests, by the id of the attempt.
   void NoteSent(const std::string& id, bool may_run_again);
   void NoteRun(const std::string& id);
@@ -72,6 +77,7 @@
   std::size_t ListedOf(const std::string& job) const;
 
   std::uint64_t checked() const { return checked_; }
+  Duration own_lag() const { return own_lag_; }
   const std::vector<std::string>& violations() const { return violations_; }
 
   /// The body that a request's answer has, and the data of an item's event.
@@ -111,6 +117,8 @@
   std::map<std::string, Item> items_;
   std::map<std::string, std::vector<SeenOrder>> orders_;
   std::uint64_t checked_ = 0;
+  /// The longest so far.
+  Duration own_lag_{0};
   std::vector<std::string> violations_;
 };
 
