--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -3,7 +3,8 @@
 # platform's pages checked meanwhile. Build first.
 #   scripts/soak.sh [SEED [SECONDS [EDGES]]]    default: seed 1, 20 s, 4 edges
 # Exit code 1: a promise was broken; 2: ports in use. BRIARSPREAD_KEEP=1 keeps
-# the logs. Runs side by side need a BRIARSPREAD_BASE_PORT each, 1,000 apart.
+# the logs. BRIARSPREAD_BASE_PORT: the first of 1,000 ports; free ones are found
+# where it is not given.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -18,12 +19,27 @@
 : >"$processes"
 
 # Another run's edges, still leaving, would answer for this run's.
-for port in $((base + 500)) $(seq $((base + 1)) 10 $((base + edges * 10))); do
-  if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
-    echo "soak: port $port is in use; choose another BRIARSPREAD_BASE_PORT" >&2
+port_in_use() { # port_in_use BASE: prints a port that is taken, if any
+  local port
+  for port in $(($1 + 500)) $(seq $(($1 + 1)) 10 $(($1 + edges * 10))); do
+    if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+      echo "$port"
+      return
+    fi
+  done
+}
+if [ -n "${BRIARSPREAD_BASE_PORT:-}" ]; then
+  used="$(port_in_use "$base")"
+  if [ -n "$used" ]; then
+    echo "soak: port $used is in use; choose another BRIARSPREAD_BASE_PORT" >&2
     exit 2
   fi
-done
+else
+  # The first of some below the ports that the system gives out by itself.
+  for base in $(seq 24000 1000 31000); do
+    [ -n "$(port_in_use "$base")" ] || break
+  done
+fi
 
 seeds=""
 for i in $(seq 0 $((edges - 1))); do
