The right to order outlives its holder's registration

Beside each other stood: version 7 named at 30.1 s and 8 at 32.3 s, no order between 28.9 and 35.4 s, and a step that needs version 7 whose first item ran 7.3 s after its acceptance. The holder was killed for 2.9 s; its record went with its lease 1.7 s later, another machine took the right and waited the whole time in which the first may still have sent (4.8 s). After all machines lost power the record was gone too, so whoever came up first waited 4.8 s again.

Ruled out: placement and checkpoints (the engines were free and the items were placed within 50 ms once a version was there); a shorter wait (a holder that is cut off relies on its last confirmation for 1.5 s, and its last order may be as late); relying on the lease alone (the platform takes keys of cut machines away at once).

Change: the record stands without a lease and names the machine that sent the latest order. A holder that is no longer registered is replaced as before, with the whole wait; until the new one has written that its wait is over it has sent nothing, so the machine that sent last takes the right back at once when it starts again. All by conditional writes on the record's index. The record is a type of its own, read once, malformed text included.

--- a/briarspread/fleet/order_right.cc
+++ b/briarspread/fleet/order_right.cc
@@ -6,44 +6,11 @@
 #include <utility>
 
 namespace briarspread {
-namespace {
-
-/// In the record of a right that was given up: milliseconds that the next
-/// holder waits still.
-constexpr char kReleasedField[] = "released_wait_ms";
-/// In the record of a holder: milliseconds that it waits before its first
-/// order, so that a later start of it on the same machine waits them too.
-constexpr char kWaitField[] = "wait_ms";
-
-}  // namespace
 
 OrderRight::OrderRight(AsyncStore& store, const InstanceRegistry& registry,
                        const OrderRightSettings& settings, const Clock& clock)
     : store_(store), registry_(registry), settings_(settings), clock_(clock) {}
 
-bool OrderRight::IsSameMachine(const KeyValue& record) const {
-  const auto json = nlohmann::json::parse(record.value, nullptr, false);
-  return json.is_object() &&
-         json.value("name", "") == registry_.self().name.value();
-}
-
-bool OrderRight::IsOwn(const KeyValue& record) const {
-  const auto json = nlohmann::json::parse(record.value, nullptr, false);
-  return IsSameMachine(record) && json.value("incarnation", std::uint64_t{0}) ==
-                                      registry_.self().incarnation.value();
-}
-
-Duration OrderRight::WaitOf(const KeyValue& record) {
-  const auto json = nlohmann::json::parse(record.value, nullptr, false);
-  return milliseconds(json.value(kWaitField, std::int64_t{0}));
-}
-
-std::optional<Duration> OrderRight::WaitAfterRelease(const KeyValue& record) {
-  const auto json = nlohmann::json::parse(record.value, nullptr, false);
-  if (!json.is_object() || !json.contains(kReleasedField)) return std::nullopt;
-  return milliseconds(json.value(kReleasedField, std::int64_t{0}));
-}
-
 std::size_t OrderRight::Rank() const {
   std::size_t rank = 0;
   for (const InstanceRecord& peer : registry_.Peers()) {
@@ -52,79 +19,115 @@
   return rank;
 }
 
+std::optional<OrderRight::Claim> OrderRight::ClaimAfter(
+    const std::string& record) const {
+  const Claim after_unknown{false, TakeoverWait(), std::nullopt};
+  const auto before = ParseOrderRecord(record);
+  if (!before.has_value()) return after_unknown;
+  const InstanceId& self = registry_.self().name;
+  // Only this machine's orders came before, those of an earlier start included.
+  if (before->last_sender == self) {
+    return Claim{true, Duration(0), before->last_sender};
+  }
+  if (before->holder == self) {
+    return Claim{true, before->wait, before->last_sender};
+  }
+  if (!before->holder.has_value()) {
+    return Claim{false, before->wait, before->last_sender};
+  }
+  if (registry_.instances().contains(*before->holder)) return std::nullopt;
+  return Claim{false, TakeoverWait(), before->last_sender};
+}
+
+void OrderRight::CheckHeld(const std::optional<KeyValue>& record) {
+  // Known to be lost once a later record is seen; the watch may lag behind.
+  if (record.has_value() && record->index.value() > fencing_.value()) Lose();
+}
+
 void OrderRight::Step() {
   if (is_calling_ || was_released_ || !registry_.has_listed()) return;
   const std::optional<KeyValue>& record = registry_.order_right();
   if (is_holder()) {
-    // Known to be lost once another's record, or none, is seen.
-    const bool is_own =
-        record.has_value() && record->index.value() == fencing_.value();
-    const bool is_older =
-        record.has_value() && record->index.value() < fencing_.value();
-    if (!is_own && !is_older && record.has_value()) Lose();
+    CheckHeld(record);
     return;
   }
-  if (record.has_value()) {
-    if (const auto wait = WaitAfterRelease(*record); wait.has_value()) {
-      ContendInTurn(record->index, *wait);
-      return;
-    }
+  const std::optional<Claim> claim =
+      record.has_value() ? ClaimAfter(record->value)
+                         : Claim{false, TakeoverWait(), std::nullopt};
+  if (!claim.has_value()) {
     missing_since_ = {};
-    // The start before this one is over, and its orders are this machine's.
-    if (IsSameMachine(*record)) Contend(record->index, WaitOf(*record));
     return;
   }
-  ContendInTurn(StoreIndex(0), TakeoverWait());
+  if (!claim->is_at_once && !IsOwnTurn()) return;
+  Contend(record.has_value() ? record->index : StoreIndex(0), *claim);
 }
 
-void OrderRight::ContendInTurn(StoreIndex expected, Duration wait) {
+bool OrderRight::IsOwnTurn() {
   const TimePoint now = clock_.Now();
   if (missing_since_ == TimePoint{}) missing_since_ = now;
-  if (now - missing_since_ >= Rank() * settings_.stagger) {
-    Contend(expected, wait);
-  }
+  return now - missing_since_ >= Rank() * settings_.stagger;
 }
 
-void OrderRight::Contend(StoreIndex expected, Duration wait) {
+void OrderRight::Contend(StoreIndex expected, Claim claim) {
   if (registry_.lease().value() == 0 || registry_.self().is_leaving) return;
   is_calling_ = true;
+  // A holder that waits no more may send as soon as it has the record.
+  if (claim.wait == Duration(0)) claim.last_sender = registry_.self().name;
   const TimePoint asked = clock_.NowWithSuspension();
+  OrderRecord record;
+  record.holder = registry_.self().name;
+  record.incarnation = registry_.self().incarnation;
+  record.wait = std::chrono::ceil<milliseconds>(claim.wait);
+  record.last_sender = claim.last_sender;
   StoreTransaction take;
   take.conditions.push_back({InstanceRegistry::kOrderRightKey, expected});
-  const nlohmann::json value = {
-      {"name", registry_.self().name.value()},
-      {"incarnation", registry_.self().incarnation.value()},
-      {kWaitField, std::chrono::ceil<milliseconds>(wait).count()}};
+  // Without a lease: who sent last must be known after that machine is gone.
   take.writes.push_back(
-      {InstanceRegistry::kOrderRightKey, value.dump(), registry_.lease()});
-  store_.Commit(std::move(take), [this, asked,
-                                  wait](const Result<StoreOutcome>& outcome) {
-    is_calling_ = false;
-    missing_since_ = clock_.Now();
-    if (!IsOk(outcome)) return;
-    if (const auto* done = std::get_if<StoreCommitted>(&ValueOf(outcome))) {
-      TakeRecord(done->index, asked, wait);
-      return;
-    }
-    const auto& current = std::get<StoreConflict>(ValueOf(outcome)).current;
-    if (!current.empty() && IsOwn(current.front())) {
-      // An earlier try whose answer was lost took effect.
-      TakeRecord(current.front().index, asked, WaitOf(current.front()));
-      return;
-    }
-    if (is_holder()) Lose();
-  });
+      {InstanceRegistry::kOrderRightKey, Encode(record), StoreLeaseId()});
+  store_.Commit(std::move(take),
+                [this, asked, claim](const Result<StoreOutcome>& outcome) {
+                  OnContended(outcome, asked, claim);
+                });
 }
 
-void OrderRight::TakeRecord(StoreIndex index, TimePoint asked, Duration wait) {
+void OrderRight::OnContended(const Result<StoreOutcome>& outcome,
+                             TimePoint asked, const Claim& claim) {
+  is_calling_ = false;
+  missing_since_ = clock_.Now();
+  if (!IsOk(outcome)) return;
+  if (const auto* done = std::get_if<StoreCommitted>(&ValueOf(outcome))) {
+    TakeRecord(done->index, asked, claim);
+    return;
+  }
+  const auto& current = std::get<StoreConflict>(ValueOf(outcome)).current;
+  const auto record =
+      current.empty() ? std::nullopt : ParseOrderRecord(current.front().value);
+  const bool is_own = record.has_value() &&
+                      record->holder == registry_.self().name &&
+                      record->incarnation == registry_.self().incarnation;
+  if (is_own) {
+    // An earlier try whose answer was lost took effect.
+    TakeRecord(current.front().index, asked,
+               Claim{true, record->wait, record->last_sender});
+  } else if (is_holder()) {
+    Lose();
+  }
+}
+
+void OrderRight::TakeRecord(StoreIndex index, TimePoint asked,
+                            const Claim& claim) {
   fencing_ = FencingNumber(index.value());
   confirmed_ = asked;
   // Counted from the answer: the one before may have been confirmed up to the
   // moment at which its record went.
-  wait_until_ = clock_.NowWithSuspension() + wait;
-  is_settled_ = wait == Duration(0);
+  wait_until_ = clock_.NowWithSuspension() + claim.wait;
+  is_settled_ = claim.wait == Duration(0);
+  last_sender_ = claim.last_sender;
   LOG(INFO) << "event=order_right_acquired fencing=" << fencing_ << " wait_ms="
-            << std::chrono::duration_cast<milliseconds>(wait).count();
+            << std::chrono::duration_cast<milliseconds>(claim.wait).count()
+            << " last_sender="
+            << (claim.last_sender.has_value() ? claim.last_sender->value()
+                                              : "-");
 }
 
 void OrderRight::NoteSent() { last_sent_ = clock_.NowWithSuspension(); }
@@ -139,7 +142,10 @@
   if (now < wait_until_) return false;
   if (!is_settled_) {
     // The record is to say that nothing is left to be waited.
-    if (!is_calling_) Contend(StoreIndex(fencing_.value()), Duration(0));
+    if (!is_calling_) {
+      Contend(StoreIndex(fencing_.value()),
+              Claim{true, Duration(0), last_sender_});
+    }
     return false;
   }
   if (now - confirmed_ > settings_.confirm_after) Confirm();
@@ -178,17 +184,17 @@
   }
   const Duration left =
       std::max<Duration>(Duration(0), free_from - clock_.NowWithSuspension());
-  const nlohmann::json value = {
-      {kReleasedField, std::chrono::ceil<milliseconds>(left).count()}};
+  OrderRecord record;
+  record.wait = std::chrono::ceil<milliseconds>(left);
+  record.last_sender = last_sender_;
   StoreTransaction give_up;
   give_up.conditions.push_back(
       {InstanceRegistry::kOrderRightKey, StoreIndex(fencing_.value())});
-  // Without a lease: it outlives the machine that wrote it.
   give_up.writes.push_back(
-      {InstanceRegistry::kOrderRightKey, value.dump(), StoreLeaseId()});
+      {InstanceRegistry::kOrderRightKey, Encode(record), StoreLeaseId()});
   fencing_ = {};
   store_.Commit(std::move(give_up), [](const Result<StoreOutcome>& outcome) {
-    // Otherwise the record goes with this machine's lease.
+    // Otherwise others see that this machine's registration is gone.
     const bool is_done =
         IsOk(outcome) &&
         std::holds_alternative<StoreCommitted>(ValueOf(outcome));
--- a/briarspread/fleet/order_right.h
+++ b/briarspread/fleet/order_right.h
@@ -2,8 +2,10 @@
 #define BRIARSPREAD_FLEET_ORDER_RIGHT_H_
 
 #include <optional>
+#include <string>
 
 #include "briarspread/fleet/instance_registry.h"
+#include "briarspread/fleet/order_record.h"
 
 namespace briarspread {
 
@@ -26,9 +28,11 @@
 /// The right of one instance to send orders to upstreams. The store's record
 /// names the holder; its revision is the fencing number. A holder relies on
 /// the store's confirmation for a short time only, counted on a clock that goes
-/// on during suspension; a new holder waits until the one before can no longer
-/// send, unless that was an earlier start on this very machine. Upstreams need
-/// not check the fencing number. Loop's thread only.
+/// on during suspension. A holder that is no longer registered is replaced; the
+/// new one waits until the one before can no longer send. Until it has sent,
+/// the machine that sent last takes the right back at once, for its own orders
+/// alone came before. Upstreams need not check the fencing number. Loop's
+/// thread only.
 class OrderRight final {
  public:
   /// Precondition: references outlive this object.
@@ -54,29 +58,34 @@
   void Release();
 
  private:
-  /// Takes the record, which must still be at `expected`; zero for absent.
-  void Contend(StoreIndex expected, Duration wait);
+  /// How this instance may take the right after a record.
+  struct Claim {
+    /// Before others may have tried, or in turn with them.
+    bool is_at_once = false;
+    Duration wait{0};
+    std::optional<InstanceId> last_sender;
+  };
+
   /// What lies between two machines' orders.
   Duration BetweenHolders() const { return settings_.lease + settings_.margin; }
   /// What a new holder waits after another machine that went without a word.
   Duration TakeoverWait() const {
     return BetweenHolders() + settings_.confidence;
   }
+  /// How the right may be claimed; nothing while its holder is registered.
+  std::optional<Claim> ClaimAfter(const std::string& record) const;
+  /// Notes that another's record is seen, or none.
+  void CheckHeld(const std::optional<KeyValue>& record);
+  /// Whether it is this instance's turn among those that contend.
+  bool IsOwnTurn();
+  std::size_t Rank() const;
+  /// Takes the record, which must still be at `expected`; zero for absent.
+  void Contend(StoreIndex expected, Claim claim);
+  void OnContended(const Result<StoreOutcome>& outcome, TimePoint asked,
+                   const Claim& claim);
+  void TakeRecord(StoreIndex index, TimePoint asked, const Claim& claim);
   void Confirm();
   void Lose();
-  void TakeRecord(StoreIndex index, TimePoint asked, Duration wait);
-  /// Whether the record names this machine, and this start of the program.
-  bool IsSameMachine(const KeyValue& record) const;
-  bool IsOwn(const KeyValue& record) const;
-  /// What a holder's record says that it waits before its first order.
-  /// Precondition: the record is a holder's.
-  static Duration WaitOf(const KeyValue& record);
-  /// What is left to be waited after a holder that gave the right up; nothing
-  /// where the record names a holder.
-  static std::optional<Duration> WaitAfterRelease(const KeyValue& record);
-  /// Contends for a right that nobody holds, in the order of names.
-  void ContendInTurn(StoreIndex expected, Duration wait);
-  std::size_t Rank() const;
 
   AsyncStore& store_;
   const InstanceRegistry& registry_;
@@ -88,11 +97,13 @@
   TimePoint wait_until_{};
   /// Whether the record says that nothing is left to be waited.
   bool is_settled_ = false;
+  /// Who sent the latest order, while this holder has sent none.
+  std::optional<InstanceId> last_sender_;
   /// When the last order was sent; the clock's zero for never.
   TimePoint last_sent_{};
   /// When the last confirmation was asked for.
   TimePoint confirmed_{};
-  /// Since when nobody was seen to hold it; the clock's zero for never.
+  /// Since when no registered holder was seen; the clock's zero for never.
   TimePoint missing_since_{};
   bool is_calling_ = false;
   bool was_released_ = false;
--- a/tests/fleet/order_right_test.cc
+++ b/tests/fleet/order_right_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <memory>
 
 #include "tests/fleet/instance_world.h"
 
@@ -163,6 +164,152 @@
   REQUIRE_FALSE(again.right.MaySend());
 }
 
+/// Lets `instance` take a right whose holder's registration is gone.
+void TakeOver(asio::io_context& loop, AsyncMemoryStore& store,
+              ManualClock& clock, Instance& instance, const Instance& gone) {
+  store.ExpireLease(gone.registry.lease());
+  Await(loop, store, [&] {
+    return !instance.registry.instances().contains(gone.registry.self().name);
+  });
+  instance.right.Step();
+  clock.Advance(seconds(2));
+  instance.right.Step();
+  store.Deliver();
+  REQUIRE(instance.right.is_holder());
+}
+
+/// Lets `instance` learn of the record as the store has it now.
+void LearnRecord(asio::io_context& loop, AsyncMemoryStore& store,
+                 const Instance& instance) {
+  const StoreIndex now =
+      store.items().at(InstanceRegistry::kOrderRightKey).index;
+  Await(loop, store, [&] {
+    const auto& known = instance.registry.order_right();
+    return known.has_value() && known->index == now;
+  });
+}
+
+TEST_CASE("a holder that is back before another has sent goes on at once") {
+  // The load: the holder is killed for longer than its registration lasts, and
+  // versions are named meanwhile.
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  auto first = std::make_unique<Instance>(loop, store, clock, "a", 1);
+  AcquireAndWait(loop, store, clock, *first);
+  Instance other(loop, store, clock, "b", 1);
+  Await(loop, store,
+        [&] { return other.registry.instances().contains(InstanceId("a")); });
+  TakeOver(loop, store, clock, other, *first);
+  REQUIRE_FALSE(other.right.MaySend());
+  first.reset();
+  Instance again(loop, store, clock, "a", 2);
+  Await(loop, store, [&] {
+    return again.registry.has_listed() && again.registry.lease().value() != 0;
+  });
+  LearnRecord(loop, store, again);
+  again.right.Step();
+  store.Deliver();
+  REQUIRE(again.right.is_holder());
+  REQUIRE(again.right.MaySend());
+  // The other one has sent nothing, and never will under its number.
+  clock.Advance(seconds(20));
+  other.right.MaySend();
+  store.Deliver();
+  REQUIRE_FALSE(other.right.MaySend());
+}
+
+TEST_CASE("a holder that is back after another may send leaves it the right") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  auto first = std::make_unique<Instance>(loop, store, clock, "a", 1);
+  AcquireAndWait(loop, store, clock, *first);
+  Instance other(loop, store, clock, "b", 1);
+  Await(loop, store,
+        [&] { return other.registry.instances().contains(InstanceId("a")); });
+  TakeOver(loop, store, clock, other, *first);
+  clock.Advance(seconds(10));
+  other.right.MaySend();
+  store.Deliver();
+  REQUIRE(other.right.MaySend());
+  first.reset();
+  Instance again(loop, store, clock, "a", 2);
+  Await(loop, store, [&] {
+    return again.registry.has_listed() && again.registry.lease().value() != 0 &&
+           again.registry.instances().contains(InstanceId("b"));
+  });
+  LearnRecord(loop, store, again);
+  again.right.Step();
+  store.Deliver();
+  REQUIRE_FALSE(again.right.is_holder());
+  REQUIRE(other.right.MaySend());
+}
+
+TEST_CASE("a holder that waits no more is the one that sent last") {
+  // A right given up with nothing left to wait: the next holder sends at once,
+  // so the one before may not take it back when it starts again.
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  Instance first(loop, store, clock, "a", 1);
+  AcquireAndWait(loop, store, clock, first);
+  first.right.Release();
+  store.Deliver();
+  Instance other(loop, store, clock, "b", 1);
+  Acquire(loop, store, other);
+  clock.Advance(seconds(2));
+  other.right.Step();
+  store.Deliver();
+  REQUIRE(other.right.MaySend());
+  Instance again(loop, store, clock, "a", 2);
+  Await(loop, store, [&] {
+    return again.registry.has_listed() && again.registry.lease().value() != 0 &&
+           again.registry.instances().contains(InstanceId("b"));
+  });
+  LearnRecord(loop, store, again);
+  again.right.Step();
+  store.Deliver();
+  REQUIRE_FALSE(again.right.is_holder());
+}
+
+TEST_CASE("who sent last is known through holders that never sent") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  Instance a(loop, store, clock, "a", 1);
+  AcquireAndWait(loop, store, clock, a);
+  Instance b(loop, store, clock, "b", 1);
+  Instance c(loop, store, clock, "c", 1);
+  for (Instance* each : {&b, &c}) {
+    Await(loop, store, [&] {
+      return each->registry.instances().contains(InstanceId("a")) &&
+             each->registry.instances().contains(InstanceId("b"));
+    });
+  }
+  TakeOver(loop, store, clock, b, a);
+  LearnRecord(loop, store, c);
+  TakeOver(loop, store, clock, c, b);
+  const auto record = ParseOrderRecord(
+      store.items().at(InstanceRegistry::kOrderRightKey).value);
+  REQUIRE(record.has_value());
+  REQUIRE(record->holder == InstanceId("c"));
+  REQUIRE(record->last_sender == InstanceId("a"));
+  REQUIRE(record->wait > milliseconds(0));
+}
+
+TEST_CASE("a record that cannot be read is taken over with the whole wait") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  store.Write(InstanceRegistry::kOrderRightKey, "[not a record");
+  Instance a(loop, store, clock, "a");
+  Acquire(loop, store, a);
+  REQUIRE(a.right.is_holder());
+  clock.Advance(OrderRightSettings{}.lease);
+  REQUIRE_FALSE(a.right.MaySend());
+}
+
 TEST_CASE("a lost answer to taking the right is read back") {
   asio::io_context loop;
   AsyncMemoryStore store;
