Upstreams that say that they leave; refused callers get places of their own; answers that get no further end

Cause: three findings by reading. (1) An upstream that leaves says so in its answers, and nothing took it up: an instance that is out of touch with the store went on sending there, and an entry that was older than an earlier one (ready after draining) brought an upstream back. (2) Every refused caller was told the same 0.2 s, so that those refused together came back together, and a request that crashes upstreams was told 0.2 s too. The wait for a slot was reckoned with 100 ms for each request, as no service time was ever measured on this path. (3) An answer on its way had no bound in time: a stream that sent comments, or a body of a byte now and then, never ended; and a refusal or failure without end was passed on to the caller after 256 KiB.

Ruled out: telling departures with the load exchange (owners of jobs only); a message from each instance that sees one (410 x 410); refusals that wait here: upstreams queue themselves and are shared by instances that know nothing of each other's queues, so waiting at an instance adds a queue that no one can rank, and the contract is to refuse at once.

Change: Departures keeps which starts have left, whatever a list says later; the header of any answer marks it, connections are dropped, one of the instances that saw it tells the others, and a start asks two peers before it is ready. ReturnPlanner gives each refused caller the next place that becomes free, in the order of refusals, shared with the other instances; service times are measured. A stream gets further by whole events only; one that may be resumed goes on elsewhere, any other answer ends once it is past its time and stalled. Useless answers are cut at the bound and tried elsewhere, with the verdict that their head gave.

--- a/bench/forward_bench/event_gateway.cc
+++ b/bench/forward_bench/event_gateway.cc
@@ -43,8 +43,10 @@
         pool_(loop_, proxy::UpstreamConnectionSettings{}),
         crashes_(forward::CrashGuardSettings{},
                  ProcessId{InstanceId("bench"), Incarnation(1)}, clock_),
-        context_{loop_,      clock_,  random_, headers_, configuration_,
-                 directory_, router_, pool_,   crashes_, metrics_},
+        returns_(forward::ReturnPlannerSettings{}, clock_, random_),
+        context_{loop_,          clock_,     random_, headers_,
+                 configuration_, directory_, router_, pool_,
+                 crashes_,       metrics_,   returns_},
         callers_(context_),
         listener_(loop_, *this) {
     // The stand-ins behind both gateways sign nothing.
@@ -90,6 +92,7 @@
   proxy::ConnectionPool pool_;
   forward::ForwardMetrics metrics_;
   forward::CrashGuard crashes_;
+  forward::ReturnPlanner returns_;
   forward::ForwardContext context_;
   forward::CallerGateway callers_;
   proxy::HttpListener listener_;
--- /dev/null
+++ b/briarspread/fleet/peer_broadcast.h
@@ -0,0 +1,19 @@
+#ifndef BRIARSPREAD_FLEET_PEER_BROADCAST_H_
+#define BRIARSPREAD_FLEET_PEER_BROADCAST_H_
+
+#include <string>
+#include <vector>
+
+#include "briarspread/fleet/peer_client.h"
+
+namespace briarspread {
+
+/// Posts `body` to `path` at each peer and does not wait for the answers; a
+/// peer that was not told is logged as `event=peer_not_told`. Loop's thread
+/// only. Precondition: `client` outlives the calls.
+void TellPeers(PeerClient& client, const std::vector<Endpoint>& peers,
+               const std::string& path, const std::string& body);
+
+}  // namespace briarspread
+
+#endif  // BRIARSPREAD_FLEET_PEER_BROADCAST_H_
--- a/briarspread/forward/caller_gateway.cc
+++ b/briarspread/forward/caller_gateway.cc
@@ -87,7 +87,7 @@
   LogRefusal(request, "no_configuration");
   proxy::Response response =
       proxy::MakeResponse(503, "{\"error\":\"no_configuration\"}");
-  response.head.headers.Add("Retry-After", "0.5");
+  proxy::SetRetryAfter(response, context_.returns.PlanUnknown());
   responder.Send(response);
 }
 
--- /dev/null
+++ b/briarspread/forward/departure_exchange.cc
@@ -0,0 +1,112 @@
+#include "briarspread/forward/departure_exchange.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "briarspread/fleet/peer_broadcast.h"
+
+namespace briarspread::forward {
+
+DepartureExchange::DepartureExchange(asio::io_context& loop,
+                                     UpstreamDirectory& directory,
+                                     PeerClient& peers, RandomSource& random,
+                                     Listeners listeners,
+                                     const DepartureExchangeSettings& settings)
+    : directory_(directory),
+      peers_(peers),
+      random_(random),
+      listeners_(std::move(listeners)),
+      settings_(settings),
+      tell_timer_(loop),
+      ask_timer_(loop) {
+  directory_.SetOnDeparture(
+      [this](const UpstreamStart& start) { OnDeparture(start); });
+  // Where there is nobody to ask, a start does not wait for long.
+  ask_timer_.After(2 * settings_.ask_timeout, [this] { has_asked_ = true; });
+}
+
+void DepartureExchange::OnDeparture(const UpstreamStart& start) {
+  untold_.push_back(start);
+  if (tell_timer_.is_set()) return;
+  const auto peers = static_cast<std::int64_t>(listeners_().size());
+  const auto spread = std::min<milliseconds>(settings_.max_spread,
+                                             peers * settings_.spread_per_peer);
+  const auto parts = static_cast<std::uint64_t>(spread.count()) + 1;
+  const auto delay =
+      milliseconds(static_cast<std::int64_t>(random_.Next() % parts));
+  tell_timer_.After(delay, [this] { Tell(); });
+}
+
+void DepartureExchange::Tell() {
+  const auto starts = std::exchange(untold_, {});
+  if (starts.empty()) return;
+  TellPeers(peers_, listeners_(), kPath, Encode(starts));
+}
+
+void DepartureExchange::OnInstancesChanged() {
+  if (is_asking_ || has_asked_) return;
+  std::vector<Endpoint> peers = listeners_();
+  if (peers.empty()) return;
+  is_asking_ = true;
+  // Any peer will do; not the same ones for all that start together.
+  const auto first = static_cast<std::ptrdiff_t>(random_.Next() % peers.size());
+  std::rotate(peers.begin(), peers.begin() + first, peers.end());
+  peers.resize(std::min(peers.size(), settings_.asked_peers));
+  Ask(peers);
+}
+
+void DepartureExchange::Ask(const std::vector<Endpoint>& peers) {
+  awaited_ = peers.size();
+  for (const Endpoint& peer : peers) {
+    PeerCall call;
+    call.target = kPath;
+    call.timeout = settings_.ask_timeout;
+    peers_.Call(
+        peer, std::move(call),
+        [this](const Result<proxy::Response>& result) { OnAnswer(result); });
+  }
+}
+
+void DepartureExchange::OnAnswer(const Result<proxy::Response>& result) {
+  if (!IsOk(result)) {
+    LOG(INFO) << "event=departures_not_learnt reason=\""
+              << ErrorOf(result).message << "\"";
+  } else {
+    Take(ValueOf(result).body);
+  }
+  if (--awaited_ > 0) return;
+  ask_timer_.Cancel();
+  has_asked_ = true;
+}
+
+bool DepartureExchange::Take(const std::string& body) {
+  const auto starts = ParseUpstreamStarts(body);
+  if (!starts.has_value()) {
+    LOG(WARNING) << "event=departures_malformed bytes=" << body.size();
+    return false;
+  }
+  for (const UpstreamStart& start : *starts) {
+    directory_.TakeDeparture(start);
+    std::erase(untold_, start);
+  }
+  return true;
+}
+
+bool DepartureExchange::TryAnswer(
+    const proxy::Request& request,
+    const std::shared_ptr<proxy::Responder>& responder) {
+  if (proxy::SplitTarget(request.head.target).path != kPath) return false;
+  if (request.head.method == "GET") {
+    responder->Send(
+        proxy::MakeResponse(200, Encode(directory_.departures().All())));
+  } else if (Take(request.body)) {
+    responder->Send(proxy::MakeResponse(200, "{}"));
+  } else {
+    responder->Send(proxy::MakeResponse(400, "{\"error\":\"bad list\"}"));
+  }
+  return true;
+}
+
+}  // namespace briarspread::forward
--- a/briarspread/forward/exchange_headers.h
+++ b/briarspread/forward/exchange_headers.h
@@ -20,6 +20,8 @@
   std::string not_run = "Briarspread-Not-Run";
   /// Running, waiting and slots of the upstream, separated by commas.
   std::string load = "Briarspread-Load";
+  /// Said by an upstream that leaves: it is to be sent nothing new.
+  std::string leaving = "Briarspread-Leaving";
   /// The version of the weights that makes the events that follow.
   std::string weight_version = "Briarspread-Weight-Versions";
   /// Rank of a request at an engine; 0 goes first.
--- /dev/null
+++ b/briarspread/forward/forward_context.cc
@@ -0,0 +1,15 @@
+#include "briarspread/forward/forward_context.h"
+
+namespace briarspread::forward {
+
+void NoteUpstreamHead(ForwardContext& context, const UpstreamId& upstream,
+                      const proxy::ResponseHead& head) {
+  const std::string* load = head.headers.Find(context.headers.load);
+  if (load != nullptr) context.directory.NoteLoad(upstream, *load);
+  const std::string* leaving = head.headers.Find(context.headers.leaving);
+  if (leaving != nullptr && *leaving == "1") {
+    context.directory.NoteLeaving(upstream);
+  }
+}
+
+}  // namespace briarspread::forward
--- a/briarspread/forward/forward_context.h
+++ b/briarspread/forward/forward_context.h
@@ -9,6 +9,7 @@
 #include "briarspread/forward/crash_guard.h"
 #include "briarspread/forward/exchange_headers.h"
 #include "briarspread/forward/forward_metrics.h"
+#include "briarspread/forward/return_planner.h"
 #include "briarspread/forward/upstream_directory.h"
 #include "briarspread/proxy/connection_pool.h"
 #include "briarspread/routing/router.h"
@@ -27,8 +28,14 @@
   proxy::ConnectionPool& pool;
   CrashGuard& crashes;
   ForwardMetrics& metrics;
+  ReturnPlanner& returns;
 };
 
+/// Takes from the head of an upstream's answer what it says of the upstream:
+/// its load, and whether it leaves. Loop's thread only.
+void NoteUpstreamHead(ForwardContext& context, const UpstreamId& upstream,
+                      const proxy::ResponseHead& head);
+
 }  // namespace briarspread::forward
 
 #endif  // BRIARSPREAD_FORWARD_FORWARD_CONTEXT_H_
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -14,8 +14,6 @@
 constexpr std::size_t kMaxHeldBytes = std::size_t{256} * 1024;
 /// With more bytes unsent, reading from the upstream pauses.
 constexpr std::size_t kHighWater = std::size_t{256} * 1024;
-/// When a refused caller is to come back, in seconds.
-constexpr char kRetryAfterSeconds[] = "0.2";
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
@@ -28,7 +26,8 @@
       sink_(sink),
       policy_(AttemptSettings{}, spec_.route.is_idempotent(),
               spec_.route.max_attempts),
-      timer_(context.loop) {
+      timer_(context.loop),
+      events_("") {
   if (spec_.route.kind == RouteKind::kStream && spec_.route.is_resumable) {
     relay_.emplace(
         spec_.request.head.headers.FindNumber(context_.headers.last_event_id));
@@ -153,6 +152,13 @@
       SecondsOf(context_.clock.Now() - attempt_started_));
 }
 
+void LiveRequest::NoteServiceTime() {
+  const KnownUpstream* upstream = context_.directory.Find(*upstream_);
+  if (upstream == nullptr) return;
+  RecordServiceTime(*upstream->counters,
+                    context_.clock.Now() - attempt_started_);
+}
+
 bool LiveRequest::IsUnsigned(const proxy::ResponseHead& head) const {
   return IsSuccess(head.status) && !context_.headers.signature.empty() &&
          head.headers.Find(context_.headers.signature) == nullptr;
@@ -164,8 +170,7 @@
 }
 
 void LiveRequest::OnHead(const proxy::ResponseHead& head) {
-  const std::string* load = head.headers.Find(context_.headers.load);
-  if (load != nullptr) context_.directory.NoteLoad(*upstream_, *load);
+  NoteUpstreamHead(context_, *upstream_, head);
   answer_.head = head;
   if (IsUnsigned(head)) {
     exchange_->Cancel();
@@ -185,19 +190,26 @@
 void LiveRequest::OnBody(std::string_view data) {
   if (!passes_on_) {
     answer_.body.append(data);
-    // The failure of an upstream that was to go on with a stream is not shown.
-    if (is_streaming_ || answer_.body.size() <= kMaxHeldBytes) return;
+    if (answer_.body.size() <= kMaxHeldBytes) return;
+    if (!IsForCaller()) {
+      CutUselessAnswer();
+      return;
+    }
     StartStreaming();
     data = answer_.body;
   }
   if (!relay_.has_value()) {
+    NoteProgress(data);
     PassOn(data);
     return;
   }
   std::string events;
   const bool is_fine =
       relay_->Take(data, events) == StreamRelay::Outcome::kFine;
-  if (!events.empty()) PassOn(events);
+  if (!events.empty()) {
+    progressed_ = context_.clock.Now();
+    PassOn(events);
+  }
   if (is_fine || self_ == nullptr || exchange_ == nullptr) return;
   exchange_->Cancel();
   EndAttempt();
@@ -205,6 +217,57 @@
   TakeFailure(Verdict::kMayHaveRun, "event_missing");
 }
 
+bool LiveRequest::IsForCaller() const {
+  // The failure of an upstream that was to go on with a stream is not shown.
+  if (is_streaming_ || IsNotRun(answer_.head)) return false;
+  return answer_.head.status < 500 || !spec_.route.is_idempotent();
+}
+
+void LiveRequest::CutUselessAnswer() {
+  exchange_->Cancel();
+  EndAttempt();
+  context_.directory.NoteFailure(*upstream_);
+  const bool is_not_run = IsNotRun(answer_.head);
+  answer_ = {};
+  TakeFailure(is_not_run ? Verdict::kNotRun : Verdict::kMayHaveRun,
+              "endless_failure");
+}
+
+void LiveRequest::NoteProgress(std::string_view data) {
+  bytes_since_ += data.size();
+  const bool is_further = spec_.route.kind == RouteKind::kStream
+                              ? !events_.Feed(data).empty()
+                              : bytes_since_ >= spec_.progress.bytes;
+  if (!is_further) return;
+  progressed_ = context_.clock.Now();
+  bytes_since_ = 0;
+}
+
+Duration LiveRequest::StallTime() const {
+  return std::max<Duration>(spec_.progress.least_stall,
+                            spec_.progress.goals * spec_.route.latency_goal);
+}
+
+void LiveRequest::CheckProgress() {
+  const TimePoint now = context_.clock.Now();
+  if (exchange_ == nullptr || now - progressed_ <= StallTime()) return;
+  // One that waits for its caller is not the upstream's to mend.
+  if (relay_.has_value() && sink_.unsent() == 0) {
+    exchange_->Cancel();
+    EndAttempt();
+    context_.directory.NoteFailure(*upstream_);
+    relay_->Restart();
+    progressed_ = now;
+    TakeFailure(Verdict::kMayHaveRun, "stalled");
+    return;
+  }
+  // Until its time is over the caller decides how long it waits.
+  if (now < spec_.deadline) return;
+  exchange_->Cancel();
+  EndAttempt();
+  BreakAnswer();
+}
+
 void LiveRequest::PassOn(std::string_view data) {
   sink_.OnAnswerBody(data);
   if (self_ != nullptr && exchange_ != nullptr && sink_.unsent() > kHighWater) {
@@ -215,6 +278,8 @@
 void LiveRequest::StartStreaming() {
   is_streaming_ = true;
   passes_on_ = true;
+  progressed_ = context_.clock.Now();
+  timer_.Every(spec_.progress.check, [this] { CheckProgress(); });
   sink_.OnAnswerHead(answer_.head);
 }
 
@@ -234,6 +299,7 @@
     return;
   }
   context_.directory.NoteSuccess(*upstream_);
+  NoteServiceTime();
   if (context_.crashes.has_suspects()) {
     context_.crashes.NoteAnswered(FingerprintOf(spec_.request));
   }
@@ -301,6 +367,15 @@
   Finish();
 }
 
+Duration LiveRequest::ReturnTime() {
+  if (!MayBeSent()) return context_.returns.PlanAfterCrashes();
+  const ServiceName& service = spec_.route.backends.empty()
+                                   ? ServiceName()
+                                   : spec_.route.backends.front().service;
+  return context_.returns.Plan(service, RoomOf(context_.directory.table(),
+                                               service, context_.clock.Now()));
+}
+
 void LiveRequest::Refuse(std::string_view reason) {
   if (is_streaming_) {
     BreakAnswer();
@@ -315,7 +390,7 @@
       is_not_run ? 503 : 502,
       "{\"error\":\"" + std::string(reason) + "\",\"verdict\":\"" +
           std::string(ToString(policy_.verdict())) + "\"}");
-  if (is_not_run) response.head.headers.Add("Retry-After", kRetryAfterSeconds);
+  if (is_not_run) proxy::SetRetryAfter(response, ReturnTime());
   LOG(WARNING) << "event=refused request=" << Id()
                << " route=" << spec_.route.name << " reason=" << reason
                << " status=" << response.head.status
@@ -327,10 +402,6 @@
 }
 
 void LiveRequest::OnDeadline() {
-  if (is_streaming_) {
-    // Never cut by the route's time once its answer is on the way.
-    return;
-  }
   if (exchange_ != nullptr) {
     exchange_->Cancel();
     EndAttempt();
@@ -345,8 +416,10 @@
                << (upstream_.has_value() ? upstream_->value() : "-")
                << " attempts=" << tried_.size();
   const bool is_not_run = policy_.verdict() == Verdict::kNotRun;
-  Answer(
-      proxy::MakeResponse(is_not_run ? 503 : 504, "{\"error\":\"timed_out\"}"));
+  proxy::Response response =
+      proxy::MakeResponse(is_not_run ? 503 : 504, "{\"error\":\"timed_out\"}");
+  if (is_not_run) proxy::SetRetryAfter(response, ReturnTime());
+  Answer(std::move(response));
 }
 
 void LiveRequest::NoteAnswer(int status) {
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -31,6 +31,18 @@
   virtual std::size_t unsent() const { return 0; }
 };
 
+/// When an answer on its way counts as stalled.
+struct ProgressSettings {
+  /// How often it is looked at.
+  milliseconds check{500};
+  /// It is stalled where it gets no further for this long at least, and for so
+  /// many times its route's latency goal. A stream gets further by whole
+  /// events only, any other answer by `bytes`.
+  milliseconds least_stall{4000};
+  int goals = 8;
+  std::size_t bytes = std::size_t{4} * 1024;
+};
+
 /// A request as it is to be forwarded.
 struct LiveRequestSpec {
   proxy::Request request;
@@ -40,6 +52,7 @@
   TimePoint arrived{};
   /// When its maker stops waiting, or the route's time is up.
   TimePoint deadline{};
+  ProgressSettings progress;
 };
 
 /// One request on its way: sent to an upstream, and to further ones where that
@@ -81,8 +94,21 @@
   void PassOn(std::string_view data);
   void BreakAnswer();
   void OnStreamEnd();
+  /// Ends an attempt whose answer is of no use to the caller and does not end.
+  void CutUselessAnswer();
+  /// Whether the answer under way is the caller's once it is whole.
+  bool IsForCaller() const;
+  /// Notes that the answer on its way has got further.
+  void NoteProgress(std::string_view data);
+  /// Ends an answer on its way that gets no further.
+  void CheckProgress();
+  Duration StallTime() const;
   void OnDeadline();
   void Refuse(std::string_view reason);
+  /// When a refused caller is to come back.
+  Duration ReturnTime();
+  /// Measures how long the upstream took for a whole answer.
+  void NoteServiceTime();
   void Answer(proxy::Response response);
   void Finish();
   milliseconds Left() const;
@@ -112,6 +138,11 @@
   bool passes_on_ = false;
   /// Set for a stream that may go on at another upstream.
   std::optional<StreamRelay> relay_;
+  /// Finds whole events in a stream that may not.
+  proxy::EventStreamReader events_;
+  /// When the answer on its way last got further, and bytes of it since.
+  TimePoint progressed_{};
+  std::size_t bytes_since_ = 0;
 };
 
 }  // namespace briarspread::forward
--- a/briarspread/forward/suspect_exchange.cc
+++ b/briarspread/forward/suspect_exchange.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "briarspread/fleet/peer_broadcast.h"
+
 namespace briarspread::forward {
 
 SuspectExchange::SuspectExchange(asio::io_context& loop, CrashGuard& guard,
@@ -20,20 +22,8 @@
 }
 
 void SuspectExchange::Tell() {
-  const std::string body = ToJson(guard_.Digest());
-  for (const Endpoint& peer : listeners_()) {
-    PeerCall call;
-    call.method = "POST";
-    call.target = kPath;
-    call.body = body;
-    peers_.Call(peer, std::move(call),
-                [peer](const Result<proxy::Response>& result) {
-                  // The next death tells of this one again.
-                  if (IsOk(result)) return;
-                  LOG(INFO) << "event=suspects_not_told peer=" << peer.host
-                            << " reason=\"" << ErrorOf(result).message << "\"";
-                });
-  }
+  // One that is not told now is told of this death with the next.
+  TellPeers(peers_, listeners_(), kPath, ToJson(guard_.Digest()));
 }
 
 bool SuspectExchange::TryAnswer(
--- a/briarspread/forward/upstream_directory.cc
+++ b/briarspread/forward/upstream_directory.cc
@@ -38,7 +38,10 @@
 
 UpstreamDirectory::UpstreamDirectory(const UpstreamDirectorySettings& settings,
                                      const Locality& self, const Clock& clock)
-    : settings_(settings), self_(self), clock_(clock) {}
+    : settings_(settings),
+      self_(self),
+      clock_(clock),
+      departures_(settings.departures, clock) {}
 
 void UpstreamDirectory::ReplaceAll(std::vector<DiscoveredUpstream> listed) {
   std::set<UpstreamId> present;
@@ -70,6 +73,14 @@
 }
 
 void UpstreamDirectory::Insert(DiscoveredUpstream listed) {
+  // A later entry may be older than an earlier one, or than what the upstream
+  // itself has said: a start that leaves once leaves for good.
+  const UpstreamStart start{listed.id, listed.start_id};
+  if (listed.is_leaving) {
+    departures_.Note(start);
+  } else {
+    listed.is_leaving = departures_.HasLeft(start);
+  }
   const auto it = known_.find(listed.id);
   if (it != known_.end() && it->second.listed.start_id == listed.start_id &&
       it->second.listed.endpoint == listed.endpoint) {
@@ -80,8 +91,10 @@
       loaded.version =
           std::max(loaded.version, upstream.VersionOf(loaded.name));
     }
+    const bool leaves_now = listed.is_leaving && !upstream.listed.is_leaving;
     upstream.listed = std::move(listed);
     table_.reset();
+    if (leaves_now && on_leaving_) on_leaving_(upstream.listed);
     return;
   }
   if (it != known_.end()) Drop(listed.id);
@@ -97,6 +110,36 @@
   table_.reset();
 }
 
+void UpstreamDirectory::SetLeaving(KnownUpstream& upstream) {
+  if (upstream.listed.is_leaving) return;
+  upstream.listed.is_leaving = true;
+  table_.reset();
+  if (on_leaving_) on_leaving_(upstream.listed);
+}
+
+void UpstreamDirectory::NoteLeaving(const UpstreamId& id) {
+  KnownUpstream* upstream = Find(id);
+  if (upstream == nullptr) return;
+  const UpstreamStart start{id, upstream->listed.start_id};
+  if (!departures_.Note(start)) return;
+  LOG(INFO) << "event=upstream_leaves upstream=" << id
+            << " start=" << start.start_id
+            << " was_leaving=" << upstream->listed.is_leaving;
+  SetLeaving(*upstream);
+  if (on_departure_) on_departure_(start);
+}
+
+void UpstreamDirectory::TakeDeparture(const UpstreamStart& start) {
+  if (!departures_.Note(start)) return;
+  LOG(INFO) << "event=upstream_leaves_told upstream=" << start.id
+            << " start=" << start.start_id;
+  KnownUpstream* upstream = Find(start.id);
+  if (upstream == nullptr) return;
+  if (departures_.HasLeft({start.id, upstream->listed.start_id})) {
+    SetLeaving(*upstream);
+  }
+}
+
 bool UpstreamDirectory::IsMassExpiry(const std::vector<UpstreamId>& ids) const {
   if (ids.size() < 2) return false;
   std::map<ServiceName, std::size_t> gone;
@@ -142,6 +185,7 @@
 }
 
 void UpstreamDirectory::DropExpired() {
+  departures_.DropOld();
   std::vector<UpstreamId> expired;
   for (const auto& [id, upstream] : known_) {
     if (upstream.expires.has_value() && clock_.Now() >= *upstream.expires) {
--- a/briarspread/forward/upstream_directory.h
+++ b/briarspread/forward/upstream_directory.h
@@ -10,6 +10,7 @@
 
 #include "briarspread/core/ids.h"
 #include "briarspread/core/upstream.h"
+#include "briarspread/forward/departures.h"
 #include "briarspread/routing/circuit_breaker.h"
 #include "briarspread/routing/link_budget.h"
 #include "briarspread/routing/routing_table.h"
@@ -67,6 +68,7 @@
   /// stay in use this long; those alive register again within it.
   milliseconds mass_expiry_grace{1800};
   CircuitBreakerSettings breaker{2, seconds(1), seconds(4), seconds(2)};
+  DeparturesSettings departures;
 };
 
 /// The upstreams that are registered, with this instance's knowledge of their
@@ -75,12 +77,22 @@
  public:
   /// Called with an upstream that is gone.
   using OnGone = std::function<void(const DiscoveredUpstream&)>;
+  /// Called with a start of an upstream that said here that it leaves.
+  using OnDeparture = std::function<void(const UpstreamStart&)>;
+  /// Called with an upstream that takes no new requests from now on.
+  using OnLeaving = std::function<void(const DiscoveredUpstream&)>;
 
   /// Precondition: `clock` outlives this object.
   UpstreamDirectory(const UpstreamDirectorySettings& settings,
                     const Locality& self, const Clock& clock);
 
   void SetOnGone(OnGone on_gone) { on_gone_ = std::move(on_gone); }
+  void SetOnDeparture(OnDeparture on_departure) {
+    on_departure_ = std::move(on_departure);
+  }
+  void SetOnLeaving(OnLeaving on_leaving) {
+    on_leaving_ = std::move(on_leaving);
+  }
 
   /// Takes all registrations; others are gone.
   void ReplaceAll(std::vector<DiscoveredUpstream> listed);
@@ -88,6 +100,12 @@
   void Put(DiscoveredUpstream listed);
   /// Drops registrations that went together.
   void Remove(const std::vector<UpstreamId>& ids);
+  /// Notes that an upstream said in an answer that it leaves. No list of
+  /// upstreams undoes that for this start of it.
+  void NoteLeaving(const UpstreamId& id);
+  /// Takes what another instance heard of a start of an upstream.
+  void TakeDeparture(const UpstreamStart& start);
+  const Departures& departures() const { return departures_; }
   /// Drops those whose grace has passed. To be called about every 200 ms.
   void DropExpired();
 
@@ -113,6 +131,7 @@
 
  private:
   void Insert(DiscoveredUpstream listed);
+  void SetLeaving(KnownUpstream& upstream);
   void Drop(const UpstreamId& id);
   bool IsMassExpiry(const std::vector<UpstreamId>& ids) const;
 
@@ -120,6 +139,9 @@
   const Locality self_;
   const Clock& clock_;
   OnGone on_gone_;
+  OnDeparture on_departure_;
+  OnLeaving on_leaving_;
+  Departures departures_;
   std::map<UpstreamId, KnownUpstream> known_;
   /// Bounds open breakers by service.
   std::map<ServiceName, std::shared_ptr<EjectionQuota>> quotas_;
--- a/briarspread/proxy/http_message.cc
+++ b/briarspread/proxy/http_message.cc
@@ -198,6 +198,15 @@
   return response;
 }
 
+void SetRetryAfter(Response& response, Duration after) {
+  // Seconds with a fraction, as callers of this system read them.
+  const auto ms = std::chrono::ceil<milliseconds>(after).count();
+  std::string thousandths = std::to_string(ms % 1000);
+  thousandths.insert(0, 3 - thousandths.size(), '0');
+  response.head.headers.Set("Retry-After",
+                            std::to_string(ms / 1000) + "." + thousandths);
+}
+
 Response MakeTextResponse(std::string text) {
   Response response;
   response.head.status = 200;
--- a/briarspread/proxy/http_message.h
+++ b/briarspread/proxy/http_message.h
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "briarspread/core/clock.h"
+
 namespace briarspread::proxy {
 
 /// One header line.
@@ -87,6 +89,9 @@
 /// A response of this system's own with a JSON body. Thread-safe.
 Response MakeResponse(int status, std::string json_body);
 
+/// Tells a refused caller when to come back. Thread-safe.
+void SetRetryAfter(Response& response, Duration after);
+
 /// A response of 200 with a body of plain text. Thread-safe.
 Response MakeTextResponse(std::string text);
 
--- /dev/null
+++ b/tests/forward/departures_test.cc
@@ -0,0 +1,203 @@
+#include "briarspread/forward/departures.h"
+
+#include <catch2/catch.hpp>
+
+#include "briarspread/forward/departure_exchange.h"
+#include "tests/forward/forward_world.h"
+#include "tests/support/manual_clock.h"
+
+namespace briarspread::forward {
+namespace {
+
+using briarspread::testing::ManualClock;
+
+DiscoveredUpstream Listed(const std::string& id, std::uint64_t start,
+                          bool is_leaving = false) {
+  DiscoveredUpstream listed;
+  listed.id = UpstreamId(id);
+  listed.service = ServiceName("s");
+  listed.endpoint = Endpoint{"127.0.0.1", 1};
+  listed.start_id = start;
+  listed.is_leaving = is_leaving;
+  return listed;
+}
+
+struct DirectoryWorld {
+  DirectoryWorld() : directory(UpstreamDirectorySettings{}, Locality{}, clock) {
+    directory.SetOnDeparture(
+        [this](const UpstreamStart& start) { told.push_back(start); });
+    directory.SetOnLeaving([this](const DiscoveredUpstream& leaving) {
+      left.push_back(leaving.id);
+    });
+  }
+  bool IsLeaving(const std::string& id) {
+    return directory.Find(UpstreamId(id))->listed.is_leaving;
+  }
+
+  ManualClock clock;
+  UpstreamDirectory directory;
+  std::vector<UpstreamStart> told;
+  std::vector<UpstreamId> left;
+};
+
+TEST_CASE("an upstream that says that it leaves is leaving at once") {
+  DirectoryWorld world;
+  world.directory.Put(Listed("u", 5));
+  world.directory.NoteLeaving(UpstreamId("u"));
+  REQUIRE(world.IsLeaving("u"));
+  REQUIRE(world.left == std::vector<UpstreamId>{UpstreamId("u")});
+  REQUIRE(world.told ==
+          std::vector<UpstreamStart>{{UpstreamId("u"), std::uint64_t{5}}});
+  // Said in each answer, told once.
+  world.directory.NoteLeaving(UpstreamId("u"));
+  REQUIRE(world.told.size() == 1);
+}
+
+TEST_CASE("no list undoes what a start has said, only a later start") {
+  DirectoryWorld world;
+  world.directory.Put(Listed("u", 5));
+  world.directory.NoteLeaving(UpstreamId("u"));
+  world.directory.Put(Listed("u", 5));
+  REQUIRE(world.IsLeaving("u"));
+  world.directory.ReplaceAll({Listed("u", 5)});
+  REQUIRE(world.IsLeaving("u"));
+  world.directory.Remove({UpstreamId("u")});
+  REQUIRE(world.directory.Find(UpstreamId("u")) == nullptr);
+  // An older list shows it again, as it was or at an earlier start.
+  world.directory.ReplaceAll({Listed("u", 5)});
+  REQUIRE(world.IsLeaving("u"));
+  world.directory.ReplaceAll({Listed("u", 4)});
+  REQUIRE(world.IsLeaving("u"));
+  world.directory.Put(Listed("u", 6));
+  REQUIRE_FALSE(world.IsLeaving("u"));
+}
+
+TEST_CASE("an entry that once said so is not undone by an older one") {
+  DirectoryWorld world;
+  world.directory.Put(Listed("u", 5, true));
+  world.directory.Put(Listed("u", 5, false));
+  REQUIRE(world.IsLeaving("u"));
+  // The list has it: nobody is to be told.
+  REQUIRE(world.told.empty());
+}
+
+TEST_CASE("what a peer tells holds before and after the list shows the start") {
+  DirectoryWorld world;
+  world.directory.TakeDeparture({UpstreamId("u"), 5});
+  world.directory.Put(Listed("u", 5));
+  REQUIRE(world.IsLeaving("u"));
+  world.directory.Put(Listed("v", 7));
+  world.directory.TakeDeparture({UpstreamId("v"), 6});
+  REQUIRE_FALSE(world.IsLeaving("v"));
+  world.directory.TakeDeparture({UpstreamId("v"), 7});
+  REQUIRE(world.IsLeaving("v"));
+  REQUIRE(world.told.empty());
+}
+
+TEST_CASE("departures are bounded in number and time") {
+  ManualClock clock;
+  DeparturesSettings settings;
+  settings.max_count = 2;
+  Departures departures(settings, clock);
+  for (int i = 0; i < 3; ++i) {
+    departures.Note({UpstreamId("u" + std::to_string(i)), 1});
+    clock.Advance(seconds(1));
+  }
+  REQUIRE(departures.All().size() == 2);
+  REQUIRE_FALSE(departures.HasLeft({UpstreamId("u0"), 1}));
+  clock.Advance(settings.memory);
+  departures.DropOld();
+  REQUIRE(departures.All().empty());
+}
+
+TEST_CASE("starts come back from their text, and malformed text is refused") {
+  const std::vector<UpstreamStart> starts = {
+      {UpstreamId("a"), 1}, {UpstreamId("b"), 18'000'000'000'000'000'000U}};
+  REQUIRE(ParseUpstreamStarts(Encode(starts)) == starts);
+  for (const char* text :
+       {"", "{}", "[1]", "[{\"id\":\"a\"}]", "[{\"id\":1,\"start\":2}]",
+        "[{\"id\":\"a\",\"start"
+        "\":\"x\"}]"}) {
+    REQUIRE_FALSE(ParseUpstreamStarts(text).has_value());
+  }
+}
+
+/// An upstream's answer that says that it leaves.
+proxy::Response LeavingAnswer(const ExchangeHeaders& headers, int status) {
+  proxy::Response response = Signed(headers, status, "{}");
+  response.head.headers.Add(headers.leaving, "1");
+  return response;
+}
+
+TEST_CASE("the head of any answer tells that its upstream leaves") {
+  for (const int status : {200, 421, 500, 503}) {
+    ForwardWorld world;
+    FakeUpstream upstream(
+        world.loop,
+        [](const proxy::Request&, const std::shared_ptr<proxy::Responder>&) {});
+    world.Add("u", upstream);
+    NoteUpstreamHead(world.context, UpstreamId("u"),
+                     LeavingAnswer(world.headers, status).head);
+    REQUIRE(world.directory.Find(UpstreamId("u"))->listed.is_leaving);
+    // Later answers without it, a refusal for another upstream included,
+    // change nothing.
+    NoteUpstreamHead(world.context, UpstreamId("u"),
+                     proxy::MakeResponse(421, "{}").head);
+    REQUIRE(world.directory.Find(UpstreamId("u"))->listed.is_leaving);
+  }
+}
+
+/// An exchange at a peer interface on loopback.
+struct Peer final : proxy::RequestHandler {
+  Peer(asio::io_context& loop, UpstreamDirectory& directory,
+       RandomSource& random, std::vector<Endpoint>& others)
+      : client(loop),
+        listener(loop, *this),
+        exchange(
+            loop, directory, client, random, [&others] { return others; },
+            DepartureExchangeSettings{}) {
+    REQUIRE(IsOk(listener.Start(Endpoint{"127.0.0.1", 0})));
+  }
+  void OnRequest(proxy::Request request,
+                 std::shared_ptr<proxy::Responder> responder) override {
+    ++calls;
+    REQUIRE(exchange.TryAnswer(request, responder));
+  }
+  Endpoint endpoint() const { return Endpoint{"127.0.0.1", listener.port()}; }
+
+  PeerClient client;
+  proxy::HttpListener listener;
+  DepartureExchange exchange;
+  int calls = 0;
+};
+
+TEST_CASE("a departure is told to peers, and an instance that starts asks") {
+  asio::io_context loop;
+  SystemClock clock;
+  SeededRandom random(3);
+  std::vector<Endpoint> nobody;
+  std::vector<Endpoint> peers;
+  UpstreamDirectory first(UpstreamDirectorySettings{}, Locality{}, clock);
+  UpstreamDirectory second(UpstreamDirectorySettings{}, Locality{}, clock);
+  UpstreamDirectory third(UpstreamDirectorySettings{}, Locality{}, clock);
+  Peer a(loop, first, random, peers);
+  Peer b(loop, second, random, nobody);
+  peers.push_back(b.endpoint());
+  first.Put(Listed("u", 5));
+  first.NoteLeaving(UpstreamId("u"));
+  REQUIRE(testing::RunUntil(loop, [&] {
+    return second.departures().HasLeft({UpstreamId("u"), 5});
+  }));
+  // Started later, while its list still has the upstream as ready.
+  Peer c(loop, third, random, peers);
+  third.Put(Listed("u", 5));
+  REQUIRE_FALSE(c.exchange.has_asked());
+  c.exchange.OnInstancesChanged();
+  REQUIRE(testing::RunUntil(loop, [&] { return c.exchange.has_asked(); }));
+  REQUIRE(third.Find(UpstreamId("u"))->listed.is_leaving);
+  // What was learnt from a peer is not told again.
+  REQUIRE(a.calls == 0);
+}
+
+}  // namespace
+}  // namespace briarspread::forward
--- a/tests/forward/forward_world.h
+++ b/tests/forward/forward_world.h
@@ -49,8 +49,9 @@
         pool(loop, proxy::UpstreamConnectionSettings{}),
         crashes(CrashGuardSettings{},
                 ProcessId{InstanceId("self"), Incarnation(1)}, clock),
-        context{loop,      clock,  random, headers, configuration,
-                directory, router, pool,   crashes, metrics} {
+        returns(ReturnPlannerSettings{}, clock, random),
+        context{loop,   clock, random,  headers, configuration, directory,
+                router, pool,  crashes, metrics, returns} {
     directory.SetOnGone([this](const DiscoveredUpstream& gone) {
       if (!gone.is_leaving) crashes.NoteEnded(gone.id, gone.start_id);
     });
@@ -84,6 +85,7 @@
   proxy::ConnectionPool pool;
   CrashGuard crashes;
   ForwardMetrics metrics;
+  ReturnPlanner returns;
   ForwardContext context;
 };
 
