Bytes without end, late copies and failures of handlers end no connection's neighbours

Cause: looked for what operators of similar systems saw. (1) A request sent again over the connection that carried it before could take a late second copy of its first answer for the new one, and an answer that names no request was taken on a connection in use again. (2) A planned stop closed the acceptor with connections waiting, and idle connections whose request was read already but not taken: both were reset. (3) A run was ended after 2.2 s without an event however slow its engine, each time anew; the body of a refusal was drained without bound. (4) An exception in any handler ended the process. (5) Interim answers and events without end were not bounded.

Change: a connection remembers the last 16 ids it carried and is passed over for those; answers on a used connection must echo. A stop accepts what has arrived and answers what was read. AllowedSilence follows the engine's own pace and gives an item that was cut more than once more time. Bodies of refusals end at 64 KiB, events at 1 MiB, interim answers at 8. A handler that throws answers 500 and is logged; the loop goes on.

Ruled out: refusing answers without echo on new connections (nothing can be late there).

--- a/briarspread/batch/item_run.cc
+++ b/briarspread/batch/item_run.cc
@@ -12,6 +12,8 @@
 constexpr milliseconds kRefusalPause{150};
 /// The newest interval weighs one part in this many of the moving average.
 constexpr std::int64_t kAverageParts = 8;
+/// A longer body of a refusal or failure is not waited for.
+constexpr std::size_t kMaxDrained = std::size_t{64} * 1024;
 
 }  // namespace
 
@@ -94,8 +96,7 @@
 
 void ItemRun::OnHead(const proxy::ResponseHead& head) {
   last_event_ = context_.clock.Now();
-  const std::string* load = head.headers.Find(context_.headers.load);
-  if (load != nullptr) context_.directory.NoteLoad(spec_.engine, *load);
+  forward::NoteUpstreamHead(context_, spec_.engine, head);
   expected_ = OutcomeOf(head);
   if (expected_ != RunOutcome::kComplete) return;
   const auto version = head.headers.FindNumber(context_.headers.weight_version);
@@ -120,8 +121,12 @@
 }
 
 void ItemRun::OnBody(std::string_view data) {
-  if (expected_ != RunOutcome::kComplete) return;
-  for (const proxy::StreamEvent& event : reader_.Feed(data)) {
+  if (expected_ != RunOutcome::kComplete) {
+    Drain(data.size());
+    return;
+  }
+  const std::vector<proxy::StreamEvent> events = reader_.Feed(data);
+  for (const proxy::StreamEvent& event : events) {
     if (event.version.has_value()) {
       version_ = *event.version;
       context_.directory.NoteVersion(spec_.engine, spec_.model, version_);
@@ -144,6 +149,14 @@
     }
     if (has_ended_) return;
   }
+  if (reader_.is_overlong()) End(RunOutcome::kBroken);
+}
+
+void ItemRun::Drain(std::size_t bytes) {
+  drained_ += bytes;
+  if (drained_ <= kMaxDrained) return;
+  NoteOutcome(expected_);
+  End(expected_);
 }
 
 void ItemRun::OnEnd() {
@@ -151,17 +164,21 @@
   if (expected_ == RunOutcome::kComplete && reader_.has_partial()) {
     expected_ = RunOutcome::kBroken;
   }
-  if (expected_ == RunOutcome::kRefused) {
+  NoteOutcome(expected_);
+  End(expected_);
+}
+
+void ItemRun::NoteOutcome(RunOutcome outcome) {
+  if (outcome == RunOutcome::kRefused) {
     forward::KnownUpstream* engine = context_.directory.Find(spec_.engine);
     if (engine != nullptr) {
       engine->refuses_until = context_.clock.Now() + kRefusalPause;
     }
-  } else if (expected_ == RunOutcome::kBroken) {
+  } else if (outcome == RunOutcome::kBroken) {
     context_.directory.NoteFailure(spec_.engine);
   } else {
     context_.directory.NoteSuccess(spec_.engine);
   }
-  End(expected_);
 }
 
 void ItemRun::OnFailure(const proxy::ExchangeFailure& failure) {
--- a/briarspread/batch/item_run.h
+++ b/briarspread/batch/item_run.h
@@ -77,6 +77,11 @@
   /// When the last event came; the start before the first.
   TimePoint last_event() const { return last_event_; }
   std::uint64_t events() const { return events_; }
+  /// How the run ends if it is ended now: what the engine's answer has said
+  /// already, or broken off.
+  RunOutcome OutcomeIfEnded() const {
+    return expected_ == RunOutcome::kComplete ? RunOutcome::kBroken : expected_;
+  }
 
   void OnHead(const proxy::ResponseHead& head) override;
   void OnBody(std::string_view data) override;
@@ -85,6 +90,9 @@
 
  private:
   RunOutcome OutcomeOf(const proxy::ResponseHead& head) const;
+  /// Passes over the body of an answer that is no stream.
+  void Drain(std::size_t bytes);
+  void NoteOutcome(RunOutcome outcome);
   void End(RunOutcome outcome);
   void NoteInterval(TimePoint now);
   void ReleaseSlot();
@@ -102,6 +110,8 @@
   WeightVersion version_;
   /// What the head says of the outcome; complete for a stream.
   RunOutcome expected_ = RunOutcome::kComplete;
+  /// Bytes of an answer that is no stream.
+  std::size_t drained_ = 0;
   bool has_ended_ = false;
 };
 
--- a/briarspread/batch/job_listing.cc
+++ b/briarspread/batch/job_listing.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "briarspread/batch/job_runner.h"
+#include "briarspread/batch/stream_silence.h"
 
 namespace briarspread::batch {
 
@@ -243,8 +244,23 @@
 
 // --- Review
 
+bool JobRunner::IsSilent(const ItemRun& run, TimePoint now) const {
+  const auto it = jobs_.find(run.spec().job);
+  const forward::KnownUpstream* engine =
+      context_.directory.Find(run.spec().engine);
+  const Duration interval =
+      engine == nullptr ? Duration(0) : engine->event_interval;
+  std::size_t cuts = 0;
+  if (it != jobs_.end()) {
+    const auto cut = it->second.silent_cuts.find(run.spec().item);
+    if (cut != it->second.silent_cuts.end()) cuts = cut->second;
+  }
+  return now - run.last_event() >
+         AllowedSilence(settings_.silence, interval, cuts);
+}
+
 bool JobRunner::MustMove(const ItemRun& run, TimePoint now) const {
-  if (now - run.last_event() > settings_.silence) return true;
+  if (IsSilent(run, now)) return true;
   if (run.events() < 2 || now - run.started() < settings_.least_stay) {
     return false;
   }
@@ -268,10 +284,16 @@
 void JobRunner::MoveRun(const ItemKey& key) {
   ItemRun& run = *runs_.at(key);
   ++metrics_.runs_moved;
+  const bool is_silent = IsSilent(run, context_.clock.Now());
+  if (const auto it = jobs_.find(key.first); is_silent && it != jobs_.end()) {
+    ++it->second.silent_cuts[key.second];
+  }
   LOG(INFO) << "event=run_moved job=" << key.first
-            << " upstream=" << run.spec().engine << " events=" << run.events();
+            << " upstream=" << run.spec().engine << " events=" << run.events()
+            << " is_silent=" << is_silent;
+  const RunOutcome outcome = run.OutcomeIfEnded();
   run.Cancel();
-  OnRunEnded(run, RunOutcome::kBroken);
+  OnRunEnded(run, outcome);
   // Placed before the next run is looked at, which then sees less room.
   const auto it = jobs_.find(key.first);
   if (it != jobs_.end()) PlaceItem(it->second, key.second);
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -33,7 +33,8 @@
   milliseconds longest_listing_wait{1500};
   /// The pause before a failed write to the store is tried again.
   milliseconds store_retry{250};
-  /// A stream without an event for so long is taken for dead.
+  /// A stream without an event for so long is taken for dead, unless its
+  /// engine is known to be slow.
   milliseconds silence{2200};
   /// How often runs are reviewed.
   milliseconds review_interval{200};
@@ -177,6 +178,8 @@
     LoopTimer listing_timer;
     /// Engines that an item is to avoid, by item.
     std::map<std::size_t, std::vector<UpstreamId>> avoid;
+    /// How often an item's run was ended for its silence, by item.
+    std::map<std::size_t, std::size_t> silent_cuts;
     /// Where a group's prompt was read last.
     std::map<ItemGroup, UpstreamId> prompt_at;
   };
@@ -250,6 +253,7 @@
   void ReviewRuns(TimePoint now);
   void MoveRun(const ItemKey& key);
   void ReviewJob(const JobId& id, OwnedJob& job, TimePoint now);
+  bool IsSilent(const ItemRun& run, TimePoint now) const;
   bool MustMove(const ItemRun& run, TimePoint now) const;
 
   forward::ForwardContext& context_;
--- a/briarspread/forward/stream_relay.h
+++ b/briarspread/forward/stream_relay.h
@@ -18,6 +18,8 @@
     kFine,
     /// An event between the last one passed on and this one is missing.
     kGap,
+    /// What comes is no event: it does not end.
+    kOverlong,
   };
 
   /// `last_event_id` is the last event that the caller has already.
--- a/briarspread/proxy/connection_pool.cc
+++ b/briarspread/proxy/connection_pool.cc
@@ -33,23 +33,29 @@
   for (const Connection& connection : all) connection->Close();
 }
 
-ConnectionPool::Connection ConnectionPool::Take(const Endpoint& to) {
-  const auto it = idle_.find(to);
+ConnectionPool::Connection ConnectionPool::Take(const ExchangeOrder& order) {
+  const auto it = idle_.find(order.to);
   if (it == idle_.end()) return nullptr;
   std::vector<Connection>& kept = it->second;
-  while (!kept.empty()) {
-    Connection connection = std::move(kept.back());
-    kept.pop_back();
-    if (connection->is_usable()) return connection;
+  std::erase_if(kept, [](const Connection& connection) {
+    return !connection->is_usable();
+  });
+  const auto last = std::find_if(
+      kept.rbegin(), kept.rend(), [&order](const Connection& connection) {
+        return !connection->HasCarried(order.echo_value);
+      });
+  Connection taken;
+  if (last != kept.rend()) {
+    taken = *last;
+    kept.erase(std::next(last).base());
   }
-  idle_.erase(it);
-  return nullptr;
+  if (kept.empty()) idle_.erase(it);
+  return taken;
 }
 
 std::unique_ptr<Exchange> ConnectionPool::Start(ExchangeOrder order,
-                                                ExchangeListener& listener,
-                                                bool prefers_new) {
-  Connection connection = prefers_new ? nullptr : Take(order.to);
+                                                ExchangeListener& listener) {
+  Connection connection = Take(order);
   if (connection == nullptr) {
     connection = std::make_shared<UpstreamConnection>(
         loop_.get_executor(), settings_, order.to,
--- a/briarspread/proxy/connection_pool.h
+++ b/briarspread/proxy/connection_pool.h
@@ -22,11 +22,12 @@
   ConnectionPool(const ConnectionPool&) = delete;
   ConnectionPool& operator=(const ConnectionPool&) = delete;
 
-  /// Starts an exchange. Precondition: `listener` lives until it hears of the
-  /// end or cancels. `prefers_new` leaves kept connections aside.
+  /// Starts an exchange. A kept connection that has carried the same request
+  /// is left aside: a late second copy of its first answer would be taken for
+  /// the next one. Precondition: `listener` lives until it hears of the end or
+  /// cancels.
   std::unique_ptr<Exchange> Start(ExchangeOrder order,
-                                  ExchangeListener& listener,
-                                  bool prefers_new = false);
+                                  ExchangeListener& listener);
   /// Closes the kept connections to an upstream that is gone.
   void Forget(const Endpoint& to);
 
@@ -38,7 +39,7 @@
   class PooledExchange;
   using Connection = std::shared_ptr<UpstreamConnection>;
 
-  Connection Take(const Endpoint& to);
+  Connection Take(const ExchangeOrder& order);
   void OnIdle(const Connection& connection);
 
   asio::io_context& loop_;
--- a/briarspread/proxy/event_stream_reader.cc
+++ b/briarspread/proxy/event_stream_reader.cc
@@ -1,5 +1,6 @@
 #include "briarspread/proxy/event_stream_reader.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "briarspread/proxy/http_message.h"
@@ -11,8 +12,9 @@
 
 std::vector<StreamEvent> EventStreamReader::Feed(std::string_view bytes) {
   std::vector<StreamEvent> events;
-  while (!bytes.empty()) {
+  while (!bytes.empty() && !is_overlong()) {
     const std::size_t end = bytes.find('\n');
+    event_bytes_ += std::min(end, bytes.size());
     line_.append(bytes.substr(0, end));
     if (end == std::string_view::npos) break;
     bytes.remove_prefix(end + 1);
@@ -28,11 +30,15 @@
   line_.clear();
   event_ = {};
   has_field_ = false;
+  event_bytes_ = 0;
 }
 
 void EventStreamReader::TakeLine(std::vector<StreamEvent>& events) {
   if (line_.empty()) {
-    if (has_field_) events.push_back(std::exchange(event_, {}));
+    if (has_field_) {
+      events.push_back(std::exchange(event_, {}));
+      event_bytes_ = 0;
+    }
     has_field_ = false;
     return;
   }
--- a/briarspread/proxy/event_stream_reader.h
+++ b/briarspread/proxy/event_stream_reader.h
@@ -24,19 +24,26 @@
 };
 
 /// Cuts a `text/event-stream` into events. An event counts once its empty line
-/// came; the rest of a stream that stops midway is no event. Not thread-safe.
+/// came; the rest of a stream that stops midway is no event. One that grows
+/// beyond `kMaxEventBytes` is none, and ends the reading. Not thread-safe.
 class EventStreamReader final {
  public:
+  /// The bytes of one event at most, comments between events included.
+  static constexpr std::size_t kMaxEventBytes = std::size_t{1024} * 1024;
+
   /// `version_field` names the field that tells a change of version.
   /// `keeps_raw` fills `StreamEvent::raw`.
   explicit EventStreamReader(std::string version_field, bool keeps_raw = false);
 
-  /// Takes bytes and returns the events that they complete.
+  /// Takes bytes and returns the events that they complete. Nothing is taken
+  /// once `is_overlong()`.
   std::vector<StreamEvent> Feed(std::string_view bytes);
   /// Drops what is held of an event; another stream follows.
   void Reset();
   /// Whether bytes of an event without its end are held.
   bool has_partial() const { return !line_.empty() || has_field_; }
+  /// Whether an event grew beyond its bound.
+  bool is_overlong() const { return event_bytes_ > kMaxEventBytes; }
 
  private:
   void TakeLine(std::vector<StreamEvent>& events);
@@ -47,6 +54,8 @@
   std::string line_;
   StreamEvent event_;
   bool has_field_ = false;
+  /// Bytes taken since the last whole event.
+  std::size_t event_bytes_ = 0;
 };
 
 }  // namespace briarspread::proxy
--- a/briarspread/proxy/http_listener.cc
+++ b/briarspread/proxy/http_listener.cc
@@ -64,7 +64,21 @@
   }
 }
 
+void HttpListener::AcceptArrived() {
+  asio::error_code ec;
+  if (!acceptor_.is_open()) return;
+  acceptor_.cancel(ec);
+  acceptor_.non_blocking(true, ec);
+  while (!ec) {
+    asio::ip::tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, ec);
+    if (!ec) Add(std::move(socket));
+  }
+}
+
 void HttpListener::StopWhenIdle() {
+  // Closing would reset those that wait to be accepted.
+  AcceptArrived();
   asio::error_code ec;
   acceptor_.close(ec);
   std::vector<std::shared_ptr<ServerConnection>> all;
--- a/briarspread/proxy/http_listener.h
+++ b/briarspread/proxy/http_listener.h
@@ -40,6 +40,8 @@
 
  private:
   void Accept();
+  /// Accepts connections that came about already.
+  void AcceptArrived();
   void Add(asio::ip::tcp::socket socket);
 
   RequestHandler& handler_;
--- a/briarspread/proxy/server_connection.cc
+++ b/briarspread/proxy/server_connection.cc
@@ -1,7 +1,11 @@
 #include "briarspread/proxy/server_connection.h"
 
+#include <glog/logging.h>
+
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
+#include <exception>
 #include <utility>
 
 namespace briarspread::proxy {
@@ -121,8 +125,31 @@
   Read();
 }
 
+void ServerConnection::ReadArrived() {
+  asio::error_code ec;
+  std::size_t left = socket_.available(ec);
+  while (!ec && left > 0 && !is_closed_ && ahead_.size() <= kMaxAhead) {
+    std::array<char, 8192> bytes{};
+    const std::size_t n = socket_.read_some(
+        asio::buffer(bytes, std::min(left, bytes.size())), ec);
+    ahead_.append(bytes.data(), n);
+    left = ec ? 0 : socket_.available(ec);
+  }
+  if (!is_closed_) Take();
+}
+
 void ServerConnection::CloseWhenIdle() {
   closes_after_answer_ = true;
+  // Bytes may be read already and wait in the loop's queue to be taken.
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->CloseIfIdle(); });
+}
+
+void ServerConnection::CloseIfIdle() {
+  if (is_closed_) return;
+  // A request that has just arrived is answered, not reset.
+  ReadArrived();
+  if (is_closed_) return;
   if (responder_ == nullptr && !reader_.has_started() && out_.empty() &&
       writing_.empty()) {
     Close();
@@ -237,7 +264,21 @@
   const auto answer = std::make_shared<Answer>(shared_from_this(),
                                                request.head.method == "HEAD");
   responder_ = answer;
-  handler_.OnRequest(std::move(request), answer);
+  HandOver(std::move(request), answer);
+}
+
+void ServerConnection::HandOver(Request request,
+                                const std::shared_ptr<Answer>& answer) {
+  const std::string target = request.head.target;
+  try {
+    handler_.OnRequest(std::move(request), answer);
+  } catch (const std::exception& error) {
+    // One request must not end the process that serves all others. Whether it
+    // had an effect is not known.
+    LOG(ERROR) << "event=request_handler_failed target=\"" << target
+               << "\" reason=\"" << error.what() << "\"";
+    answer->Send(MakeResponse(500, "{\"error\":\"internal\"}"));
+  }
 }
 
 void ServerConnection::FinishAnswer() {
--- a/briarspread/proxy/server_connection.h
+++ b/briarspread/proxy/server_connection.h
@@ -54,6 +54,10 @@
   void Take();
   void TakeError();
   void Dispatch();
+  void HandOver(Request request, const std::shared_ptr<Answer>& answer);
+  void CloseIfIdle();
+  /// Takes bytes that have arrived but were not read yet.
+  void ReadArrived();
   void Refuse(int status);
   void Queue(std::string_view bytes);
   void Flush();
--- a/briarspread/proxy/upstream_connection.cc
+++ b/briarspread/proxy/upstream_connection.cc
@@ -12,6 +12,10 @@
 /// Taken off an upstream's own idle time, so that a request does not cross its
 /// close.
 constexpr milliseconds kIdleMargin{500};
+/// More interim responses than this are no answer.
+constexpr std::size_t kMaxInterim = 8;
+/// Echo values remembered by a connection.
+constexpr std::size_t kMaxCarried = 16;
 
 std::optional<std::uint64_t> KeepAliveSeconds(const ResponseHead& head) {
   const std::string* line = head.headers.Find("Keep-Alive");
@@ -43,6 +47,11 @@
   assert(listener_ == nullptr && is_usable());
   order_ = std::move(order);
   listener_ = &listener;
+  interim_count_ = 0;
+  if (!order_.echo_value.empty()) {
+    carried_.push_back(order_.echo_value);
+    if (carried_.size() > kMaxCarried) carried_.pop_front();
+  }
   is_head_taken_ = false;
   is_paused_ = false;
   started_ = std::chrono::steady_clock::now();
@@ -55,6 +64,11 @@
   Connect();
 }
 
+bool UpstreamConnection::HasCarried(const std::string& echo_value) const {
+  return !echo_value.empty() && std::find(carried_.begin(), carried_.end(),
+                                          echo_value) != carried_.end();
+}
+
 void UpstreamConnection::Connect() {
   asio::error_code ec;
   const auto address = asio::ip::make_address(to_.host, ec);
@@ -157,8 +171,7 @@
       return;
     }
     if (reader_.is_complete() && IsInterim(reader_.response().status)) {
-      reader_.StartNext();
-      if (order_.is_head) reader_.ExpectNoBody();
+      if (!TakeInterim()) return;
       continue;
     }
     if (reader_.has_head() && !TakeHead()) return;
@@ -174,13 +187,30 @@
   }
 }
 
+bool UpstreamConnection::TakeInterim() {
+  if (++interim_count_ > kMaxInterim) {
+    Fail(ExchangeFault::kGarbled, Verdict::kMayHaveRun);
+    return false;
+  }
+  reader_.StartNext();
+  if (order_.is_head) reader_.ExpectNoBody();
+  return true;
+}
+
+bool UpstreamConnection::IsEchoFine(const ResponseHead& head) const {
+  if (order_.echo_name.empty()) return true;
+  const std::string* echo = head.headers.Find(order_.echo_name);
+  if (echo != nullptr) return *echo == order_.echo_value;
+  // On a connection in use again an answer that names no request may be a late
+  // second copy of an earlier one.
+  return !was_used_;
+}
+
 bool UpstreamConnection::TakeHead() {
   if (is_head_taken_) return true;
   const ResponseHead& head = reader_.response();
   if (IsInterim(head.status)) return true;
-  const std::string* echo =
-      order_.echo_name.empty() ? nullptr : head.headers.Find(order_.echo_name);
-  if (echo != nullptr && *echo != order_.echo_value) {
+  if (!IsEchoFine(head)) {
     Fail(ExchangeFault::kGarbled, Verdict::kMayHaveRun);
     return false;
   }
--- a/briarspread/proxy/upstream_connection.h
+++ b/briarspread/proxy/upstream_connection.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -63,7 +64,9 @@
 
   bool is_usable() const { return !is_closed_; }
   const Endpoint& endpoint() const { return to_; }
-  bool was_used() const { return was_used_; }
+  /// Whether a request with this echo value went over it lately; false for an
+  /// empty one.
+  bool HasCarried(const std::string& echo_value) const;
 
  private:
   void Connect();
@@ -72,6 +75,9 @@
   void OnRead(asio::error_code ec, std::size_t n);
   void Take(std::string_view bytes);
   bool TakeHead();
+  bool IsEchoFine(const ResponseHead& head) const;
+  /// Takes an interim response; false where there were too many.
+  bool TakeInterim();
   void Deliver();
   void Finish();
   void NoteIdle();
@@ -86,6 +92,10 @@
   OnIdle on_idle_;
   MessageReader reader_;
   ExchangeOrder order_;
+  /// Echo values of the latest requests, the oldest first.
+  std::deque<std::string> carried_;
+  /// Interim responses of the current exchange.
+  std::size_t interim_count_ = 0;
   /// Null while idle.
   ExchangeListener* listener_ = nullptr;
   std::array<char, 16384> buf_{};
--- a/tests/proxy/connection_test.cc
+++ b/tests/proxy/connection_test.cc
@@ -2,8 +2,10 @@
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <stdexcept>
 
 #include "briarspread/proxy/connection_pool.h"
+#include "briarspread/proxy/guarded_run.h"
 #include "briarspread/proxy/http_call.h"
 #include "briarspread/proxy/http_listener.h"
 #include "tests/support/loop_runner.h"
@@ -149,6 +151,51 @@
   REQUIRE(failure.verdict == Verdict::kMayHaveRun);
 }
 
+std::string AnswerTo(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 2\r\n\r\n" +
+         id;
+}
+
+TEST_CASE("a late second copy of an answer is taken for no other request") {
+  // The copy comes in place of the next answer on the connection in use again.
+  asio::io_context loop;
+  RawUpstream upstream(loop, {AnswerTo("a1"), AnswerTo("a1")});
+  Caller caller(loop);
+  REQUIRE(std::get<Response>(caller.Call(upstream.endpoint(), "a1")).body ==
+          "a1");
+  const auto failure =
+      std::get<ExchangeFailure>(caller.Call(upstream.endpoint(), "b2"));
+  REQUIRE(failure.fault == ExchangeFault::kGarbled);
+  REQUIRE(upstream.connections() == 1);
+}
+
+TEST_CASE("a request sent again goes over a connection that has not had it") {
+  // Its id is the same, so a copy of the first answer would pass for the
+  // second.
+  asio::io_context loop;
+  RawUpstream upstream(loop, {AnswerTo("a1"), AnswerTo("a1"), AnswerTo("b2")});
+  Caller caller(loop);
+  caller.Call(upstream.endpoint(), "a1");
+  caller.Call(upstream.endpoint(), "a1");
+  REQUIRE(upstream.connections() == 2);
+  REQUIRE(std::get<Response>(caller.Call(upstream.endpoint(), "b2")).body ==
+          "b2");
+  REQUIRE(upstream.connections() == 2);
+}
+
+TEST_CASE("on a connection in use again an answer must name its request") {
+  asio::io_context loop;
+  const std::string refusal =
+      "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  RawUpstream upstream(loop, {AnswerTo("a1"), refusal});
+  Caller caller(loop);
+  caller.Call(upstream.endpoint(), "a1");
+  const auto failure =
+      std::get<ExchangeFailure>(caller.Call(upstream.endpoint(), "b2"));
+  REQUIRE(failure.fault == ExchangeFault::kGarbled);
+  REQUIRE(failure.verdict == Verdict::kMayHaveRun);
+}
+
 TEST_CASE("no connection is a certain not-run, a broken one is not") {
   asio::io_context loop;
   Caller caller(loop);
@@ -238,25 +285,99 @@
       RunUntil(loop, [&] { return server.listener.connection_count() == 0; }));
 }
 
+/// A caller's own connection, whose bytes the server has not read yet.
+struct RawClient {
+  RawClient(asio::io_context& loop, std::uint16_t port) : socket(loop) {
+    socket.connect({asio::ip::address_v4::loopback(), port});
+  }
+  void Send(const std::string& bytes) {
+    asio::write(socket, asio::buffer(bytes));
+  }
+  /// Reads until the server closes.
+  std::string ReadAll(asio::io_context& loop) {
+    std::string got;
+    std::array<char, 512> buf{};
+    bool has_ended = false;
+    const std::function<void()> read = [&] {
+      socket.async_read_some(asio::buffer(buf),
+                             [&](asio::error_code ec, std::size_t n) {
+                               got.append(buf.data(), n);
+                               has_ended = static_cast<bool>(ec);
+                               if (!ec) read();
+                             });
+    };
+    read();
+    REQUIRE(RunUntil(loop, [&] { return has_ended; }));
+    return got;
+  }
+  asio::ip::tcp::socket socket;
+};
+
+/// Answers at once.
+class PromptHandler final : public RequestHandler {
+ public:
+  void OnRequest(Request, std::shared_ptr<Responder> responder) override {
+    responder->Send(MakeResponse(200, "{}"));
+  }
+};
+
+TEST_CASE("a stop answers requests that have just arrived") {
+  // On a kept connection, and on one that waits to be accepted; the loop has
+  // seen neither's bytes.
+  asio::io_context loop;
+  PromptHandler handler;
+  HttpListener listener(loop, handler);
+  REQUIRE(IsOk(listener.Start(Endpoint{"127.0.0.1", 0})));
+  RawClient kept(loop, listener.port());
+  REQUIRE(RunUntil(loop, [&] { return listener.connection_count() == 1; }));
+  RawClient waiting(loop, listener.port());
+  kept.Send("GET /kept HTTP/1.1\r\n\r\n");
+  waiting.Send("GET /waiting HTTP/1.1\r\n\r\n");
+  listener.EndConnections();
+  listener.StopWhenIdle();
+  REQUIRE(kept.ReadAll(loop).starts_with("HTTP/1.1 200 "));
+  REQUIRE(waiting.ReadAll(loop).starts_with("HTTP/1.1 200 "));
+}
+
+/// Fails as a fault of ours would.
+class ThrowingHandler final : public RequestHandler {
+ public:
+  void OnRequest(Request request,
+                 std::shared_ptr<Responder> responder) override {
+    if (request.head.target == "/bad") throw std::runtime_error("fault");
+    responder->Send(MakeResponse(200, "{}"));
+  }
+};
+
+TEST_CASE("a handler that fails answers its request and ends no other") {
+  asio::io_context loop;
+  ThrowingHandler handler;
+  HttpListener listener(loop, handler);
+  REQUIRE(IsOk(listener.Start(Endpoint{"127.0.0.1", 0})));
+  RawClient client(loop, listener.port());
+  client.Send(
+      "GET /bad HTTP/1.1\r\n\r\n"
+      "GET /good HTTP/1.1\r\nConnection: close\r\n\r\n");
+  const std::string got = client.ReadAll(loop);
+  REQUIRE(got.starts_with("HTTP/1.1 500 "));
+  REQUIRE(got.find("HTTP/1.1 200 ") != std::string::npos);
+}
+
+TEST_CASE("an exception in the loop ends no process") {
+  asio::io_context loop;
+  int after = 0;
+  asio::post(loop, [] { throw std::runtime_error("fault"); });
+  asio::post(loop, [&after] { ++after; });
+  REQUIRE(RunGuarded(loop) == 1);
+  REQUIRE(after == 1);
+}
+
 TEST_CASE("a malformed request is refused and its connection closed") {
   asio::io_context loop;
   Server server(loop);
-  asio::ip::tcp::socket socket(loop);
-  socket.connect({asio::ip::address_v4::loopback(), server.listener.port()});
-  asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\nX: y\n\n")));
-  std::string got;
-  std::array<char, 512> buf{};
-  bool has_ended = false;
-  const std::function<void()> read = [&] {
-    socket.async_read_some(asio::buffer(buf),
-                           [&](asio::error_code ec, std::size_t n) {
-                             got.append(buf.data(), n);
-                             has_ended = static_cast<bool>(ec);
-                             if (!ec) read();
-                           });
-  };
-  read();
-  REQUIRE(RunUntil(loop, [&] { return has_ended; }));
+  RawClient client(loop, server.listener.port());
+  client.Send("GET / HTTP/1.1\nX: y\n\n");
+  const std::string got = client.ReadAll(loop);
   REQUIRE(got.starts_with("HTTP/1.1 400 "));
   REQUIRE(server.handler.requests.empty());
 }
