Connections to upstreams are counted by why they ended

Each owner of jobs opens as many to an engine as it has items there at once, and the engines of a step change with the versions, so that most wait longer than an upstream keeps them.

Tests: causes in connection_test.

--- a/briarspread/proxy/connection_pool.cc
+++ b/briarspread/proxy/connection_pool.cc
@@ -11,7 +11,8 @@
   explicit PooledExchange(const Connection& connection)
       : connection_(connection) {}
   void Cancel() override {
-    if (const auto held = connection_.lock()) held->Close();
+    if (const auto held = connection_.lock())
+      held->Close(CloseCause::kCancelled);
   }
   void SetPaused(bool is_paused) override {
     if (const auto held = connection_.lock()) held->SetPaused(is_paused);
@@ -30,7 +31,9 @@
 ConnectionPool::~ConnectionPool() {
   const auto all = std::exchange(all_, {});
   idle_.clear();
-  for (const Connection& connection : all) connection->Close();
+  for (const Connection& connection : all) {
+    connection->Close(CloseCause::kForgotten);
+  }
 }
 
 ConnectionPool::Connection ConnectionPool::Take(const ExchangeOrder& order) {
@@ -73,6 +76,7 @@
     return;
   }
   all_.erase(connection);
+  ++closed_[std::string(ToString(connection->close_cause()))];
   const auto it = idle_.find(connection->endpoint());
   if (it == idle_.end()) return;
   std::erase(it->second, connection);
@@ -84,7 +88,9 @@
   if (it == idle_.end()) return;
   const std::vector<Connection> kept = std::move(it->second);
   idle_.erase(it);
-  for (const Connection& connection : kept) connection->Close();
+  for (const Connection& connection : kept) {
+    connection->Close(CloseCause::kForgotten);
+  }
 }
 
 }  // namespace briarspread::proxy
--- a/briarspread/proxy/connection_pool.h
+++ b/briarspread/proxy/connection_pool.h
@@ -33,6 +33,8 @@
 
   /// Connections opened since the start.
   std::uint64_t opened() const { return opened_; }
+  /// Connections that ended since the start, by cause.
+  const std::map<std::string, std::uint64_t>& closed() const { return closed_; }
   std::size_t open_count() const { return all_.size(); }
 
  private:
@@ -48,6 +50,7 @@
   std::map<Endpoint, std::vector<Connection>> idle_;
   std::unordered_set<Connection> all_;
   std::uint64_t opened_ = 0;
+  std::map<std::string, std::uint64_t> closed_;
 };
 
 }  // namespace briarspread::proxy
--- a/briarspread/proxy/upstream_connection.cc
+++ b/briarspread/proxy/upstream_connection.cc
@@ -32,6 +32,26 @@
 
 }  // namespace
 
+std::string_view ToString(CloseCause cause) {
+  switch (cause) {
+    case CloseCause::kNotConnected:
+      return "not_connected";
+    case CloseCause::kIdleTime:
+      return "idle_time";
+    case CloseCause::kIdleByUpstream:
+      return "idle_by_upstream";
+    case CloseCause::kAnswerSaid:
+      return "answer_said";
+    case CloseCause::kCancelled:
+      return "cancelled";
+    case CloseCause::kFailed:
+      return "failed";
+    case CloseCause::kForgotten:
+      return "forgotten";
+  }
+  return "unknown";
+}
+
 UpstreamConnection::UpstreamConnection(
     const asio::any_io_executor& executor,
     const UpstreamConnectionSettings& settings, Endpoint to, OnIdle on_idle)
@@ -145,7 +165,7 @@
 void UpstreamConnection::OnRead(asio::error_code ec, std::size_t n) {
   if (listener_ == nullptr) {
     // Bytes, or an end, while no request waits: nothing that came can be used.
-    Close();
+    Close(CloseCause::kIdleByUpstream);
     return;
   }
   if (!ec) {
@@ -243,7 +263,7 @@
     reader_.StartNext();
     NoteIdle();
   } else {
-    Close();
+    Close(CloseCause::kAnswerSaid);
   }
   listener->OnEnd();
 }
@@ -251,15 +271,16 @@
 void UpstreamConnection::NoteIdle() {
   timer_.expires_after(idle_time_);
   timer_.async_wait([self = shared_from_this()](asio::error_code ec) {
-    if (!ec && self->listener_ == nullptr) self->Close();
+    if (!ec && self->listener_ == nullptr) self->Close(CloseCause::kIdleTime);
   });
   Read();
   if (on_idle_) on_idle_(shared_from_this());
 }
 
-void UpstreamConnection::Close() {
+void UpstreamConnection::Close(CloseCause cause) {
   if (is_closed_) return;
   is_closed_ = true;
+  close_cause_ = cause;
   listener_ = nullptr;
   timer_.cancel();
   asio::error_code ec;
@@ -274,7 +295,8 @@
   const ExchangeFailure failure{
       fault, verdict,
       was_used_ && !reader_.has_started() && fault == ExchangeFault::kBroken};
-  Close();
+  Close(fault == ExchangeFault::kNotConnected ? CloseCause::kNotConnected
+                                              : CloseCause::kFailed);
   if (listener != nullptr) listener->OnFailure(failure);
 }
 
--- a/briarspread/proxy/upstream_connection.h
+++ b/briarspread/proxy/upstream_connection.h
@@ -28,6 +28,28 @@
   ReadLimits limits;
 };
 
+/// Why a connection to an upstream ended.
+enum class CloseCause {
+  /// None came about.
+  kNotConnected,
+  /// It was idle for as long as is allowed.
+  kIdleTime,
+  /// The upstream ended it while it was idle, or sent bytes that nobody
+  /// awaited.
+  kIdleByUpstream,
+  /// The answer said that it ends, or its body was delimited by the end.
+  kAnswerSaid,
+  /// Its exchange was cancelled.
+  kCancelled,
+  /// Its exchange failed.
+  kFailed,
+  /// Its upstream leaves or is gone.
+  kForgotten,
+};
+
+/// The name of a cause in logs and metrics. Thread-safe.
+std::string_view ToString(CloseCause cause);
+
 /// What is sent in one exchange.
 struct ExchangeOrder {
   Endpoint to;
@@ -59,7 +81,9 @@
   /// no other is under way and `is_usable()`.
   void Run(ExchangeOrder order, ExchangeListener& listener);
   /// Ends the connection without a word to the listener.
-  void Close();
+  void Close(CloseCause cause);
+  /// Why it ended. Precondition: `!is_usable()`.
+  CloseCause close_cause() const { return close_cause_; }
   void SetPaused(bool is_paused);
 
   bool is_usable() const { return !is_closed_; }
@@ -109,6 +133,7 @@
   bool is_paused_ = false;
   bool is_closed_ = false;
   bool may_be_kept_ = true;
+  CloseCause close_cause_ = CloseCause::kForgotten;
 };
 
 }  // namespace briarspread::proxy
--- a/tests/proxy/connection_test.cc
+++ b/tests/proxy/connection_test.cc
@@ -128,6 +128,21 @@
   }
   REQUIRE(upstream.connections() == 1);
   REQUIRE(caller.pool.opened() == 1);
+  caller.pool.Forget(upstream.endpoint());
+  REQUIRE(caller.pool.closed().at("forgotten") == 1);
+}
+
+TEST_CASE("connections that end are counted by their cause") {
+  asio::io_context loop;
+  RawUpstream upstream(
+      loop, {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: "
+             "0\r\n\r\n",
+             "no answer\r\n\r\n", kAnswer + "!"});
+  Caller caller(loop);
+  for (int i = 0; i < 3; ++i) caller.Call(upstream.endpoint());
+  REQUIRE(caller.pool.closed().at("answer_said") == 2);
+  REQUIRE(caller.pool.closed().at("failed") == 1);
+  REQUIRE(caller.pool.opened() == 3);
 }
 
 TEST_CASE("bytes after a whole response belong to no request") {
