--- a/tests/forward/live_request_test.cc
+++ b/tests/forward/live_request_test.cc
@@ -43,7 +43,8 @@
 
 struct Sent {
   Sent(ForwardWorld& world, RouteKind kind, std::uint32_t max_attempts = 2,
-       milliseconds time = seconds(20), bool is_resumable = false)
+       milliseconds time = seconds(20), bool is_resumable = false,
+       milliseconds least_stall = seconds(4))
       : world(world) {
     LiveRequestSpec spec;
     spec.request.head.method = "POST";
@@ -53,6 +54,8 @@
     spec.request.head.headers.Add(world.headers.deadline, "999999");
     spec.request.body = "body";
     spec.route.kind = kind;
+    spec.progress.check = milliseconds(10);
+    spec.progress.least_stall = least_stall;
     spec.route.is_resumable = is_resumable;
     spec.route.max_attempts = max_attempts;
     spec.route.backends = {{ServiceName("s"), 1}};
@@ -138,6 +141,100 @@
   REQUIRE(sent.request->upstream_errors() == 2);
 }
 
+/// An upstream that gives a head and then the same bytes without end.
+FakeUpstream::Answer Endless(ForwardWorld& world,
+                             const proxy::ResponseHead& head,
+                             const std::string& bytes) {
+  return [&world, head, bytes](const proxy::Request&,
+                               const ResponderPtr& responder) {
+    responder->Start(head);
+    const auto timer = std::make_shared<LoopTimer>(world.loop);
+    timer->Every(milliseconds(1),
+                 [timer, responder, bytes] { responder->Write(bytes); });
+    responder->SetOnGone([timer] { timer->Cancel(); });
+  };
+}
+
+TEST_CASE("a refusal or failure without end is cut, and tried elsewhere") {
+  for (const int status : {500, 503}) {
+    ForwardWorld world;
+    proxy::Response bad = status == 503 ? NotRun(world.headers)
+                                        : Signed(world.headers, status, "");
+    FakeUpstream endless(world.loop,
+                         Endless(world, bad.head, std::string(16384, 'x')));
+    FakeUpstream sound(world.loop, Always(Signed(world.headers, 200, "ok")));
+    world.Add("a", endless);
+    Sent sent(world, RouteKind::kIdempotent);
+    world.Await([&] { return endless.requests.size() == 1; });
+    world.Add("b", sound);
+    REQUIRE(sent.Await().body == "ok");
+    REQUIRE_FALSE(sent.sink.head.has_value());
+  }
+}
+
+TEST_CASE("a refusal without end stays a refusal that did not run") {
+  ForwardWorld world;
+  FakeUpstream endless(world.loop, Endless(world, NotRun(world.headers).head,
+                                           std::string(16384, 'x')));
+  world.Add("a", endless);
+  Sent sent(world, RouteKind::kOnce);
+  const proxy::Response& answer = sent.Await();
+  REQUIRE(answer.head.status == 503);
+  REQUIRE(answer.head.headers.FindNumber("Retry-After") == std::nullopt);
+  REQUIRE(answer.head.headers.Find("Retry-After") != nullptr);
+}
+
+TEST_CASE("a stream that sends bytes but no events goes on elsewhere") {
+  ForwardWorld world;
+  FakeUpstream stalls(
+      world.loop, Endless(world, Signed(world.headers, 200, "").head, ": x\n"));
+  FakeUpstream sound(world.loop,
+                     [&](const proxy::Request&, const ResponderPtr& responder) {
+                       responder->Start(Signed(world.headers, 200, "").head);
+                       responder->Write("id: 1\ndata: a\n\n");
+                       responder->End();
+                     });
+  world.Add("a", stalls);
+  Sent sent(world, RouteKind::kStream, 3, seconds(20), true, milliseconds(80));
+  world.Await([&] { return stalls.requests.size() == 1; });
+  world.Add("b", sound);
+  world.Await([&] { return sent.sink.has_ended; });
+  REQUIRE(sent.sink.body == "id: 1\ndata: a\n\n");
+}
+
+TEST_CASE("a slow sound stream is never cut, a stalled one past its time is") {
+  ForwardWorld world;
+  // An event each 60 ms, past the request's time of 100 ms.
+  FakeUpstream slow(
+      world.loop, [&](const proxy::Request&, const ResponderPtr& responder) {
+        responder->Start(Signed(world.headers, 200, "").head);
+        const auto timer = std::make_shared<LoopTimer>(world.loop);
+        const auto n = std::make_shared<int>(0);
+        timer->Every(milliseconds(60), [timer, n, responder] {
+          if (++*n <= 6) {
+            responder->Write("id: " + std::to_string(*n) + "\ndata: x\n\n");
+            return;
+          }
+          timer->Cancel();
+          responder->End();
+        });
+      });
+  world.Add("slow", slow);
+  Sent sound(world, RouteKind::kStream, 1, milliseconds(100), false,
+             seconds(5));
+  world.Await([&] { return sound.sink.has_ended; });
+  REQUIRE(sound.sink.body.ends_with("id: 6\ndata: x\n\n"));
+
+  world.directory.Remove({UpstreamId("slow")});
+  FakeUpstream stalls(
+      world.loop, Endless(world, Signed(world.headers, 200, "").head, ": x\n"));
+  world.Add("stalls", stalls);
+  Sent stalled(world, RouteKind::kStream, 1, milliseconds(100), false,
+               milliseconds(80));
+  world.Await([&] { return stalled.sink.is_broken; });
+  REQUIRE_FALSE(stalled.sink.has_ended);
+}
+
 TEST_CASE("without an upstream the refusal comes at once and says not run") {
   ForwardWorld world;
   Sent sent(world, RouteKind::kOnce);
--- a/tests/soak/loopback_proxy.cc
+++ b/tests/soak/loopback_proxy.cc
@@ -78,6 +78,10 @@
       Pump(from, to, buf, is_cut);
       return;
     }
+    if (fault_->is_endless_back && &to == &there_.from) {
+      Flood();
+      return;
+    }
     const auto timer = std::make_shared<asio::steady_timer>(from.get_executor(),
                                                             fault_->delay);
     timer->async_wait([self = shared_from_this(), timer, &from, &to, &buf, n,
@@ -94,6 +98,23 @@
     });
   }
 
+  void Flood() {
+    constexpr milliseconds kPause{1};
+    buf_back_.fill('x');
+    const auto timer = std::make_shared<asio::steady_timer>(
+        there_.from.get_executor(), kPause);
+    timer->async_wait([self = shared_from_this(), timer](asio::error_code) {
+      asio::async_write(self->there_.from, asio::buffer(self->buf_back_),
+                        [self](asio::error_code ec, std::size_t) {
+                          if (ec) {
+                            self->Reset();
+                          } else {
+                            self->Flood();
+                          }
+                        });
+    });
+  }
+
   Ends there_;
   std::shared_ptr<LinkFault> fault_;
   Buffer buf_there_{};
--- a/tests/soak/loopback_proxy.h
+++ b/tests/soak/loopback_proxy.h
@@ -19,6 +19,9 @@
   /// Bytes towards the target, or back, are swallowed.
   bool is_cut_there = false;
   bool is_cut_back = false;
+  /// In place of what the target sends back come bytes that are no answer,
+  /// without end, until the caller closes.
+  bool is_endless_back = false;
 };
 
 /// Passes connections on to a target on loopback, with faults between. Loop's
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -148,7 +148,7 @@
       random_.Below(2) == 0 ? targets_.store_links : targets_.replica_links;
   LoopbackProxy& link = *links[random_.Below(links.size())];
   ++counts_["link"];
-  const std::uint64_t how = random_.Below(4);
+  const std::uint64_t how = random_.Below(5);
   if (how == 0) {
     link.ResetAll();
     return;
@@ -157,6 +157,10 @@
   if (how == 1) fault.delay = milliseconds(100);
   if (how == 2) fault.is_cut_there = true;
   if (how == 3) fault.is_cut_back = true;
+  if (how == 4) {
+    fault.is_endless_back = true;
+    ++counts_["endless"];
+  }
   link.SetFault(fault);
   EndLater(milliseconds(300), milliseconds(3000), [&link] {
     link.SetFault(LinkFault{});
