Renewals notice that the store is back; watches ask seldom meanwhile

Ruled out: waiting for a signal of peers alone (a cut machine has none).

Change: a failed renewal is tried again after 0.3 s and alone tells that the store is back; watches wait up to 3 s between tries and are told at once. The store counts as lost after two failures in a row, since the second call of a machine that is turned away goes by a peer; watches that wait well are left alone when it is back, and restarted at most once a second when it is lost.

Tests: three cases in fleet_test.

--- a/briarspread/fleet/store_watch.h
+++ b/briarspread/fleet/store_watch.h
@@ -17,9 +17,10 @@
   milliseconds wait{10000};
   /// The pause after changes came, so that several changes cost one call.
   milliseconds pause{300};
-  /// The pause after a failure; doubles up to the limit.
+  /// The pause after a failure; doubles up to the limit. One who knows that
+  /// the store is back restarts the watch.
   milliseconds first_retry{150};
-  milliseconds retry_limit{1000};
+  milliseconds retry_limit{3000};
 };
 
 /// Hears of the keys under a prefix. Called from the loop.
@@ -42,6 +43,8 @@
   void Start();
   /// Drops the call under way and asks anew; for a path that has gone silent.
   void Restart();
+  /// Asks now where a failed call waits to be tried again.
+  void RetryNow();
   /// Whether the keys were listed once.
   bool has_listed() const { return has_listed_; }
   /// When the store last answered, by the steady clock.
@@ -65,6 +68,8 @@
   /// Numbers the calls, so that answers to dropped ones are told apart.
   std::uint64_t call_ = 0;
   milliseconds next_retry_;
+  /// Whether a failed call waits to be tried again.
+  bool is_retrying_ = false;
   TimePoint last_answer_{};
 };
 
--- a/briarspread/proxy/connection_pool.cc
+++ b/briarspread/proxy/connection_pool.cc
@@ -11,8 +11,8 @@
   explicit PooledExchange(const Connection& connection)
       : connection_(connection) {}
   void Cancel() override {
-    if (const auto held = connection_.lock())
-      held->Close(CloseCause::kCancelled);
+    const auto held = connection_.lock();
+    if (held != nullptr) held->Close(CloseCause::kCancelled);
   }
   void SetPaused(bool is_paused) override {
     if (const auto held = connection_.lock()) held->SetPaused(is_paused);
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -74,6 +74,29 @@
   REQUIRE(heard.values.size() == 2);
 }
 
+TEST_CASE("a watch that waits to try again is told that the store is back") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  Heard heard;
+  StoreWatchSettings settings = AtOnce();
+  settings.first_retry = std::chrono::hours(1);
+  settings.retry_limit = std::chrono::hours(1);
+  StoreWatch watch(loop, store, "a/", settings, heard);
+  store.SetFault(Fault::kRefuse);
+  watch.Start();
+  store.Deliver();
+  store.SetFault(Fault::kNone);
+  store.Write("a/1", "x");
+  watch.RetryNow();
+  store.Deliver();
+  REQUIRE(heard.values.size() == 1);
+  // One that waits at the store is left alone.
+  const std::size_t calls = store.calls();
+  watch.RetryNow();
+  store.Deliver();
+  REQUIRE(store.calls() == calls);
+}
+
 TEST_CASE("a watch goes on after refusals") {
   asio::io_context loop;
   AsyncMemoryStore store;
@@ -89,6 +112,45 @@
   REQUIRE(heard.values.size() == 1);
 }
 
+TEST_CASE("an instance notices by its renewals that the store is back") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  testing::Quiet quiet;
+  InstanceRegistrySettings settings;
+  // Only the retries can bring it about.
+  settings.renew_interval = std::chrono::hours(1);
+  settings.renew_retry = milliseconds(2);
+  InstanceRegistry registry(loop, store, store, nullptr, settings,
+                            testing::Record("a", 1), quiet);
+  store.SetFault(Fault::kRefuse);
+  registry.Start();
+  Await(loop, store, [&] { return !quiet.reachable; });
+  store.SetFault(Fault::kNone);
+  Await(loop, store, [&] {
+    return quiet.reachable && registry.instances().contains(InstanceId("a"));
+  });
+}
+
+TEST_CASE("a single failed renewal does not count as the store's loss") {
+  // A store that turns this machine away: the next call goes by a peer.
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  testing::Quiet quiet;
+  InstanceRegistrySettings settings;
+  settings.renew_interval = std::chrono::hours(1);
+  settings.renew_retry = milliseconds(2);
+  InstanceRegistry registry(loop, store, store, nullptr, settings,
+                            testing::Record("a", 1), quiet);
+  store.SetFault(Fault::kRefuse);
+  registry.Start();
+  store.SetFault(Fault::kNone);
+  store.Deliver();
+  REQUIRE(quiet.reachable);
+  Await(loop, store,
+        [&] { return registry.instances().contains(InstanceId("a")); });
+  REQUIRE(quiet.reachable);
+}
+
 /// The peers' interface of an instance that watches for others.
 struct HubServer final : proxy::RequestHandler {
   HubServer(asio::io_context& loop, WatchHub& hub)
--- a/tests/forward/departures_test.cc
+++ b/tests/forward/departures_test.cc
@@ -114,10 +114,15 @@
   const std::vector<UpstreamStart> starts = {
       {UpstreamId("a"), 1}, {UpstreamId("b"), 18'000'000'000'000'000'000U}};
   REQUIRE(ParseUpstreamStarts(Encode(starts)) == starts);
-  for (const char* text :
-       {"", "{}", "[1]", "[{\"id\":\"a\"}]", "[{\"id\":1,\"start\":2}]",
-        "[{\"id\":\"a\",\"start"
-        "\":\"x\"}]"}) {
+  const std::vector<std::string> malformed = {
+      "",
+      "{}",
+      "[1]",
+      R"([{"id":"a"}])",
+      R"([{"id":1,"start":2}])",
+      R"([{"id":"a","start":"x"}])",
+  };
+  for (const std::string& text : malformed) {
     REQUIRE_FALSE(ParseUpstreamStarts(text).has_value());
   }
 }
