A start asks peers for departures also where they are known late

Cause: read once more: the time after which a start no longer waits for its peers also ended the asking, so an instance that reached the store late never learnt which upstreams had left.

Change: the peers are asked once, whenever the first are known.

Tests: the case in departures_test goes on with such an instance; it fails on the code before.

--- a/briarspread/forward/departure_exchange.cc
+++ b/briarspread/forward/departure_exchange.cc
@@ -46,10 +46,11 @@
 }
 
 void DepartureExchange::OnInstancesChanged() {
-  if (is_asking_ || has_asked_) return;
+  // Also once the start no longer waits: peers may be known late.
+  if (was_asked_) return;
   std::vector<Endpoint> peers = listeners_();
   if (peers.empty()) return;
-  is_asking_ = true;
+  was_asked_ = true;
   // Any peer will do; not the same ones for all that start together.
   const auto first = static_cast<std::ptrdiff_t>(random_.Next() % peers.size());
   std::rotate(peers.begin(), peers.begin() + first, peers.end());
--- a/briarspread/forward/departure_exchange.h
+++ b/briarspread/forward/departure_exchange.h
@@ -69,7 +69,8 @@
   /// Seen here first, and not told yet.
   std::vector<UpstreamStart> untold_;
   std::size_t awaited_ = 0;
-  bool is_asking_ = false;
+  /// Whether any peer was asked.
+  bool was_asked_ = false;
   bool has_asked_ = false;
 };
 
--- a/tests/forward/departures_test.cc
+++ b/tests/forward/departures_test.cc
@@ -200,6 +200,17 @@
   c.exchange.OnInstancesChanged();
   REQUIRE(testing::RunUntil(loop, [&] { return c.exchange.has_asked(); }));
   REQUIRE(third.Find(UpstreamId("u"))->listed.is_leaving);
+  // So does one whose peers are known only after it stopped waiting for them.
+  UpstreamDirectory fourth(UpstreamDirectorySettings{}, Locality{}, clock);
+  std::vector<Endpoint> late;
+  Peer d(loop, fourth, random, late);
+  d.exchange.OnInstancesChanged();
+  REQUIRE(testing::RunUntil(loop, [&] { return d.exchange.has_asked(); }));
+  late = peers;
+  d.exchange.OnInstancesChanged();
+  REQUIRE(testing::RunUntil(loop, [&] {
+    return fourth.departures().HasLeft({UpstreamId("u"), 5});
+  }));
   // What was learnt from a peer is not told again.
   REQUIRE(a.calls == 0);
 }
