Tests by subject: worlds of instances and runners stand in headers

The same cases and assertions; in two cases of order_right_test the other instance is now required to be known in place of being awaited.

--- /dev/null
+++ b/tests/batch/runner_world.h
@@ -0,0 +1,142 @@
+#ifndef TESTS_BATCH_RUNNER_WORLD_H_
+#define TESTS_BATCH_RUNNER_WORLD_H_
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "briarspread/batch/job_runner.h"
+#include "tests/forward/forward_world.h"
+#include "tests/support/async_memory_store.h"
+
+namespace briarspread::batch {
+
+using briarspread::testing::AsyncMemoryStore;
+using forward::FakeUpstream;
+using ResponderPtr = std::shared_ptr<proxy::Responder>;
+
+inline const ModelName kModel("m");
+
+struct Listener final : JobRunner::Listener {
+  void OnJobRecord(const StoredRecord& stored) override { last = stored; }
+  void OnJobDeleted(const JobId&) override {}
+  std::optional<StoredRecord> last;
+};
+
+/// A runner with engines on loopback and a store in memory.
+struct World : forward::ForwardWorld {
+  explicit World(const JobRunnerSettings& settings = Fast())
+      : jobs(store), runner(context, jobs, settings, self, listener) {
+    auto made = std::make_shared<forward::Configuration>();
+    made->version = forward::ConfigurationVersion(1);
+    forward::Route route;
+    route.name = "r";
+    route.host = "h";
+    route.prefix = "/p/";
+    route.kind = forward::RouteKind::kRollout;
+    route.backends = {{ServiceName("s"), 1}};
+    route.max_attempts = 2;
+    route.due = seconds(10);
+    route.item_time_to_live = item_time;
+    made->routes.push_back(route);
+    configuration.Offer(made);
+    runner.Start();
+  }
+
+  static JobRunnerSettings Fast() {
+    JobRunnerSettings settings;
+    settings.listing_pause = milliseconds(1);
+    settings.longest_listing_wait = milliseconds(5);
+    settings.store_retry = milliseconds(5);
+    settings.review_interval = milliseconds(10);
+    return settings;
+  }
+
+  static JobSpec Spec(int items = 1) {
+    JobSpec spec;
+    spec.id = JobId("job");
+    spec.host = "h";
+    spec.path = "/p/job";
+    spec.model = kModel;
+    spec.oldest_allowed = WeightVersion(2);
+    for (int i = 0; i < items; ++i) {
+      ItemSpec item;
+      item.id = ItemId("i" + std::to_string(i));
+      item.path = "/p/x";
+      item.group = ItemGroup("g");
+      spec.items.push_back(item);
+    }
+    return spec;
+  }
+
+  template <typename IsDone>
+  void AwaitStore(const IsDone& is_done) {
+    Await([&] {
+      store.Deliver();
+      return is_done();
+    });
+  }
+
+  bool Accept(const JobSpec& spec) {
+    std::optional<Result<std::monostate>> result;
+    runner.Accept(spec, "key", [&](const auto& got) { result = got; });
+    AwaitStore([&] { return result.has_value(); });
+    return IsOk(*result);
+  }
+
+  ResultPage AwaitResults(std::size_t n) {
+    const JobId id("job");
+    std::optional<ResultPage> page;
+    AwaitStore([&] {
+      if (!runner.Owns(id)) return false;
+      runner.Read(id, 0, milliseconds(0), [&](const Result<ResultPage>& got) {
+        if (IsOk(got) && ValueOf(got).results.size() >= n) page = ValueOf(got);
+      });
+      return page.has_value();
+    });
+    return *page;
+  }
+
+  void AddEngine(const std::string& id, const FakeUpstream& engine,
+                 std::uint64_t version = 2) {
+    Add(id, engine, {{kModel, WeightVersion(version)}});
+  }
+
+  /// An engine that makes events `first` to `last`, and then ends or breaks.
+  FakeUpstream::Answer Makes(std::uint64_t last, bool breaks = false) {
+    return [this, last, breaks](const proxy::Request& request,
+                                const ResponderPtr& responder) {
+      const auto resumed =
+          request.head.headers.FindNumber(headers.last_event_id);
+      proxy::ResponseHead head;
+      head.status = 200;
+      head.headers.Add(headers.signature, "sig");
+      // As real ones: no events, no version.
+      if (resumed.value_or(0) < last) {
+        head.headers.Add(headers.weight_version, "2");
+      }
+      responder->Start(head);
+      for (std::uint64_t n = resumed.value_or(0) + 1; n <= last; ++n) {
+        responder->Write("id: " + std::to_string(n) + "\ndata: e" +
+                         std::to_string(n) + "\n\n");
+      }
+      if (!breaks) {
+        responder->End();
+        return;
+      }
+      responder->SetOnDrained([responder] { responder->Abort(); });
+    };
+  }
+
+  InstanceRecord self;
+  milliseconds item_time{30000};
+  AsyncMemoryStore store;
+  JobStore jobs;
+  Listener listener;
+  JobRunner runner;
+};
+
+}  // namespace briarspread::batch
+
+#endif  // TESTS_BATCH_RUNNER_WORLD_H_
--- a/tests/fleet/order_right_test.cc
+++ b/tests/fleet/order_right_test.cc
@@ -164,6 +164,18 @@
   REQUIRE_FALSE(again.right.MaySend());
 }
 
+/// Lets an instance that has just started learn all that the store has.
+void Settle(asio::io_context& loop, AsyncMemoryStore& store,
+            const Instance& instance) {
+  const StoreIndex now =
+      store.items().at(InstanceRegistry::kOrderRightKey).index;
+  Await(loop, store, [&] {
+    const auto& known = instance.registry.order_right();
+    return instance.registry.lease().value() != 0 && known.has_value() &&
+           known->index == now;
+  });
+}
+
 /// Lets `instance` take a right whose holder's registration is gone.
 void TakeOver(asio::io_context& loop, AsyncMemoryStore& store,
               ManualClock& clock, Instance& instance, const Instance& gone) {
@@ -178,17 +190,6 @@
   REQUIRE(instance.right.is_holder());
 }
 
-/// Lets `instance` learn of the record as the store has it now.
-void LearnRecord(asio::io_context& loop, AsyncMemoryStore& store,
-                 const Instance& instance) {
-  const StoreIndex now =
-      store.items().at(InstanceRegistry::kOrderRightKey).index;
-  Await(loop, store, [&] {
-    const auto& known = instance.registry.order_right();
-    return known.has_value() && known->index == now;
-  });
-}
-
 TEST_CASE("a holder that is back before another has sent goes on at once") {
   // The load: the holder is killed for longer than its registration lasts, and
   // versions are named meanwhile.
@@ -204,10 +205,7 @@
   REQUIRE_FALSE(other.right.MaySend());
   first.reset();
   Instance again(loop, store, clock, "a", 2);
-  Await(loop, store, [&] {
-    return again.registry.has_listed() && again.registry.lease().value() != 0;
-  });
-  LearnRecord(loop, store, again);
+  Settle(loop, store, again);
   again.right.Step();
   store.Deliver();
   REQUIRE(again.right.is_holder());
@@ -235,11 +233,8 @@
   REQUIRE(other.right.MaySend());
   first.reset();
   Instance again(loop, store, clock, "a", 2);
-  Await(loop, store, [&] {
-    return again.registry.has_listed() && again.registry.lease().value() != 0 &&
-           again.registry.instances().contains(InstanceId("b"));
-  });
-  LearnRecord(loop, store, again);
+  Settle(loop, store, again);
+  REQUIRE(again.registry.instances().contains(InstanceId("b")));
   again.right.Step();
   store.Deliver();
   REQUIRE_FALSE(again.right.is_holder());
@@ -263,11 +258,8 @@
   store.Deliver();
   REQUIRE(other.right.MaySend());
   Instance again(loop, store, clock, "a", 2);
-  Await(loop, store, [&] {
-    return again.registry.has_listed() && again.registry.lease().value() != 0 &&
-           again.registry.instances().contains(InstanceId("b"));
-  });
-  LearnRecord(loop, store, again);
+  Settle(loop, store, again);
+  REQUIRE(again.registry.instances().contains(InstanceId("b")));
   again.right.Step();
   store.Deliver();
   REQUIRE_FALSE(again.right.is_holder());
@@ -288,7 +280,7 @@
     });
   }
   TakeOver(loop, store, clock, b, a);
-  LearnRecord(loop, store, c);
+  Settle(loop, store, c);
   TakeOver(loop, store, clock, c, b);
   const auto record = ParseOrderRecord(
       store.items().at(InstanceRegistry::kOrderRightKey).value);
--- a/tests/forward/forward_world.h
+++ b/tests/forward/forward_world.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "briarspread/core/random_source.h"
+#include "briarspread/fleet/loop_timer.h"
 #include "briarspread/forward/forward_context.h"
 #include "briarspread/proxy/http_listener.h"
 #include "briarspread/routing/two_choices_router.h"
@@ -89,6 +90,22 @@
   ForwardContext context;
 };
 
+/// An upstream's answer that gives a head and then the same bytes without end.
+/// Precondition: `loop` outlives the upstream.
+inline FakeUpstream::Answer Endless(asio::io_context& loop,
+                                    const proxy::ResponseHead& head,
+                                    const std::string& bytes) {
+  return
+      [&loop, head, bytes](const proxy::Request&,
+                           const std::shared_ptr<proxy::Responder>& responder) {
+        responder->Start(head);
+        const auto timer = std::make_shared<LoopTimer>(loop);
+        timer->Every(milliseconds(1),
+                     [timer, responder, bytes] { responder->Write(bytes); });
+        responder->SetOnGone([timer] { timer->Cancel(); });
+      };
+}
+
 /// A signed answer.
 inline proxy::Response Signed(const ExchangeHeaders& headers, int status,
                               const std::string& body) {
--- a/tests/forward/live_request_test.cc
+++ b/tests/forward/live_request_test.cc
@@ -141,27 +141,13 @@
   REQUIRE(sent.request->upstream_errors() == 2);
 }
 
-/// An upstream that gives a head and then the same bytes without end.
-FakeUpstream::Answer Endless(ForwardWorld& world,
-                             const proxy::ResponseHead& head,
-                             const std::string& bytes) {
-  return [&world, head, bytes](const proxy::Request&,
-                               const ResponderPtr& responder) {
-    responder->Start(head);
-    const auto timer = std::make_shared<LoopTimer>(world.loop);
-    timer->Every(milliseconds(1),
-                 [timer, responder, bytes] { responder->Write(bytes); });
-    responder->SetOnGone([timer] { timer->Cancel(); });
-  };
-}
-
 TEST_CASE("a refusal or failure without end is cut, and tried elsewhere") {
   for (const int status : {500, 503}) {
     ForwardWorld world;
     proxy::Response bad = status == 503 ? NotRun(world.headers)
                                         : Signed(world.headers, status, "");
-    FakeUpstream endless(world.loop,
-                         Endless(world, bad.head, std::string(16384, 'x')));
+    FakeUpstream endless(
+        world.loop, Endless(world.loop, bad.head, std::string(16384, 'x')));
     FakeUpstream sound(world.loop, Always(Signed(world.headers, 200, "ok")));
     world.Add("a", endless);
     Sent sent(world, RouteKind::kIdempotent);
@@ -174,8 +160,9 @@
 
 TEST_CASE("a refusal without end stays a refusal that did not run") {
   ForwardWorld world;
-  FakeUpstream endless(world.loop, Endless(world, NotRun(world.headers).head,
-                                           std::string(16384, 'x')));
+  FakeUpstream endless(
+      world.loop,
+      Endless(world.loop, NotRun(world.headers).head, std::string(16384, 'x')));
   world.Add("a", endless);
   Sent sent(world, RouteKind::kOnce);
   const proxy::Response& answer = sent.Await();
@@ -187,7 +174,8 @@
 TEST_CASE("a stream that sends bytes but no events goes on elsewhere") {
   ForwardWorld world;
   FakeUpstream stalls(
-      world.loop, Endless(world, Signed(world.headers, 200, "").head, ": x\n"));
+      world.loop,
+      Endless(world.loop, Signed(world.headers, 200, "").head, ": x\n"));
   FakeUpstream sound(world.loop,
                      [&](const proxy::Request&, const ResponderPtr& responder) {
                        responder->Start(Signed(world.headers, 200, "").head);
@@ -227,7 +215,8 @@
 
   world.directory.Remove({UpstreamId("slow")});
   FakeUpstream stalls(
-      world.loop, Endless(world, Signed(world.headers, 200, "").head, ": x\n"));
+      world.loop,
+      Endless(world.loop, Signed(world.headers, 200, "").head, ": x\n"));
   world.Add("stalls", stalls);
   Sent stalled(world, RouteKind::kStream, 1, milliseconds(100), false,
                milliseconds(80));
--- /dev/null
+++ b/tests/platform/edge_input_test.cc
@@ -0,0 +1,150 @@
+// What replicas, peers, callers and the store say to an instance: that a
+// replica leaves, and malformed input.
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "tests/platform/edge_world.h"
+
+namespace briarspread::platform {
+namespace {
+
+using Json = nlohmann::json;
+
+/// Whether an instance knows of departures of so many upstreams.
+bool KnowsDepartures(World& world, const PlatformSettings& settings,
+                     std::size_t n) {
+  const auto answer = world.Call(*settings.peer, "GET", "/v1/departures");
+  return Json::parse(answer.body).size() == n;
+}
+
+TEST_CASE("a replica that says that it leaves gets nothing more from anybody") {
+  World world;
+  Replica second(world.loop);
+  const PlatformSettings settings = world.Settings("one");
+  Node two(world, world.Settings("two"));
+  {
+    Node one(world, settings);
+    for (const Node* node : {&one, &two}) {
+      world.Await([&] {
+        return node->node.FormatMetrics().find("briarspread_instances 2") !=
+               std::string::npos;
+      });
+    }
+    world.replica.leaves = true;
+    REQUIRE(world.Call(*settings.frontend, "POST", "/plain/x").head.status ==
+            200);
+    REQUIRE(KnowsDepartures(world, settings, 1));
+    // The store's list still has it as ready, and gets it once more.
+    world.store.memory().Write("servers/desk", world.replica.Entry("desk"));
+    world.store.memory().Write("servers/desk-2", second.Entry("desk"));
+    world.Await([&] {
+      return one.node.FormatMetrics().find("briarspread_upstreams 3") !=
+             std::string::npos;
+    });
+    world.replica.requests = 0;
+    for (int i = 0; i < 5; ++i) {
+      REQUIRE(world.Call(*settings.frontend, "POST", "/plain/x").head.status ==
+              200);
+    }
+    REQUIRE(world.replica.requests == 0);
+    // Another instance was told before it has sent anything there.
+    world.Await([&] { return KnowsDepartures(world, two.settings, 1); });
+    REQUIRE(
+        world.Call(*two.settings.frontend, "POST", "/plain/x").head.status ==
+        200);
+    REQUIRE(world.replica.requests == 0);
+  }
+  // The first one starts again, with the store's list as it was.
+  Node again(world, world.Settings("one"));
+  REQUIRE(KnowsDepartures(world, again.settings, 1));
+  for (int i = 0; i < 5; ++i) {
+    REQUIRE(
+        world.Call(*again.settings.frontend, "POST", "/plain/x").head.status ==
+        200);
+  }
+  REQUIRE(world.replica.requests == 0);
+  // A later start of the replica is in use again.
+  world.replica.leaves = false;
+  Json entry = Json::parse(world.replica.Entry("desk"));
+  entry["born"] = 2;
+  world.store.memory().Write("servers/desk", entry.dump());
+  world.store.memory().Erase("servers/desk-2");
+  world.Await([&] {
+    return world.Call(*again.settings.frontend, "POST", "/plain/x")
+               .head.status == 200;
+  });
+  REQUIRE(world.replica.requests == 1);
+}
+
+/// Bodies of calls between instances and of the store that are wrong in form,
+/// in type, or in depth.
+std::vector<std::string> WrongBodies() {
+  std::vector<std::string> bodies = {
+      "",
+      "{",
+      "[]",
+      "{}",
+      "null",
+      "1",
+      "\"x\"",
+      "[1,2]",
+      "[[[]]]",
+      "{\"reports\":1}",
+      "{\"engines\":\"x\"}",
+      "\xff\xfe",
+      R"([{"id":7,"start":"x"}])",
+      R"({"operator":[],"upstreams":7})",
+      R"({"Step":"x","Model":7,"Items":{"a":1}})",
+      R"({"Items":[{"Id":1,"Path":2,"Headers":[],"Body":3,"Tokens":"x"}]})"};
+  bodies.push_back(std::string(2000, '['));
+  return bodies;
+}
+
+TEST_CASE("no malformed call of a peer or caller ends an instance") {
+  World world;
+  Node edge(world, world.Settings("one"));
+  for (const std::string& body : WrongBodies()) {
+    for (const char* path :
+         {"/v1/departures", "/v1/suspects", "/v1/engine-loads", "/v1/jobs",
+          "/v1/job-notices?id=j&index=x", "/v1/store-calls",
+          "/v1/store-calls?method=POST&target=x&timeout=y",
+          "/v1/listing?prefix=x", "/v1/changes?prefix=x&after=z&wait=-1",
+          "/v1/jobs/j", "/v1/jobs/j/adoption?index=x&record_bytes=99999",
+          "/v1/jobs/j/results?after=x", "/v1/snapshot", "/v1/ping"}) {
+      INFO(path << " " << body);
+      const auto answer = world.Call(*edge.settings.peer, "POST", path, body);
+      REQUIRE(answer.head.status >= 200);
+      REQUIRE(answer.head.status != 500);
+    }
+    for (const char* path : {"/roll/j", "/plain/x", "/briarspread/lots/%zz",
+                             "/briarspread/items/x?Id=%"}) {
+      INFO(path << " " << body);
+      const auto answer =
+          world.Call(*edge.settings.frontend, "POST", path, body, "j");
+      REQUIRE(answer.head.status != 500);
+    }
+  }
+  REQUIRE(edge.node.IsReady());
+}
+
+TEST_CASE("no malformed value of the store ends an instance") {
+  World world;
+  Node edge(world, world.Settings("one"));
+  for (const std::string& body : WrongBodies()) {
+    for (const char* key :
+         {"op/config", "op/version/m", "op/retire/one", "servers/desk-9",
+          "fleet/instances/other", "fleet/order-right", "fleet/unknown"}) {
+      world.store.memory().Write(key, body);
+    }
+  }
+  world.store.memory().Write("op/config", Configuration(9));
+  world.Await([&] {
+    return edge.node.FormatMetrics().find(
+               "briarspread_configuration_version 9") != std::string::npos;
+  });
+  REQUIRE(world.Call(*edge.settings.frontend, "POST", "/plain/x").head.status ==
+          200);
+}
+
+}  // namespace
+}  // namespace briarspread::platform
--- /dev/null
+++ b/tests/platform/edge_world.h
@@ -0,0 +1,223 @@
+#ifndef TESTS_PLATFORM_EDGE_WORLD_H_
+#define TESTS_PLATFORM_EDGE_WORLD_H_
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "briarspread/proxy/http_call.h"
+#include "platform/edge_node.h"
+#include "platform/wire_names.h"
+#include "tests/platform/store_stand_in.h"
+#include "tests/support/free_port.h"
+#include "tests/support/loop_runner.h"
+
+namespace briarspread::platform {
+
+/// A replica of both services: answers plain requests and makes events.
+class Replica final : public proxy::RequestHandler {
+ public:
+  explicit Replica(asio::io_context& loop) : listener_(loop, *this) {
+    REQUIRE(IsOk(listener_.Start(Endpoint{"127.0.0.1", 0})));
+  }
+
+  void OnRequest(proxy::Request request,
+                 std::shared_ptr<proxy::Responder> responder) override {
+    ++requests;
+    if (request.head.target.starts_with("/stream/")) {
+      StreamTo(request, responder);
+      return;
+    }
+    if (breaks) {
+      responder->Abort();
+      return;
+    }
+    proxy::Response response = proxy::MakeResponse(200, "whole");
+    response.head.headers.Add("X-Server-Stamp", "sig");
+    response.head.headers.Add("X-Attempt-Id",
+                              *request.head.headers.Find("X-Attempt-Id"));
+    if (leaves) response.head.headers.Add("Server-Leaving", "1");
+    if (request.head.target.starts_with("/roll/")) {
+      response.head.headers.Add("X-Weight-Versions", "1");
+      response.body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    }
+    responder->Send(response);
+  }
+
+  std::string Entry(const std::string& service) const {
+    return nlohmann::json{
+        {"Service", service},
+        {"Address", "127.0.0.1:" + std::to_string(listener_.port())},
+        {"Zone", "z"},
+        {"Slots", 4},
+        {"State", "ready"},
+        {"born", 1},
+        {"Models", {{{"Name", "m"}, {"Version", 1}}}}}
+        .dump();
+  }
+  int requests = 0;
+  /// Whether plain requests and streams break off.
+  bool breaks = false;
+  /// Whether its answers say that it leaves.
+  bool leaves = false;
+
+ private:
+  /// Four events, after the last that the caller has; two before a break.
+  void StreamTo(const proxy::Request& request,
+                const std::shared_ptr<proxy::Responder>& responder) const {
+    constexpr std::uint64_t kLast = 4;
+    proxy::ResponseHead head;
+    head.status = 200;
+    head.headers.Add("X-Server-Stamp", "sig");
+    head.headers.Add("Content-Type", "text/event-stream");
+    responder->Start(head);
+    std::uint64_t n =
+        request.head.headers.FindNumber("Last-Event-Id").value_or(0);
+    const std::uint64_t last = breaks ? n + 2 : kLast;
+    while (n < std::min(last, kLast)) {
+      ++n;
+      responder->Write("id: " + std::to_string(n) + "\ndata: x\n\n");
+    }
+    if (n < kLast) {
+      responder->Write("id: ");
+      responder->SetOnDrained([responder] {
+        if (responder->unsent() == 0) responder->Abort();
+      });
+      return;
+    }
+    responder->End();
+  }
+
+  proxy::HttpListener listener_;
+};
+
+/// A configuration with a route of each kind.
+inline std::string Configuration(int version) {
+  return nlohmann::json{
+      {"Version", version},
+      {"Routes",
+       {{{"Host", "h"},
+         {"Prefix", "/plain/"},
+         {"Type", "safe"},
+         {"TimeoutMs", 5000},
+         {"Service", "desk"},
+         {"MaxAttempts", 2}},
+        {{"Host", "h"},
+         {"Prefix", "/once/"},
+         {"Type", "unsafe"},
+         {"TimeoutMs", 5000},
+         {"Service", "desk"},
+         {"MaxAttempts", 3}},
+        {{"Host", "h"},
+         {"Prefix", "/stream/"},
+         {"Type", "stream"},
+         {"Resumable", true},
+         {"TimeoutMs", 5000},
+         {"Service", "desk"},
+         {"MaxAttempts", 3}},
+        {{"Host", "h"},
+         {"Prefix", "/roll/"},
+         {"Type", "rollout"},
+         {"DueMs", 5000},
+         {"ItemTtlS", 40},
+         {"MaxAttempts", 2},
+         {"Service", "llm"}}}},
+      {"Services",
+       {{{"Name", "desk"}},
+        {{"Name", "llm"}, {"Engine", {{"Models", {{{"Name", "m"}}}}}}}}}}
+      .dump();
+}
+
+/// The platform, and instances on it.
+struct World {
+  World() : store(loop), replica(loop), random(3), pool(loop, {}) {
+    store.memory().Write("op/config", Configuration(4));
+    store.memory().Write("servers/desk", replica.Entry("desk"));
+    store.memory().Write("servers/llm", replica.Entry("llm"));
+  }
+
+  PlatformSettings Settings(const std::string& name) const {
+    PlatformSettings settings;
+    settings.instance = InstanceId(name);
+    settings.locality = Locality{RegionId("r"), ZoneId("z")};
+    settings.zones[ZoneId("z")] = RegionId("r");
+    settings.store = store.endpoint();
+    const auto at = [] {
+      return Endpoint{"127.0.0.1", briarspread::testing::FreePort()};
+    };
+    settings.frontend = at();
+    settings.ready = at();
+    settings.peer = at();
+    return settings;
+  }
+
+  template <typename IsDone>
+  void Await(const IsDone& is_done) {
+    REQUIRE(briarspread::testing::RunUntil(loop, [&] {
+      store.Deliver();
+      return is_done();
+    }));
+  }
+
+  proxy::Response Call(const Endpoint& to, const std::string& method,
+                       const std::string& target, const std::string& body = "",
+                       const std::string& id = "id-1") {
+    proxy::RequestHead head;
+    head.method = method;
+    head.target = target;
+    head.headers.Add("Host", "h");
+    head.headers.Add("X-Attempt-Id", id);
+    proxy::ExchangeOrder order;
+    order.to = to;
+    order.bytes = proxy::Serialize(head, body);
+    std::optional<proxy::CallResult> result;
+    proxy::StartCall(pool, std::move(order),
+                     [&](proxy::CallResult got) { result = std::move(got); });
+    Await([&] { return result.has_value(); });
+    REQUIRE(std::holds_alternative<proxy::Response>(*result));
+    return std::get<proxy::Response>(*result);
+  }
+
+  /// Reads a job until it has `n` results.
+  nlohmann::json AwaitResults(const Endpoint& to, std::size_t n) {
+    nlohmann::json json;
+    for (int i = 0; i < 300000 && json["Results"].size() < n; ++i) {
+      const auto page = Call(to, "GET", "/briarspread/lots/job-1?After=0");
+      if (page.head.status == 200) json = nlohmann::json::parse(page.body);
+    }
+    REQUIRE(json["Results"].size() == n);
+    return json;
+  }
+
+  asio::io_context loop;
+  SystemClock clock;
+  StoreStandIn store;
+  Replica replica;
+  SeededRandom random;
+  proxy::ConnectionPool pool;
+};
+
+/// A batch job of two items, one with a reward call.
+inline const std::string kSubmission =
+    R"({"Step":0,"Model":"m","MinVersion":1,"TargetGroups":1,"Items":[
+    {"Id":"a","Path":"/roll/1","Headers":{},"Body":"q83v","Tokens":9,"Group":"g",
+     "Scorer":{"Id":"s","Host":"h","Path":"/plain/score","Body":""}},
+    {"Id":"b","Path":"/roll/2","Headers":{},"Body":"","Tokens":9,"Group":"g"}]})";
+
+/// An instance that is ready.
+struct Node {
+  Node(World& world, const PlatformSettings& settings)
+      : settings(settings),
+        node(world.loop, settings, world.clock, world.random) {
+    REQUIRE(IsOk(node.Start()));
+    world.Await([this] { return node.IsReady(); });
+  }
+  const PlatformSettings settings;
+  EdgeNode node;
+};
+
+}  // namespace briarspread::platform
+
+#endif  // TESTS_PLATFORM_EDGE_WORLD_H_
