--- a/briarspread/fleet/instance_registry.h
+++ b/briarspread/fleet/instance_registry.h
@@ -59,7 +59,6 @@
   /// Gives the registration up. `done` is called in any case.
   void Leave(std::function<void()> done);
   void RestartWatch() { watch_.Restart(); }
-  void RetryWatchNow() { watch_.RetryNow(); }
 
   /// Takes in what a peer knows, while the store was never reached.
   void Seed(const std::vector<InstanceRecord>& records);
--- a/briarspread/fleet/store_watch.cc
+++ b/briarspread/fleet/store_watch.cc
@@ -26,12 +26,7 @@
   Continue();
 }
 
-void StoreWatch::RetryNow() {
-  if (is_retrying_) Restart();
-}
-
 void StoreWatch::Continue() {
-  is_retrying_ = false;
   if (must_list_) {
     List();
   } else {
@@ -88,7 +83,6 @@
     LOG_EVERY_N(WARNING, 10) << "event=watch_failed prefix=" << prefix_
                              << " reason=\"" << error.message << "\"";
   }
-  is_retrying_ = true;
   timer_.After(is_stale ? milliseconds(0) : next_retry_,
                [this] { Continue(); });
   next_retry_ = std::min(next_retry_ * 2, settings_.retry_limit);
--- a/briarspread/fleet/store_watch.h
+++ b/briarspread/fleet/store_watch.h
@@ -43,8 +43,6 @@
   void Start();
   /// Drops the call under way and asks anew; for a path that has gone silent.
   void Restart();
-  /// Asks now where a failed call waits to be tried again.
-  void RetryNow();
   /// Whether the keys were listed once.
   bool has_listed() const { return has_listed_; }
   /// When the store last answered, by the steady clock.
@@ -68,8 +66,6 @@
   /// Numbers the calls, so that answers to dropped ones are told apart.
   std::uint64_t call_ = 0;
   milliseconds next_retry_;
-  /// Whether a failed call waits to be tried again.
-  bool is_retrying_ = false;
   TimePoint last_answer_{};
 };
 
