--- a/briarspread/fleet/instance_registry.cc
+++ b/briarspread/fleet/instance_registry.cc
@@ -33,8 +33,7 @@
       listener_(listener),
       watch_(loop, watched, kPrefix, StoreWatchSettings{},
              hub == nullptr ? *this : hub->Tap(kPrefix, *this)),
-      renew_timer_(loop),
-      retry_timer_(loop) {}
+      renew_timer_(loop) {}
 
 void InstanceRegistry::Start() {
   Grant();
@@ -49,10 +48,9 @@
                     [this](const Result<StoreLease>& granted) {
                       is_registering_ = false;
                       if (!IsOk(granted)) {
-                        OnUnreachable();
+                        listener_.OnStoreReachable(false);
                         return;
                       }
-                      OnReachable();
                       lease_ = ValueOf(granted).id;
                       Register();
                     });
@@ -85,7 +83,7 @@
   if (it == instances_.end() || it->second != self_) Register();
   store_.KeepLease(lease_, [this](const Result<StoreLease>& kept) {
     if (IsOk(kept)) {
-      OnReachable();
+      listener_.OnStoreReachable(true);
       return;
     }
     if (ErrorOf(kept).code == ErrorCode::kNotFound) {
@@ -93,25 +91,8 @@
       Grant();
       return;
     }
-    OnUnreachable();
-  });
-}
-
-void InstanceRegistry::OnUnreachable() {
-  // The cheapest call tells when the store is back; the others wait for it.
-  if (!retry_timer_.is_set()) {
-    retry_timer_.After(settings_.renew_retry, [this] { Renew(); });
-  }
-  // One failure may be this machine's alone: the next try goes by a peer.
-  ++failures_;
-  if (failures_ >= settings_.failures_until_lost) {
     listener_.OnStoreReachable(false);
-  }
-}
-
-void InstanceRegistry::OnReachable() {
-  failures_ = 0;
-  listener_.OnStoreReachable(true);
+  });
 }
 
 void InstanceRegistry::SetLeaving() {
@@ -123,7 +104,6 @@
 void InstanceRegistry::Leave(std::function<void()> done) {
   has_left_ = true;
   renew_timer_.Cancel();
-  retry_timer_.Cancel();
   if (lease_.value() == 0) {
     done();
     return;
--- a/briarspread/fleet/instance_registry.h
+++ b/briarspread/fleet/instance_registry.h
@@ -19,10 +19,6 @@
   milliseconds time_to_live{3000};
   /// How often the lease is renewed.
   milliseconds renew_interval{900};
-  /// The pause before a renewal that failed is tried again.
-  milliseconds renew_retry{300};
-  /// Failures in a row after which the store counts as lost.
-  int failures_until_lost = 2;
 };
 
 /// Registers this instance in the store under a lease, and knows the others.
@@ -85,9 +81,6 @@
   void Grant();
   void Register();
   void Renew();
-  /// The store did not answer: asks again soon.
-  void OnUnreachable();
-  void OnReachable();
   void TakeItem(const KeyValue& item);
   void TakeRemoval(const std::string& key);
   std::string SelfKey() const { return kInstancePrefix + self_.name.value(); }
@@ -98,10 +91,7 @@
   Listener& listener_;
   StoreWatch watch_;
   LoopTimer renew_timer_;
-  LoopTimer retry_timer_;
   StoreLeaseId lease_;
-  /// Failures in a row.
-  int failures_ = 0;
   bool is_registering_ = false;
   bool has_left_ = false;
   std::map<InstanceId, InstanceRecord> instances_;
--- a/briarspread/fleet/store_watch.cc
+++ b/briarspread/fleet/store_watch.cc
@@ -22,7 +22,6 @@
 void StoreWatch::Restart() {
   ++call_;
   timer_.Cancel();
-  next_retry_ = settings_.first_retry;
   Continue();
 }
 
--- a/briarspread/fleet/store_watch.h
+++ b/briarspread/fleet/store_watch.h
@@ -17,10 +17,9 @@
   milliseconds wait{10000};
   /// The pause after changes came, so that several changes cost one call.
   milliseconds pause{300};
-  /// The pause after a failure; doubles up to the limit. One who knows that
-  /// the store is back restarts the watch.
+  /// The pause after a failure; doubles up to the limit.
   milliseconds first_retry{150};
-  milliseconds retry_limit{3000};
+  milliseconds retry_limit{1000};
 };
 
 /// Hears of the keys under a prefix. Called from the loop.
