--- a/bench/forward_bench/event_gateway.cc
+++ b/bench/forward_bench/event_gateway.cc
@@ -45,6 +45,7 @@
                      ProcessId{InstanceId("bench"), Incarnation(1)}, clock_),
         retry_after_planner_(forward::RetryAfterPlannerSettings{}, clock_,
                              random_),
+        limiter_(clock_),
         context_{loop_,
                  clock_,
                  random_,
@@ -55,7 +56,8 @@
                  pool_,
                  crash_guard_,
                  metrics_,
-                 retry_after_planner_},
+                 retry_after_planner_,
+                 limiter_},
         callers_(context_),
         listener_(loop_, *this) {
     // The stand-in upstreams behind both gateways do not sign their responses.
@@ -102,6 +104,7 @@
   forward::ForwardMetrics metrics_;
   forward::CrashGuard crash_guard_;
   forward::RetryAfterPlanner retry_after_planner_;
+  forward::RequestLimiter limiter_;
   forward::ForwardContext context_;
   forward::CallerGateway callers_;
   proxy::HttpListener listener_;
--- a/briarspread/batch/item_run.cc
+++ b/briarspread/batch/item_run.cc
@@ -65,6 +65,7 @@
   request.bytes = proxy::Serialize(head, spec_.request.body);
   request.echo_name = context_.headers.attempt_id;
   request.echo_value = spec_.attempt_id;
+  context_.limiter.RecordSend(spec_.engine, forward::RequestPurpose::kItem);
   exchange_ = context_.pool.Start(std::move(request), *this);
 }
 
@@ -98,7 +99,7 @@
 
 void ItemRun::OnHead(const proxy::ResponseHead& head) {
   last_event_ = context_.clock.Now();
-  forward::UpdateFromResponseHead(context_, spec_.engine, head);
+  forward::UpdateFromResponseHead(context_, spec_.engine, head, started_);
   expected_outcome_ = OutcomeOf(head);
   if (expected_outcome_ != RunOutcome::kComplete) return;
   const auto version = head.headers.FindNumber(context_.headers.weight_version);
--- a/briarspread/forward/exchange_headers.h
+++ b/briarspread/forward/exchange_headers.h
@@ -26,6 +26,9 @@
   /// Set to "1" by an upstream that is leaving and must receive no new
   /// requests.
   std::string leaving = "Briarspread-Leaving";
+  /// Requests per second that the upstream accepts from all instances together,
+  /// in decimal notation; present for as long as that limit holds.
+  std::string limit = "Briarspread-Limit";
   /// Version of the weights that generate the events that follow.
   std::string weight_version = "Briarspread-Weight-Versions";
   /// Rank of a request at an engine; 0 is the most urgent.
--- a/briarspread/forward/forward_context.cc
+++ b/briarspread/forward/forward_context.cc
@@ -3,7 +3,12 @@
 namespace briarspread::forward {
 
 void UpdateFromResponseHead(ForwardContext& context, const UpstreamId& upstream,
-                            const proxy::ResponseHead& head) {
+                            const proxy::ResponseHead& head, TimePoint sent) {
+  const KnownUpstream* known = context.directory.Find(upstream);
+  if (known == nullptr) return;
+  context.limiter.RecordResponse({upstream, known->listed.start_id},
+                                 head.headers.Find(context.headers.limit),
+                                 sent);
   const std::string* load = head.headers.Find(context.headers.load);
   if (load != nullptr) context.directory.UpdateLoad(upstream, *load);
   const std::string* leaving = head.headers.Find(context.headers.leaving);
--- a/briarspread/forward/forward_context.h
+++ b/briarspread/forward/forward_context.h
@@ -9,6 +9,7 @@
 #include "briarspread/forward/crash_guard.h"
 #include "briarspread/forward/exchange_headers.h"
 #include "briarspread/forward/forward_metrics.h"
+#include "briarspread/forward/request_limiter.h"
 #include "briarspread/forward/retry_after_planner.h"
 #include "briarspread/forward/upstream_directory.h"
 #include "briarspread/proxy/connection_pool.h"
@@ -30,13 +31,14 @@
   CrashGuard& crash_guard;
   ForwardMetrics& metrics;
   RetryAfterPlanner& retry_after_planner;
+  RequestLimiter& limiter;
 };
 
-/// Updates the directory by the head of an upstream's response: the load that
-/// it reports, and whether the upstream is leaving. Must be called on the event
-/// loop's thread only.
+/// Records what the head of an upstream's response, to a request sent at
+/// `sent`, says about the upstream: its load, its limit, and whether it is
+/// leaving. Must be called on the event loop's thread only.
 void UpdateFromResponseHead(ForwardContext& context, const UpstreamId& upstream,
-                            const proxy::ResponseHead& head);
+                            const proxy::ResponseHead& head, TimePoint sent);
 
 }  // namespace briarspread::forward
 
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -143,6 +143,7 @@
     request.echo_name = context_.headers.attempt_id;
     request.echo_value = *attempt_id;
   }
+  context_.limiter.RecordSend(*chosen, RequestPurpose::kLive);
   exchange_ = context_.pool.Start(std::move(request), *this);
 }
 
@@ -173,7 +174,7 @@
 }
 
 void LiveRequest::OnHead(const proxy::ResponseHead& head) {
-  UpdateFromResponseHead(context_, *upstream_, head);
+  UpdateFromResponseHead(context_, *upstream_, head, attempt_started_);
   response_.head = head;
   if (IsUnsigned(head)) {
     exchange_->Cancel();
--- a/tests/forward/departures_test.cc
+++ b/tests/forward/departures_test.cc
@@ -150,12 +150,14 @@
         [](const proxy::Request&, const std::shared_ptr<proxy::Responder>&) {});
     fixture.Add("u", upstream);
     UpdateFromResponseHead(fixture.context, UpstreamId("u"),
-                           LeavingResponse(fixture.headers, status).head);
+                           LeavingResponse(fixture.headers, status).head,
+                           fixture.clock.Now());
     REQUIRE(fixture.directory.Find(UpstreamId("u"))->listed.is_leaving);
     // Later responses without the header change nothing, including a refusal of
     // a request meant for another upstream.
     UpdateFromResponseHead(fixture.context, UpstreamId("u"),
-                           proxy::MakeResponse(421, "{}").head);
+                           proxy::MakeResponse(421, "{}").head,
+                           fixture.clock.Now());
     REQUIRE(fixture.directory.Find(UpstreamId("u"))->listed.is_leaving);
   }
 }
--- a/tests/forward/forward_fixture.h
+++ b/tests/forward/forward_fixture.h
@@ -52,9 +52,10 @@
         crash_guard(CrashGuardSettings{},
                     ProcessId{InstanceId("self"), Incarnation(1)}, clock),
         retry_after_planner(RetryAfterPlannerSettings{}, clock, random),
+        limiter(clock),
         context{
-            loop,   clock, random,      headers, configuration,      directory,
-            router, pool,  crash_guard, metrics, retry_after_planner} {
+            loop,   clock, random,      headers, configuration,       directory,
+            router, pool,  crash_guard, metrics, retry_after_planner, limiter} {
     directory.SetOnRemoved([this](const DiscoveredUpstream& gone) {
       if (!gone.is_leaving) crash_guard.OnUpstreamEnd(gone.id, gone.start_id);
     });
@@ -89,6 +90,7 @@
   CrashGuard crash_guard;
   ForwardMetrics metrics;
   RetryAfterPlanner retry_after_planner;
+  RequestLimiter limiter;
   ForwardContext context;
 };
 
