--- a/tests/platform/edge_fixture.h
+++ b/tests/platform/edge_fixture.h
@@ -40,6 +40,7 @@
     response.head.headers.Add("X-Attempt-Id",
                               *request.head.headers.Find("X-Attempt-Id"));
     if (is_leaving) response.head.headers.Add("Server-Leaving", "1");
+    if (!limit.empty()) response.head.headers.Add("Server-Limit", limit);
     if (request.head.target.starts_with("/roll/")) {
       response.head.headers.Add("X-Weight-Versions", "1");
       response.body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
@@ -64,6 +65,8 @@
   bool aborts_responses = false;
   /// Whether its responses carry the header that announces its departure.
   bool is_leaving = false;
+  /// The limit that its responses name, in requests a second; empty for none.
+  std::string limit;
 
  private:
   /// Sends a stream of four events, starting after the last event that the
