--- a/briarspread/batch/job_calls.h
+++ b/briarspread/batch/job_calls.h
@@ -15,7 +15,10 @@
 }
 
 /// Returns the key that selects the home of a job; see `HomeOrder`. Jobs of one
-/// host and model share it. Thread-safe.
+/// host and model share it, so all jobs of one trainer run on the same instance
+/// instead of a few on each. That instance then knows the load of the trainer's
+/// engines, needs few connections to them, and has cached the text that a later
+/// step requests again. Thread-safe.
 inline std::string HomeKeyOf(const JobSpec& spec) {
   return spec.host + spec.model.value();
 }
--- a/briarspread/batch/job_gateway.cc
+++ b/briarspread/batch/job_gateway.cc
@@ -5,8 +5,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "briarspread/batch/home_order.h"
 #include "briarspread/batch/job_calls.h"
+#include "briarspread/fleet/home_order.h"
 
 namespace briarspread::batch {
 namespace {
--- a/briarspread/batch/job_takeover.cc
+++ b/briarspread/batch/job_takeover.cc
@@ -6,9 +6,9 @@
 #include <set>
 #include <utility>
 
-#include "briarspread/batch/home_order.h"
 #include "briarspread/batch/job_calls.h"
 #include "briarspread/batch/job_gateway.h"
+#include "briarspread/fleet/home_order.h"
 
 namespace briarspread::batch {
 namespace {
--- a/briarspread/batch/home_order.cc
+++ b/briarspread/fleet/home_order.cc
@@ -1,11 +1,11 @@
-#include "briarspread/batch/home_order.h"
+#include "briarspread/fleet/home_order.h"
 
 #include <algorithm>
 #include <tuple>
 
 #include "briarspread/core/rendezvous.h"
 
-namespace briarspread::batch {
+namespace briarspread {
 namespace {
 
 int DistanceOf(const Locality& near, const Locality& other) {
@@ -30,4 +30,4 @@
   return instances;
 }
 
-}  // namespace briarspread::batch
+}  // namespace briarspread
--- a/briarspread/forward/departure_exchange.cc
+++ b/briarspread/forward/departure_exchange.cc
@@ -1,96 +1,34 @@
 #include "briarspread/forward/departure_exchange.h"
 
-#include <glog/logging.h>
-
-#include <algorithm>
 #include <utility>
 
-#include "briarspread/fleet/peer_broadcast.h"
-
 namespace briarspread::forward {
 
-DepartureExchange::DepartureExchange(asio::io_context& loop,
-                                     UpstreamDirectory& directory,
-                                     PeerClient& peers, RandomSource& random,
-                                     PeerListFunction list_peers,
-                                     const DepartureExchangeSettings& settings)
+DepartureExchange::DepartureExchange(
+    asio::io_context& loop, UpstreamDirectory& directory, PeerClient& peers,
+    RandomSource& random, NoticeExchange::PeerListFunction list_peers,
+    const NoticeExchangeSettings& settings)
     : directory_(directory),
-      peers_(peers),
-      random_(random),
-      list_peers_(std::move(list_peers)),
-      settings_(settings),
-      publish_timer_(loop),
-      query_timer_(loop) {
-  directory_.SetOnDeparture(
-      [this](const UpstreamStart& start) { OnDeparture(start); });
-  // Bounds how long a start waits when no peer is known.
-  query_timer_.After(2 * settings_.query_timeout,
-                     [this] { is_initial_query_done_ = true; });
+      exchange_(loop, *this, "departures", peers, random, std::move(list_peers),
+                settings) {
+  directory_.SetOnDeparture([this](const UpstreamStart& start) {
+    unpublished_.push_back(start);
+    exchange_.SchedulePublish();
+  });
 }
 
-void DepartureExchange::OnDeparture(const UpstreamStart& start) {
-  unpublished_.push_back(start);
-  if (publish_timer_.is_set()) return;
-  const auto peers = static_cast<std::int64_t>(list_peers_().size());
-  const auto jitter = std::min<milliseconds>(settings_.max_jitter,
-                                             peers * settings_.jitter_per_peer);
-  const auto range = static_cast<std::uint64_t>(jitter.count()) + 1;
-  const auto delay =
-      milliseconds(static_cast<std::int64_t>(random_.Next() % range));
-  publish_timer_.After(delay, [this] { Publish(); });
+std::string DepartureExchange::EncodeAll() const {
+  return EncodeUpstreamStarts(directory_.departures().All());
 }
 
-void DepartureExchange::Publish() {
+std::string DepartureExchange::TakeUnpublished() {
   const auto starts = std::exchange(unpublished_, {});
-  if (starts.empty()) return;
-  PostToPeers(peers_, list_peers_(), kPath, EncodeUpstreamStarts(starts));
-}
-
-void DepartureExchange::OnInstancesChanged() {
-  // Peers are queried also when they become known only after the start has
-  // stopped waiting.
-  if (has_sent_queries_) return;
-  std::vector<Endpoint> peers = list_peers_();
-  if (peers.empty()) return;
-  has_sent_queries_ = true;
-  // Begins at a random peer, so that instances that start together do not all
-  // query the same ones.
-  const auto first = static_cast<std::ptrdiff_t>(random_.Next() % peers.size());
-  std::rotate(peers.begin(), peers.begin() + first, peers.end());
-  peers.resize(std::min(peers.size(), settings_.max_queried_peers));
-  QueryPeers(peers);
+  return starts.empty() ? std::string() : EncodeUpstreamStarts(starts);
 }
 
-void DepartureExchange::QueryPeers(const std::vector<Endpoint>& peers) {
-  outstanding_queries_ = peers.size();
-  for (const Endpoint& peer : peers) {
-    PeerCall call;
-    call.target = kPath;
-    call.timeout = settings_.query_timeout;
-    peers_.Call(
-        peer, std::move(call),
-        [this](const Result<proxy::Response>& result) { OnResponse(result); });
-  }
-}
-
-void DepartureExchange::OnResponse(const Result<proxy::Response>& result) {
-  if (!IsOk(result)) {
-    LOG(INFO) << "event=departures_not_learnt reason=\""
-              << ErrorOf(result).message << "\"";
-  } else {
-    MergeStarts(ValueOf(result).body);
-  }
-  if (--outstanding_queries_ > 0) return;
-  query_timer_.Cancel();
-  is_initial_query_done_ = true;
-}
-
-bool DepartureExchange::MergeStarts(const std::string& body) {
+bool DepartureExchange::Merge(const std::string& body) {
   const auto starts = ParseUpstreamStarts(body);
-  if (!starts.has_value()) {
-    LOG(WARNING) << "event=departures_malformed bytes=" << body.size();
-    return false;
-  }
+  if (!starts.has_value()) return false;
   for (const UpstreamStart& start : *starts) {
     directory_.RecordPeerDeparture(start);
     std::erase(unpublished_, start);
@@ -98,19 +36,4 @@
   return true;
 }
 
-bool DepartureExchange::TryAnswer(
-    const proxy::Request& request,
-    const std::shared_ptr<proxy::Responder>& responder) {
-  if (proxy::SplitTarget(request.head.target).path != kPath) return false;
-  if (request.head.method == "GET") {
-    responder->Send(proxy::MakeResponse(
-        200, EncodeUpstreamStarts(directory_.departures().All())));
-  } else if (MergeStarts(request.body)) {
-    responder->Send(proxy::MakeResponse(200, "{}"));
-  } else {
-    responder->Send(proxy::MakeResponse(400, "{\"error\":\"bad list\"}"));
-  }
-  return true;
-}
-
 }  // namespace briarspread::forward
