--- a/bench/forward_bench/event_gateway.cc
+++ b/bench/forward_bench/event_gateway.cc
@@ -45,7 +45,7 @@
                      ProcessId{InstanceId("bench"), Incarnation(1)}, clock_),
         retry_after_planner_(forward::RetryAfterPlannerSettings{}, clock_,
                              random_),
-        limiter_(clock_),
+        limiter_(forward::RequestLimiterSettings{}, clock_),
         context_{loop_,
                  clock_,
                  random_,
--- a/briarspread/batch/engine_placement.h
+++ b/briarspread/batch/engine_placement.h
@@ -31,6 +31,8 @@
   /// Whether the engine accepts requests now: it is not leaving, did not refuse
   /// a request just now, and its circuit breaker allows requests.
   bool is_usable = true;
+  /// Whether the engine has no limit or an item may be sent within it now.
+  bool has_permit = true;
   bool is_same_region = true;
   /// Measured time between two events of the engine's streams; zero if unknown.
   Duration event_interval{0};
--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -112,6 +112,8 @@
     view.version = engine.VersionOf(model);
     view.is_usable = !engine.listed.is_leaving && now >= engine.refuses_until &&
                      engine.breaker->Allows(now);
+    view.has_permit =
+        context_.limiter.HasPermit(id, forward::RequestPurpose::kItem);
     view.is_same_region =
         engine.listed.locality.region == self_.locality.region;
     view.event_interval = engine.event_interval;
@@ -169,6 +171,19 @@
                << " events=" << state.progress.events();
 }
 
+void JobRunner::RequestPermits(const EngineRequirements& need,
+                               const EngineViews& engines) {
+  for (const EngineView& engine : engines) {
+    if (engine.has_permit) continue;
+    EngineView permitted = engine;
+    permitted.has_permit = true;
+    if (IsEligible(need, permitted) &&
+        EstimatedLoad(permitted) < permitted.slots) {
+      context_.limiter.RequestPermit(engine.id, forward::RequestPurpose::kItem);
+    }
+  }
+}
+
 bool JobRunner::PlaceItem(OwnedJob& job, std::size_t i) {
   const JobId& id = job.ledger.spec().id;
   const forward::Route* route = RouteOf(job, i);
@@ -183,6 +198,7 @@
   const EngineViews views =
       GetEngineViews(ChooseBackend(*route, draw), job.ledger.spec().model);
   EngineRequirements need = RequirementsOf(job, i);
+  RequestPermits(need, views);
   auto chosen = placement_.Choose(need, views);
   if (!chosen.has_value() && need.avoided_engines.size() + 1 >= views.size()) {
     // With so few engines, an avoided engine is better than none.
@@ -195,6 +211,7 @@
   if (known == nullptr || !known->breaker->Admit(context_.clock.Now())) {
     return false;
   }
+  context_.limiter.TakePermit(engine, forward::RequestPurpose::kItem);
   const ItemState& state = job.ledger.item(i);
   if (!state.progress.Fits(need.oldest_allowed,
                            job.ledger.limits().wants_single_version)) {
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -43,6 +43,7 @@
 
 void JobRunner::Start() {
   review_timer_.Every(settings_.review_interval, [this] { Review(); });
+  context_.limiter.SetOnItemPermit([this] { SchedulePlacement(); });
 }
 
 JobLimits JobRunner::LimitsOf(const JobSpec& spec,
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -235,6 +235,10 @@
   /// Returns an estimate of the memory, in tokens, that own items use on each
   /// engine.
   std::map<UpstreamId, std::int64_t> EstimateOwnTokens() const;
+  /// Requests permits for the limited engines that may run an item with these
+  /// requirements.
+  void RequestPermits(const EngineRequirements& need,
+                      const EngineViews& engines);
   EngineRequirements RequirementsOf(const OwnedJob& job, std::size_t i) const;
   const forward::Route* RouteOf(const OwnedJob& job, std::size_t i) const;
   ItemRunSpec MakeRunSpec(const OwnedJob& job, std::size_t i,
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -18,6 +18,10 @@
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
+void Append(const std::vector<UpstreamId>& from, std::vector<UpstreamId>& to) {
+  to.insert(to.end(), from.begin(), from.end());
+}
+
 }  // namespace
 
 LiveRequest::LiveRequest(ForwardContext& context, LiveRequestSpec spec,
@@ -54,10 +58,18 @@
 
 std::optional<UpstreamId> LiveRequest::ChooseUpstream(
     const ServiceName& service) {
+  const std::vector<UpstreamId> without_permit =
+      UpstreamsWithoutPermit(service);
+  if (!without_permit.empty()) {
+    // Limited upstreams still get requests, as far as their limits allow.
+    const auto draw = context_.random.Next() % without_permit.size();
+    context_.limiter.RequestPermit(without_permit[draw], RequestPurpose::kLive);
+  }
   RouteRequest route_request;
   route_request.kind = InstanceKind::kPlainService;
   route_request.serves = service.value();
   route_request.excluded = tried_;
+  Append(without_permit, route_request.excluded);
   static const RuleSet no_rules;
   const RoutingTable& table = context_.directory.table();
   auto index = context_.router.Choose(route_request, table, no_rules);
@@ -65,6 +77,7 @@
     // All upstreams were tried, so the one tried longest ago is tried again: it
     // has had the most time to recover.
     route_request.excluded = TriedExceptOldest();
+    Append(without_permit, route_request.excluded);
     index = context_.router.Choose(route_request, table, no_rules);
   }
   if (!index.has_value()) return std::nullopt;
@@ -76,6 +89,46 @@
   return UpstreamId(view.listed.name);
 }
 
+std::vector<UpstreamId> LiveRequest::UpstreamsWithoutPermit(
+    const ServiceName& service) const {
+  std::vector<UpstreamId> ids;
+  if (!context_.limiter.has_limits()) return ids;
+  for (const LimitNotice& limit : context_.limiter.limits().All()) {
+    const UpstreamId& id = limit.start.id;
+    const KnownUpstream* upstream = context_.directory.Find(id);
+    const bool is_candidate = upstream != nullptr &&
+                              upstream->listed.service == service &&
+                              !upstream->listed.is_leaving;
+    if (is_candidate &&
+        !context_.limiter.HasPermit(id, RequestPurpose::kLive)) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+bool LiveRequest::WaitForPermit(const ServiceName& service) {
+  RequestLimiter& limiter = context_.limiter;
+  const TimePoint now = context_.clock.Now();
+  if (!permit_deadline_.has_value()) {
+    permit_deadline_ = now + limiter.settings().max_live_wait;
+  }
+  if (now >= *permit_deadline_) return false;
+  std::vector<UpstreamId> ids = UpstreamsWithoutPermit(service);
+  bool is_pending = false;
+  for (const UpstreamId& id : ids) {
+    limiter.RequestPermit(id, RequestPurpose::kLive);
+    is_pending |= limiter.IsPermitPending(id, RequestPurpose::kLive);
+  }
+  if (!is_pending) return false;
+  permit_waiter_ = limiter.Wait(std::move(ids), [this] {
+    const auto keep = self_;
+    permit_waiter_.reset();
+    StartAttempt();
+  });
+  return permit_waiter_ != nullptr;
+}
+
 std::vector<UpstreamId> LiveRequest::TriedExceptOldest() const {
   std::vector<UpstreamId> recent;
   for (auto it = tried_.rbegin(); it != tried_.rend(); ++it) {
@@ -115,6 +168,12 @@
       ChooseBackend(spec_.route, context_.random.Next());
   const auto chosen = ChooseUpstream(service);
   if (!chosen.has_value()) {
+    if (WaitForPermit(service)) return;
+    if (!UpstreamsWithoutPermit(service).empty()) {
+      is_limited_ = true;
+      Refuse("limited");
+      return;
+    }
     Refuse(tried_.empty() ? "no_upstream" : "no_other_upstream");
     return;
   }
@@ -143,6 +202,7 @@
     request.echo_name = context_.headers.attempt_id;
     request.echo_value = *attempt_id;
   }
+  context_.limiter.TakePermit(*chosen, RequestPurpose::kLive);
   context_.limiter.RecordSend(*chosen, RequestPurpose::kLive);
   exchange_ = context_.pool.Start(std::move(request), *this);
 }
@@ -383,9 +443,25 @@
   const ServiceName& service = spec_.route.backends.empty()
                                    ? ServiceName()
                                    : spec_.route.backends.front().service;
-  return context_.retry_after_planner.Plan(
-      service, EstimateAvailability(context_.directory.table(), service,
-                                    context_.clock.Now()));
+  const SlotAvailability availability =
+      is_limited_ ? EstimateLimitedAvailability(service)
+                  : EstimateAvailability(context_.directory.table(), service,
+                                         context_.clock.Now());
+  return context_.retry_after_planner.Plan(service, availability);
+}
+
+SlotAvailability LiveRequest::EstimateLimitedAvailability(
+    const ServiceName& service) const {
+  const auto ids = UpstreamsWithoutPermit(service);
+  SlotAvailability availability;
+  availability.interval = context_.limiter.MeanInterval(ids);
+  availability.wait = Duration::max();
+  for (const UpstreamId& id : ids) {
+    availability.wait =
+        std::min(availability.wait,
+                 context_.limiter.TimeUntilRequest(id, RequestPurpose::kLive));
+  }
+  return ids.empty() ? SlotAvailability{} : availability;
 }
 
 void LiveRequest::Refuse(std::string_view reason) {
@@ -468,6 +544,7 @@
 
 void LiveRequest::Finish() {
   timer_.Cancel();
+  permit_waiter_.reset();
   const auto keep = std::exchange(self_, nullptr);
 }
 
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -90,6 +90,13 @@
  private:
   void StartAttempt();
   std::optional<UpstreamId> ChooseUpstream(const ServiceName& service);
+  /// Returns the upstreams of `service` that have a limit and for which there
+  /// is no permit.
+  std::vector<UpstreamId> UpstreamsWithoutPermit(
+      const ServiceName& service) const;
+  /// Waits for a permit for an upstream of `service`. Returns false if none is
+  /// to be had soon enough.
+  bool WaitForPermit(const ServiceName& service);
   /// Returns the upstreams that were tried, except the one whose last attempt
   /// is the oldest. Precondition: at least one was tried.
   std::vector<UpstreamId> TriedExceptOldest() const;
@@ -119,6 +126,9 @@
   Duration StallTimeout() const;
   void OnDeadline();
   void Refuse(std::string_view reason);
+  /// Returns when the limits of the upstreams of `service` leave room.
+  SlotAvailability EstimateLimitedAvailability(
+      const ServiceName& service) const;
   /// Returns the time after which a refused caller should retry.
   Duration RetryAfterTime();
   /// Records how long the upstream took for a complete response.
@@ -142,10 +152,16 @@
   std::shared_ptr<UpstreamCounters> counters_;
   std::vector<UpstreamId> tried_;
   TimePoint attempt_started_{};
+  /// Set while the request waits for a permit to be sent.
+  std::shared_ptr<RequestLimiter::Waiter> permit_waiter_;
+  /// When the request stops waiting for a permit; unset before it waits.
+  std::optional<TimePoint> permit_deadline_;
   proxy::Response response_;
   /// An upstream's error response, passed on if no retry succeeds.
   std::optional<proxy::Response> error_response_;
   std::uint32_t upstream_errors_ = 0;
+  /// Whether the request was refused since its upstreams' limits left no room.
+  bool is_limited_ = false;
   /// Whether the response's head was passed on.
   bool is_streaming_ = false;
   /// Whether the current attempt's body is passed on instead of buffered.
--- a/briarspread/forward/upstream_limits.cc
+++ b/briarspread/forward/upstream_limits.cc
@@ -22,8 +22,8 @@
   const auto [it, is_new] = limits_.try_emplace(start.id);
   Limit& limit = it->second;
   if (!is_new && start.start_id < limit.start_id) return Change::kNone;
-  const bool is_change =
-      is_new || limit.start_id != start.start_id || limit.rate != rate;
+  const bool is_first = is_new || limit.start_id != start.start_id;
+  const bool is_change = is_first || limit.rate != rate;
   limit = Limit{start.start_id, rate, clock_.Now()};
   if (limits_.size() > settings_.max_count) {
     limits_.erase(std::min_element(
@@ -31,7 +31,8 @@
           return a.second.confirmed < b.second.confirmed;
         }));
   }
-  return is_change ? Change::kNamed : Change::kNone;
+  if (is_first) return Change::kNamed;
+  return is_change ? Change::kChanged : Change::kNone;
 }
 
 UpstreamLimits::Change UpstreamLimits::End(const UpstreamStart& start) {
@@ -52,10 +53,9 @@
   return End(start);
 }
 
-bool UpstreamLimits::RecordPeerNotice(const UpstreamStart& start,
-                                      std::optional<RequestRate> named) {
-  const Change change = named.has_value() ? Name(start, *named) : End(start);
-  return change != Change::kNone;
+UpstreamLimits::Change UpstreamLimits::RecordPeerNotice(
+    const UpstreamStart& start, std::optional<RequestRate> named) {
+  return named.has_value() ? Name(start, *named) : End(start);
 }
 
 std::optional<RequestRate> UpstreamLimits::Find(const UpstreamId& id) const {
@@ -64,18 +64,17 @@
   return it->second.rate;
 }
 
-void UpstreamLimits::OnStart(const UpstreamStart& start) {
-  const auto it = limits_.find(start.id);
-  if (it != limits_.end() && it->second.start_id < start.start_id) {
-    limits_.erase(it);
-  }
+std::optional<LimitNotice> UpstreamLimits::FindNotice(
+    const UpstreamId& id) const {
+  const auto it = limits_.find(id);
+  if (it == limits_.end()) return std::nullopt;
+  return LimitNotice{{id, it->second.start_id}, it->second.rate};
 }
 
-std::map<UpstreamId, std::pair<std::uint64_t, RequestRate>>
-UpstreamLimits::All() const {
-  std::map<UpstreamId, std::pair<std::uint64_t, RequestRate>> all;
+std::vector<LimitNotice> UpstreamLimits::All() const {
+  std::vector<LimitNotice> all;
   for (const auto& [id, limit] : limits_) {
-    all.emplace(id, std::make_pair(limit.start_id, limit.rate));
+    all.push_back({{id, limit.start_id}, limit.rate});
   }
   return all;
 }
--- a/briarspread/forward/upstream_limits.h
+++ b/briarspread/forward/upstream_limits.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "briarspread/core/clock.h"
 #include "briarspread/core/ids.h"
@@ -19,6 +20,12 @@
 /// text is not a number, is negative or is not finite. Thread-safe.
 std::optional<RequestRate> ParseRequestRate(const std::string& text);
 
+/// The limit of one start of an upstream, or that it has none any more.
+struct LimitNotice {
+  UpstreamStart start;
+  std::optional<RequestRate> rate;
+};
+
 /// Bounds on the limits that are remembered.
 struct UpstreamLimitsSettings {
   /// How long a limit is remembered after it was last confirmed.
@@ -34,8 +41,15 @@
 /// of an upstream that is alive may expire and return. Not thread-safe.
 class UpstreamLimits final {
  public:
-  /// What a response changed.
-  enum class Change { kNone, kNamed, kEnded };
+  /// What a response or a notice of another instance changed.
+  enum class Change {
+    kNone,
+    /// A start named a limit for the first time.
+    kNamed,
+    /// The start's limit has another value than before.
+    kChanged,
+    kEnded,
+  };
 
   /// Precondition: `clock` outlives this object.
   UpstreamLimits(const UpstreamLimitsSettings& settings, const Clock& clock)
@@ -48,15 +62,16 @@
   Change RecordResponse(const UpstreamStart& start,
                         std::optional<RequestRate> named, TimePoint sent);
   /// Records what another instance found: the limit of a start, or that it has
-  /// ended. Returns whether that was not known.
-  bool RecordPeerNotice(const UpstreamStart& start,
-                        std::optional<RequestRate> named);
+  /// ended.
+  Change RecordPeerNotice(const UpstreamStart& start,
+                          std::optional<RequestRate> named);
   /// Returns the limit in force; nothing if there is none.
   std::optional<RequestRate> Find(const UpstreamId& id) const;
-  /// Forgets the limits of all starts of `id` before `start_id`.
-  void OnStart(const UpstreamStart& start);
-  /// Returns all limits with the starts that they hold for.
-  std::map<UpstreamId, std::pair<std::uint64_t, RequestRate>> All() const;
+  /// As `Find`, with the start that the limit holds for.
+  std::optional<LimitNotice> FindNotice(const UpstreamId& id) const;
+  bool empty() const { return limits_.empty(); }
+  /// Returns all limits in force.
+  std::vector<LimitNotice> All() const;
   /// Drops limits older than the configured time. Must be called periodically.
   void DropOld();
 
--- a/briarspread/versions/engine_control.h
+++ b/briarspread/versions/engine_control.h
@@ -60,6 +60,9 @@
 class EngineControl {
  public:
   virtual ~EngineControl() = default;
+  /// Returns whether one call may be sent to the engine now. If it may not,
+  /// since the engine limits its requests, a later attempt may succeed.
+  virtual bool TryAdmit(const UpstreamId& engine) = 0;
   virtual void Send(const SentOrder& order,
                     std::function<void(OrderOutcome)> done) = 0;
   virtual void ReadReport(const UpstreamId& engine,
--- a/briarspread/versions/version_driver.cc
+++ b/briarspread/versions/version_driver.cc
@@ -142,6 +142,7 @@
     return;
   }
   if (now < orders.next_check || orders.is_call_in_flight) return;
+  if (!control_.TryAdmit(id)) return;
   orders.next_check = now + settings_.check_interval;
   ReadReport(id, [] {});
 }
@@ -167,6 +168,7 @@
 }
 
 void VersionDriver::IssueOrder(const VersionOrder& order, LoadMode mode) {
+  if (!control_.TryAdmit(order.engine)) return;
   EngineOrders& orders = engines_[order.engine];
   if (orders.accepted_orders.has_value()) {
     Send(order, mode);
@@ -177,7 +179,9 @@
   ReadReport(order.engine, [this, order, mode] {
     const forward::KnownUpstream* engine = directory_.Find(order.engine);
     if (engine == nullptr || !order_lease_.MaySend()) return;
-    if (engine->VersionOf(order.model) < order.version) Send(order, mode);
+    if (engine->VersionOf(order.model) >= order.version) return;
+    // If the order is not admitted now, the next tick plans it again.
+    if (control_.TryAdmit(order.engine)) Send(order, mode);
   });
 }
 
--- a/tests/batch/job_runner_test.cc
+++ b/tests/batch/job_runner_test.cc
@@ -78,6 +78,20 @@
   REQUIRE(old.requests.empty());
 }
 
+TEST_CASE("items wait while the limit of their engine leaves no room") {
+  JobRunnerFixture fixture;
+  FakeUpstream engine(fixture.loop, fixture.AnswerWithEvents(1));
+  fixture.AddEngine("e", engine);
+  const forward::UpstreamStart start{UpstreamId("e"), 0};
+  // Without a source of permits, none is granted.
+  fixture.limiter.RecordPeerNotice({start, forward::RequestRate(1)});
+  REQUIRE(fixture.Accept(JobRunnerFixture::Spec(3)));
+  REQUIRE(fixture.runner.waiting_count() == 3);
+  REQUIRE(engine.requests.empty());
+  fixture.limiter.RecordPeerNotice({start, std::nullopt});
+  fixture.AwaitResults(3);
+}
+
 TEST_CASE("an item is given up if it is impossible or fails too often") {
   for (const int status : {422, 500}) {
     JobRunnerFixture fixture;
--- a/tests/forward/forward_fixture.h
+++ b/tests/forward/forward_fixture.h
@@ -52,7 +52,7 @@
         crash_guard(CrashGuardSettings{},
                     ProcessId{InstanceId("self"), Incarnation(1)}, clock),
         retry_after_planner(RetryAfterPlannerSettings{}, clock, random),
-        limiter(clock),
+        limiter(RequestLimiterSettings{}, clock),
         context{
             loop,   clock, random,      headers, configuration,       directory,
             router, pool,  crash_guard, metrics, retry_after_planner, limiter} {
--- a/tests/versions/version_driver_test.cc
+++ b/tests/versions/version_driver_test.cc
@@ -18,6 +18,7 @@
 /// An engine control that records orders and answers with preset results.
 class FakeControl final : public EngineControl {
  public:
+  bool TryAdmit(const UpstreamId&) override { return admits; }
   void Send(const SentOrder& order,
             std::function<void(OrderOutcome)> done) override {
     sent.push_back(order);
@@ -29,6 +30,7 @@
     done(report);
   }
 
+  bool admits = true;
   std::vector<SentOrder> sent;
   OrderOutcome outcome = OrderOutcome::kAccepted;
   Result<EngineReport> report = EngineReport{{}, false, 7};
@@ -123,6 +125,17 @@
   REQUIRE(sent.mode == LoadMode::kKeepRunning);
 }
 
+TEST_CASE("an engine whose limit leaves no room gets neither call nor order") {
+  World world;
+  world.control.admits = false;
+  world.driver.SetTarget(kModel, WeightVersion(2));
+  world.Advance(seconds(1));
+  REQUIRE(world.control.reports == 0);
+  REQUIRE(world.control.sent.empty());
+  world.control.admits = true;
+  world.Await([&] { return !world.control.sent.empty(); });
+}
+
 TEST_CASE("an order is not repeated while its effect is awaited") {
   World world;
   world.driver.SetTarget(kModel, WeightVersion(2));
