--- a/briarspread/batch/item_run.h
+++ b/briarspread/batch/item_run.h
@@ -52,6 +52,8 @@
   std::size_t item = 0;
   UpstreamId engine;
   Endpoint endpoint;
+  /// Version of the engine's software.
+  SoftwareVersion software;
   /// The request, without the headers that `ItemRun` sets.
   proxy::Request request;
   /// Attempt id of the request, which the engine echoes.
--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -241,7 +241,9 @@
   run.job = spec.id;
   run.item = i;
   run.engine = engine;
-  run.endpoint = context_.directory.Find(engine)->listed.endpoint;
+  const auto& listed = context_.directory.Find(engine)->listed;
+  run.endpoint = listed.endpoint;
+  run.software = listed.software;
   run.attempt_id = item.id.value();
   run.model = spec.model;
   run.oldest_allowed = spec.oldest_allowed;
@@ -288,7 +290,8 @@
             << " group=" << ledger.spec().items[run.spec().item].group
             << " upstream=" << run.spec().engine
             << " outcome=" << ToString(outcome) << " ms=" << taken.count()
-            << " events=" << run.events();
+            << " events=" << run.events() << " software=" << run.spec().software
+            << " after_event=" << run.spec().last_event_id.value_or(0);
 }
 
 void JobRunner::OnRunEnded(ItemRun& run, RunOutcome outcome) {
--- a/briarspread/forward/exchange_headers.h
+++ b/briarspread/forward/exchange_headers.h
@@ -35,6 +35,9 @@
   std::string urgency = "Briarspread-Urgency";
   /// Id of the last event that the receiver of a resumed stream already has.
   std::string last_event_id = "Last-Event-Id";
+  /// Id of the caller's attempt that brought the first event of the stream that
+  /// a caller resumes.
+  std::string resumed_attempt = "Briarspread-Resumes";
 };
 
 }  // namespace briarspread::forward
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -180,6 +180,15 @@
   const KnownUpstream* upstream = context_.directory.Find(*chosen);
   if (!tried_.empty()) ++context_.metrics.retries;
   if (is_streaming_) ++context_.metrics.resumed_streams;
+  if (relay_.has_value() && relay_->last_event_id().has_value()) {
+    const std::string* resumed =
+        spec_.request.head.headers.Find(context_.headers.resumed_attempt);
+    LOG(INFO) << "event=stream_resumed request=" << AttemptId()
+              << " upstream=" << *chosen
+              << " software=" << upstream->listed.software
+              << " after_event=" << *relay_->last_event_id()
+              << " resumed_attempt=" << (resumed == nullptr ? "-" : *resumed);
+  }
   upstream_ = *chosen;
   tried_.push_back(*chosen);
   counters_ = upstream->counters;
@@ -268,9 +277,11 @@
     return;
   }
   std::string events;
+  const bool is_begin = !relay_->last_event_id().has_value();
   const bool is_ok = relay_->Feed(data, events) == StreamRelay::Outcome::kOk;
   if (!events.empty()) {
     last_progress_ = context_.clock.Now();
+    if (is_begin) LogStreamBegin();
     ForwardBody(events);
   }
   if (is_ok || self_ == nullptr || exchange_ == nullptr) return;
@@ -335,6 +346,14 @@
   AbortResponse();
 }
 
+void LiveRequest::LogStreamBegin() const {
+  const KnownUpstream* upstream = context_.directory.Find(*upstream_);
+  LOG(INFO) << "event=stream_began request=" << AttemptId()
+            << " upstream=" << *upstream_ << " software="
+            << (upstream == nullptr ? SoftwareVersion()
+                                    : upstream->listed.software);
+}
+
 void LiveRequest::ForwardBody(std::string_view data) {
   sink_.OnResponseBody(data);
   if (self_ != nullptr && exchange_ != nullptr &&
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -108,6 +108,8 @@
   void EndAttempt();
   void HandleFailure(Verdict verdict, std::string_view reason);
   void StartStreaming();
+  /// Logs which upstream sent the first event of the stream.
+  void LogStreamBegin() const;
   /// Passes part of the body on, and pauses reading from the upstream while too
   /// many bytes are unsent.
   void ForwardBody(std::string_view data);
--- a/briarspread/forward/upstream_directory.cc
+++ b/briarspread/forward/upstream_directory.cc
@@ -62,10 +62,12 @@
   const KnownUpstream* known = Find(listed.id);
   const bool is_change = known == nullptr ||
                          known->listed.is_leaving != listed.is_leaving ||
-                         known->listed.start_id != listed.start_id;
+                         known->listed.start_id != listed.start_id ||
+                         known->listed.software != listed.software;
   if (is_change) {
     LOG(INFO) << "event=upstream_changed upstream=" << listed.id
               << " service=" << listed.service
+              << " software=" << listed.software
               << " is_new=" << (known == nullptr)
               << " is_leaving=" << listed.is_leaving;
   }
--- a/briarspread/forward/upstream_directory.h
+++ b/briarspread/forward/upstream_directory.h
@@ -32,6 +32,8 @@
   Endpoint endpoint;
   Locality locality;
   std::uint32_t slots = 1;
+  /// Version of its software. What two versions write does not fit together.
+  SoftwareVersion software;
   /// Whether the upstream accepts no new requests.
   bool is_leaving = false;
   /// Loaded models; empty for a plain service.
--- a/scripts/check-limits.py
+++ b/scripts/check-limits.py
@@ -10,9 +10,10 @@
 """
 import bisect
 import collections
-import json
 import sys
 
+from run_logs import read_events
+
 STABLE_S = 4.0
 WINDOW_S = 4.0
 KNOWN_S = 0.5
@@ -20,21 +21,6 @@
 SLACK = 5
 
 
-def read_events(path):
-    """Yields (time, instance, fields) of each log line, in order of time."""
-    events = []
-    with open(path, encoding="utf-8", errors="replace") as lines:
-        for line in lines:
-            parts = line.split(maxsplit=2)
-            if len(parts) < 3 or not parts[2].startswith("{"):
-                continue
-            try:
-                events.append((float(parts[0]), parts[1], json.loads(parts[2])))
-            except ValueError:
-                continue
-    return sorted(events, key=lambda event: event[0])
-
-
 class Limited:
     """What the logs say about one upstream that named a limit."""
 
