--- a/tests/batch/job_runner_fixture.h
+++ b/tests/batch/job_runner_fixture.h
@@ -99,8 +99,9 @@
   }
 
   void AddEngine(const std::string& id, const FakeUpstream& engine,
-                 std::uint64_t version = 2) {
-    Add(id, engine, {{kModel, WeightVersion(version)}});
+                 std::uint64_t version = 2,
+                 const std::string& software = "v1") {
+    Add(id, engine, {{kModel, WeightVersion(version)}}, 8, software);
   }
 
   /// Returns an engine's answer: a stream of the events up to `last`, starting
--- a/tests/batch/job_runner_test.cc
+++ b/tests/batch/job_runner_test.cc
@@ -33,6 +33,32 @@
   REQUIRE(fixture.AwaitResults(1).results[0].text == "e1\ne2\ne3\ne4");
 }
 
+// Guards against the failure of 2026-12-04: a text went on at an engine of
+// another software version.
+TEST_CASE("a text goes on only at the software version that began it") {
+  JobRunnerFixture fixture;
+  FakeUpstream breaks(fixture.loop, fixture.AnswerWithEvents(2, true));
+  FakeUpstream other(fixture.loop, fixture.AnswerWithEvents(4));
+  FakeUpstream same(fixture.loop, fixture.AnswerWithEvents(4));
+  fixture.AddEngine("breaks", breaks);
+  REQUIRE(fixture.Accept(JobRunnerFixture::Spec()));
+  fixture.AwaitStore([&] { return !breaks.requests.empty(); });
+  fixture.AddEngine("other", other, 2, "v2");
+  SECTION("while another engine has that version") {
+    fixture.AddEngine("same", same);
+    REQUIRE(fixture.AwaitResults(1).results[0].text == "e1\ne2\ne3\ne4");
+    REQUIRE(other.requests.empty());
+    REQUIRE(same.requests[0].head.headers.FindNumber(
+                fixture.headers.last_event_id) == 2);
+  }
+  SECTION("else it begins again") {
+    fixture.directory.Remove({UpstreamId("breaks")});
+    REQUIRE(fixture.AwaitResults(1).results[0].text == "e1\ne2\ne3\ne4");
+    REQUIRE(other.requests[0].head.headers.Find(
+                fixture.headers.last_event_id) == nullptr);
+  }
+}
+
 // Guards against a failure of simulated days: a resumed stream without events
 // names no version and counted as broken, so the item was retried on every
 // engine until its step expired.
--- a/tests/forward/forward_fixture.h
+++ b/tests/forward/forward_fixture.h
@@ -63,14 +63,15 @@
 
   /// Registers an upstream of service `s`.
   void Add(const std::string& id, const FakeUpstream& upstream,
-           const std::vector<LoadedModel>& models = {},
-           std::uint32_t slots = 8) {
+           const std::vector<LoadedModel>& models = {}, std::uint32_t slots = 8,
+           const std::string& software = "v1") {
     DiscoveredUpstream listed;
     listed.id = UpstreamId(id);
     listed.service = ServiceName("s");
     listed.endpoint = upstream.endpoint();
     listed.models = models;
     listed.slots = slots;
+    listed.software = SoftwareVersion(software);
     directory.Put(listed);
   }
 
--- a/tests/forward/live_request_test.cc
+++ b/tests/forward/live_request_test.cc
@@ -355,6 +355,21 @@
   REQUIRE(fixture.metrics.resumed_streams >= 2);
 }
 
+// Guards against the failure of 2026-12-04: a stream went on at an upstream of
+// another software version.
+TEST_CASE("a stream goes on only at the software version that began it") {
+  ForwardFixture fixture;
+  FakeUpstream first(fixture.loop, StreamEvents(fixture.headers, 6, 2));
+  FakeUpstream second(fixture.loop, StreamEvents(fixture.headers, 6, 2));
+  fixture.Add("a", first, {}, 8, "v1");
+  fixture.Add("b", second, {}, 8, "v2");
+  SentRequest sent(fixture, RouteKind::kStream, 9, seconds(20), true);
+  fixture.Await([&] { return sent.sink.has_ended || sent.sink.is_broken; });
+  REQUIRE(sent.sink.has_ended);
+  REQUIRE(sent.sink.body == EventsUpTo(6));
+  REQUIRE((first.requests.empty() || second.requests.empty()));
+}
+
 TEST_CASE(
     "a stream that may not be resumed is visibly broken and not sent again") {
   ForwardFixture fixture;
--- a/tests/platform/edge_fixture.h
+++ b/tests/platform/edge_fixture.h
@@ -48,9 +48,11 @@
     responder->Send(response);
   }
 
-  std::string Registration(const std::string& service) const {
+  std::string Registration(const std::string& service,
+                           const std::string& software = "v1") const {
     return nlohmann::json{
         {"Service", service},
+        {"Version", software},
         {"Address", "127.0.0.1:" + std::to_string(listener_.port())},
         {"Zone", "z"},
         {"Slots", 4},
--- /dev/null
+++ b/tests/platform/resumed_stream_test.cc
@@ -0,0 +1,61 @@
+#include <catch2/catch.hpp>
+
+#include "tests/platform/edge_fixture.h"
+
+namespace briarspread::platform {
+namespace {
+
+/// Requests a stream as the attempt `id`, in place of the earlier attempt
+/// `resumed`, of which two events arrived; from the beginning if it is empty.
+int RequestStream(EdgeFixture& fixture, const ReadyInstance& at,
+                  const std::string& id, const std::string& resumed = "") {
+  proxy::RequestHead head;
+  head.method = "POST";
+  head.target = "/stream/x";
+  head.headers.Add("Host", "h");
+  head.headers.Add("X-Attempt-Id", id);
+  if (!resumed.empty()) {
+    head.headers.Add("Last-Event-Id", "2");
+    head.headers.Add("Resumes", resumed);
+  }
+  proxy::ExchangeRequest request;
+  request.to = *at.settings.frontend;
+  request.bytes = proxy::Serialize(head, "");
+  std::optional<proxy::CallResult> result;
+  proxy::StartCall(fixture.pool, std::move(request),
+                   [&](proxy::CallResult got) { result = std::move(got); });
+  fixture.Await([&] { return result.has_value(); });
+  return std::get<proxy::Response>(*result).head.status;
+}
+
+// Guards against the failure of 2026-12-04: a caller's stream went on at a
+// replica of another software version.
+TEST_CASE("a caller's stream goes on only at the version that began it") {
+  EdgeFixture fixture;
+  FakeReplica other(fixture.loop);
+  fixture.store.memory().Write("servers/desk-2",
+                               other.Registration("desk", "v2"));
+  ReadyInstance one(fixture, fixture.Settings("one"));
+  ReadyInstance two(fixture, fixture.Settings("two"));
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = "begun-" + std::to_string(i);
+    const int before = fixture.replica.requests;
+    REQUIRE(RequestStream(fixture, one, id) == 200);
+    FakeReplica& begun_by =
+        fixture.replica.requests > before ? fixture.replica : other;
+    const int expected = begun_by.requests + 1;
+    REQUIRE(RequestStream(fixture, two, id + "-again", id) == 200);
+    REQUIRE(begun_by.requests == expected);
+  }
+}
+
+TEST_CASE("a stream whose version is not known is refused as not run") {
+  EdgeFixture fixture;
+  ReadyInstance one(fixture, fixture.Settings("one"));
+  const int before = fixture.replica.requests;
+  REQUIRE(RequestStream(fixture, one, "again", "never-begun") == 503);
+  REQUIRE(fixture.replica.requests == before);
+}
+
+}  // namespace
+}  // namespace briarspread::platform
