--- a/briarspread/batch/job_checkpoint.cc
+++ b/briarspread/batch/job_checkpoint.cc
@@ -1,6 +1,9 @@
 #include "briarspread/batch/job_checkpoint.h"
 
 #include <nlohmann/json.hpp>
+#include <string_view>
+
+#include "briarspread/core/rendezvous.h"
 
 namespace briarspread::batch {
 
@@ -58,17 +61,24 @@
   // Fewer events than before: the item has restarted.
   if (progress.events() < before.events) before = Written{};
   if (progress.events() < before.events + min_new_events_) return std::nullopt;
+  // Another text than was written: the item has restarted and has grown since.
+  const std::string_view text = progress.text();
+  if (StableHash(text.substr(0, before.bytes)) != before.text_hash) {
+    before = Written{};
+  }
   return CheckpointPart{id,
                         before.bytes,
                         progress.TextFrom(before.bytes),
                         progress.events(),
                         progress.last_event_id(),
-                        progress.versions()};
+                        progress.versions(),
+                        StableHash(text)};
 }
 
 void CheckpointPlan::MarkWritten(const JobCheckpoint& checkpoint) {
   for (const CheckpointPart& part : checkpoint) {
-    written_[part.id] = Written{part.offset + part.text.size(), part.events};
+    written_[part.id] =
+        Written{part.offset + part.text.size(), part.events, part.text_hash};
   }
 }
 
--- a/briarspread/batch/job_checkpoint.h
+++ b/briarspread/batch/job_checkpoint.h
@@ -21,6 +21,8 @@
   std::uint64_t events = 0;
   std::uint64_t last_event_id = 0;
   std::vector<WeightVersion> versions;
+  /// Hash of the whole text up to the end of this part; not encoded.
+  std::uint64_t text_hash = 0;
 };
 
 /// Parts of several items that are written together.
@@ -52,6 +54,8 @@
   struct Written {
     std::uint64_t bytes = 0;
     std::uint64_t events = 0;
+    /// Hash of the text that was written.
+    std::uint64_t text_hash = 0;
   };
 
   const std::uint64_t min_new_events_;
--- a/tests/batch/ledger_test.cc
+++ b/tests/batch/ledger_test.cc
@@ -239,6 +239,21 @@
           "c");
 }
 
+TEST_CASE("a checkpoint does not continue the text before a restart") {
+  CheckpointPlan plan(1);
+  ItemProgress first;
+  first.Add(Event(1, "a"), WeightVersion(3));
+  const auto before = plan.PartFor(ItemId("i"), first);
+  plan.MarkWritten({*before});
+  // Has grown beyond the earlier text by the time it is looked at.
+  ItemProgress second;
+  second.Add(Event(1, "c"), WeightVersion(4));
+  second.Add(Event(2, "d"), WeightVersion(4));
+  const auto after = plan.PartFor(ItemId("i"), second);
+  REQUIRE(AssembleProgress({{*before}, {*after}}).at(ItemId("i")).text() ==
+          "c\nd");
+}
+
 TEST_CASE("encodings preserve any bytes, and malformed input is rejected") {
   JobSpec spec = Spec(1, 2, true);
   spec.host = "h";
