--- a/bench/forward_bench/event_gateway.cc
+++ b/bench/forward_bench/event_gateway.cc
@@ -46,6 +46,7 @@
         retry_after_planner_(forward::RetryAfterPlannerSettings{}, clock_,
                              random_),
         limiter_(forward::RequestLimiterSettings{}, clock_),
+        stream_origins_(forward::LocalStreamOriginsSettings{}, clock_),
         context_{loop_,
                  clock_,
                  random_,
@@ -57,7 +58,8 @@
                  crash_guard_,
                  metrics_,
                  retry_after_planner_,
-                 limiter_},
+                 limiter_,
+                 stream_origins_},
         callers_(context_),
         listener_(loop_, *this) {
     // The stand-in upstreams behind both gateways do not sign their responses.
@@ -105,6 +107,7 @@
   forward::CrashGuard crash_guard_;
   forward::RetryAfterPlanner retry_after_planner_;
   forward::RequestLimiter limiter_;
+  forward::LocalStreamOrigins stream_origins_;
   forward::ForwardContext context_;
   forward::CallerGateway callers_;
   proxy::HttpListener listener_;
--- a/briarspread/batch/batch_metrics.cc
+++ b/briarspread/batch/batch_metrics.cc
@@ -15,6 +15,7 @@
   out.CounterEach("briarspread_items_given_up_total", "reason",
                   metrics.items_given_up);
   out.Counter("briarspread_items_carried_total", metrics.items_carried);
+  out.Counter("briarspread_items_restarted_total", metrics.items_restarted);
   out.CounterEach("briarspread_results_by_staleness_total", "versions_behind",
                   metrics.staleness);
   out.CounterEach("briarspread_runs_total", "outcome", metrics.runs);
--- a/briarspread/batch/batch_metrics.h
+++ b/briarspread/batch/batch_metrics.h
@@ -27,6 +27,8 @@
   /// Items given up, by reason.
   std::map<std::string, std::uint64_t> items_given_up;
   std::uint64_t items_carried = 0;
+  /// Items that began again, since no engine could go on with their text.
+  std::uint64_t items_restarted = 0;
   /// Listed results by staleness: the number of versions between the oldest
   /// version that made their text and the newest version seen.
   std::map<std::uint64_t, std::uint64_t> staleness;
--- a/briarspread/batch/engine_placement.cc
+++ b/briarspread/batch/engine_placement.cc
@@ -32,6 +32,9 @@
 bool IsEligible(const EngineRequirements& need, const EngineView& engine) {
   if (!engine.is_usable || !engine.has_permit) return false;
   if (engine.version < need.oldest_allowed) return false;
+  const bool fits_text =
+      need.software.value().empty() || engine.software == need.software;
+  if (!fits_text) return false;
   return std::find(need.avoided_engines.begin(), need.avoided_engines.end(),
                    engine.id) == need.avoided_engines.end();
 }
--- a/briarspread/batch/engine_placement.h
+++ b/briarspread/batch/engine_placement.h
@@ -26,8 +26,12 @@
   /// Estimate of the memory, in tokens, that own items leave free on the
   /// engine. Nothing if the size of its memory is unknown.
   std::optional<std::int64_t> free_tokens;
+  /// Version of the engine's software.
+  SoftwareVersion software;
   /// The version of the item's model that the engine has loaded.
   WeightVersion version;
+  /// Whether the engine accepts no new requests any more.
+  bool is_leaving = false;
   /// Whether the engine accepts requests now: it is not leaving, did not refuse
   /// a request just now, and its circuit breaker allows requests.
   bool is_usable = true;
@@ -53,6 +57,9 @@
   std::int64_t tokens = 0;
   /// Expected length of the item relative to the mean of its job.
   double relative_length = 1;
+  /// The software version that the engine must have, since the item's text goes
+  /// on there; empty if it begins.
+  SoftwareVersion software{};
 };
 
 /// Settings of `EnginePlacement`, in units of load: 1 is an engine with all
--- a/briarspread/batch/item_progress.cc
+++ b/briarspread/batch/item_progress.cc
@@ -5,11 +5,16 @@
 namespace briarspread::batch {
 
 ItemProgress::Outcome ItemProgress::Add(const proxy::StreamEvent& event,
-                                        WeightVersion version) {
+                                        WeightVersion version,
+                                        const SoftwareVersion& software) {
   if (!event.id.has_value()) return Outcome::kGap;
   if (has_events() && *event.id <= last_event_id_) return Outcome::kRepeated;
   if (has_events() && *event.id != last_event_id_ + 1) return Outcome::kGap;
-  if (has_events()) text_.push_back('\n');
+  if (has_events()) {
+    text_.push_back('\n');
+  } else {
+    software_ = software;
+  }
   text_ += event.data;
   last_event_id_ = *event.id;
   ++events_;
--- a/briarspread/batch/item_run.h
+++ b/briarspread/batch/item_run.h
@@ -52,8 +52,9 @@
   std::size_t item = 0;
   UpstreamId engine;
   Endpoint endpoint;
-  /// Version of the engine's software.
+  /// Version of the engine's software, and the engine's start that has it.
   SoftwareVersion software;
+  std::uint64_t start_id = 0;
   /// The request, without the headers that `ItemRun` sets.
   proxy::Request request;
   /// Attempt id of the request, which the engine echoes.
--- a/briarspread/batch/job_checkpoint.cc
+++ b/briarspread/batch/job_checkpoint.cc
@@ -21,7 +21,8 @@
                      {"text", part.text},
                      {"events", part.events},
                      {"last", part.last_event_id},
-                     {"versions", std::move(versions)}});
+                     {"versions", std::move(versions)},
+                     {"software", part.software.value()}});
   }
   std::string bytes;
   Json::to_cbor(parts, bytes);
@@ -43,6 +44,7 @@
       for (const Json& version : each.at("versions")) {
         part.versions.emplace_back(version.get<std::uint64_t>());
       }
+      part.software = SoftwareVersion(each.value("software", ""));
       checkpoint.push_back(std::move(part));
     }
     return checkpoint;
@@ -72,6 +74,7 @@
                         progress.events(),
                         progress.last_event_id(),
                         progress.versions(),
+                        progress.software(),
                         StableHash(text)};
 }
 
@@ -90,15 +93,17 @@
       const auto it = assembled.find(part.id);
       std::string text;
       if (part.offset > 0) {
-        if (it == assembled.end() || it->second.text().size() != part.offset) {
-          continue;
-        }
+        const bool continues = it != assembled.end() &&
+                               it->second.text().size() == part.offset &&
+                               it->second.software() == part.software;
+        if (!continues) continue;
         text = it->second.text();
       }
       text += part.text;
       assembled.insert_or_assign(
-          part.id, ItemProgress(std::move(text), part.events,
-                                part.last_event_id, part.versions));
+          part.id,
+          ItemProgress(std::move(text), part.events, part.last_event_id,
+                       part.versions, part.software));
     }
   }
   return assembled;
--- a/briarspread/batch/job_checkpoint.h
+++ b/briarspread/batch/job_checkpoint.h
@@ -21,6 +21,9 @@
   std::uint64_t events = 0;
   std::uint64_t last_event_id = 0;
   std::vector<WeightVersion> versions;
+  /// The software version that generated the text; empty in parts that an
+  /// older build wrote.
+  SoftwareVersion software{};
   /// Hash of the whole text up to the end of this part; not encoded.
   std::uint64_t text_hash = 0;
 };
--- a/briarspread/batch/job_handover.cc
+++ b/briarspread/batch/job_handover.cc
@@ -17,7 +17,8 @@
                      {"text", progress.text()},
                      {"events", progress.events()},
                      {"last", progress.last_event_id()},
-                     {"versions", std::move(versions)}});
+                     {"versions", std::move(versions)},
+                     {"software", progress.software().value()}});
   }
   std::string bytes;
   Json::to_cbor({{"items", std::move(items)}}, bytes);
@@ -39,7 +40,8 @@
           ItemProgress(item.at("text").get<std::string>(),
                        item.at("events").get<std::uint64_t>(),
                        item.at("last").get<std::uint64_t>(),
-                       std::move(versions)));
+                       std::move(versions),
+                       SoftwareVersion(item.value("software", ""))));
     }
     return handover;
   } catch (const Json::exception&) {
--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -1,4 +1,4 @@
-// The part of `JobRunner` that runs items and sends their reward calls.
+// The part of `JobRunner` that runs items.
 
 #include <glog/logging.h>
 
@@ -16,6 +16,16 @@
 /// first, so that its engine is tried again.
 constexpr std::size_t kMaxAvoidedEngines = 2;
 
+/// Returns the number of engines on which the item's text may go on.
+std::size_t CountFitting(const EngineRequirements& need,
+                         const std::vector<EngineView>& engines) {
+  return static_cast<std::size_t>(std::count_if(
+      engines.begin(), engines.end(), [&need](const EngineView& engine) {
+        return need.software.value().empty() ||
+               engine.software == need.software;
+      }));
+}
+
 }  // namespace
 
 // --- Running items
@@ -49,7 +59,8 @@
       if (state.phase != ItemPhase::kWaiting) continue;
       waiting.push_back(
           {&job, i,
-           WaitingItem{job.ledger.limits().due, state.is_resumed,
+           WaitingItem{job.ledger.limits().due,
+                       state.is_resumed || state.progress.has_events(),
                        job.ledger.spec().items[i].expected_tokens}});
     }
   }
@@ -57,12 +68,13 @@
                    [](const Place& a, const Place& b) {
                      return RunsBefore(a.order, b.order);
                    });
-  // If an item that avoids no engine cannot be placed, neither can the rest of
-  // its job's items that avoid none.
+  // If an item that may run on any engine cannot be placed, neither can the
+  // rest of its job's items that may.
   std::set<const OwnedJob*> full;
   for (const Place& place : waiting) {
     const bool may_go_anywhere =
-        !place.job->avoided_engines.contains(place.item);
+        !place.job->avoided_engines.contains(place.item) &&
+        !place.job->ledger.item(place.item).progress.has_events();
     if (may_go_anywhere && full.contains(place.job)) continue;
     if (IsCrashSuspect(*place.job, place.item)) continue;
     if (!PlaceItem(*place.job, place.item) && may_go_anywhere) {
@@ -109,7 +121,9 @@
       view.free_tokens = static_cast<std::int64_t>(known->memory_tokens) -
                          (used == own_tokens.end() ? 0 : used->second);
     }
+    view.software = engine.listed.software;
     view.version = engine.VersionOf(model);
+    view.is_leaving = engine.listed.is_leaving;
     view.is_usable = !engine.listed.is_leaving && now >= engine.refuses_until &&
                      engine.breaker->Allows(now);
     view.has_permit =
@@ -139,6 +153,7 @@
                                              std::size_t i) const {
   EngineRequirements need;
   need.oldest_allowed = job.ledger.spec().oldest_allowed;
+  need.software = job.ledger.item(i).progress.software();
   if (const auto it = job.avoided_engines.find(i);
       it != job.avoided_engines.end()) {
     need.avoided_engines = it->second;
@@ -171,6 +186,40 @@
                << " events=" << state.progress.events();
 }
 
+void JobRunner::RestartIfNotResumable(OwnedJob& job, std::size_t i,
+                                      const EngineViews& engines) {
+  const ItemState& state = job.ledger.item(i);
+  const ItemProgress& progress = state.progress;
+  if (!progress.has_events()) return;
+  const bool fits = progress.is_resumable() &&
+                    progress.Fits(job.ledger.spec().oldest_allowed,
+                                  job.ledger.limits().wants_single_version);
+  const bool has_engine = std::any_of(
+      engines.begin(), engines.end(), [&progress](const EngineView& engine) {
+        return !engine.is_leaving && engine.software == progress.software();
+      });
+  if (fits && has_engine) return;
+  Restart(job, i, fits ? "no_engine" : "unfit");
+}
+
+bool JobRunner::HasWaitedToResume(const ItemState& item) const {
+  if (!item.progress.has_events()) return false;
+  const milliseconds wait = static_cast<std::int64_t>(item.progress.events()) *
+                            settings_.resume_wait_per_event;
+  return context_.clock.Now() - item.phase_start >=
+         std::clamp(wait, settings_.min_resume_wait, settings_.max_resume_wait);
+}
+
+void JobRunner::Restart(OwnedJob& job, std::size_t i, std::string_view reason) {
+  const ItemProgress& progress = job.ledger.item(i).progress;
+  ++metrics_.items_restarted;
+  LOG(INFO) << "event=item_restarted job=" << job.ledger.spec().id
+            << " item=" << job.ledger.spec().items[i].id
+            << " events=" << progress.events()
+            << " software=" << progress.software() << " reason=" << reason;
+  job.ledger.ClearProgress(i);
+}
+
 void JobRunner::RequestPermits(const EngineRequirements& need,
                                const EngineViews& engines) {
   for (const EngineView& engine : engines) {
@@ -184,6 +233,28 @@
   }
 }
 
+std::optional<UpstreamId> JobRunner::ChooseEngine(OwnedJob& job, std::size_t i,
+                                                  const ServiceName& service) {
+  const EngineViews views = GetEngineViews(service, job.ledger.spec().model);
+  RestartIfNotResumable(job, i, views);
+  EngineRequirements need = RequirementsOf(job, i);
+  RequestPermits(need, views);
+  auto chosen = placement_.Choose(need, views);
+  if (!chosen.has_value() &&
+      need.avoided_engines.size() + 1 >= CountFitting(need, views)) {
+    // With so few engines, an avoided engine is better than none.
+    need.avoided_engines.clear();
+    chosen = placement_.Choose(need, views);
+  }
+  if (!chosen.has_value() && HasWaitedToResume(job.ledger.item(i))) {
+    need.software = SoftwareVersion();
+    chosen = placement_.Choose(need, views);
+    if (chosen.has_value()) Restart(job, i, "no_room");
+  }
+  if (!chosen.has_value()) return std::nullopt;
+  return views[*chosen].id;
+}
+
 bool JobRunner::PlaceItem(OwnedJob& job, std::size_t i) {
   const JobId& id = job.ledger.spec().id;
   const forward::Route* route = RouteOf(job, i);
@@ -195,28 +266,15 @@
     return true;
   }
   const std::uint64_t draw = StableHash(job.ledger.spec().items[i].id.value());
-  const EngineViews views =
-      GetEngineViews(ChooseBackend(*route, draw), job.ledger.spec().model);
-  EngineRequirements need = RequirementsOf(job, i);
-  RequestPermits(need, views);
-  auto chosen = placement_.Choose(need, views);
-  if (!chosen.has_value() && need.avoided_engines.size() + 1 >= views.size()) {
-    // With so few engines, an avoided engine is better than none.
-    need.avoided_engines.clear();
-    chosen = placement_.Choose(need, views);
-  }
+  const auto chosen = ChooseEngine(job, i, ChooseBackend(*route, draw));
   if (!chosen.has_value()) return false;
-  const UpstreamId& engine = views[*chosen].id;
+  const UpstreamId& engine = *chosen;
   const forward::KnownUpstream* known = context_.directory.Find(engine);
   if (known == nullptr || !known->breaker->Admit(context_.clock.Now())) {
     return false;
   }
   context_.limiter.TakePermit(engine, forward::RequestPurpose::kItem);
   const ItemState& state = job.ledger.item(i);
-  if (!state.progress.Fits(need.oldest_allowed,
-                           job.ledger.limits().wants_single_version)) {
-    job.ledger.ClearProgress(i);
-  }
   const TimePoint now = context_.clock.Now();
   metrics_.waiting.Record(SecondsOf(now - state.phase_start));
   job.ledger.StartRun(i, now);
@@ -244,6 +302,7 @@
   const auto& listed = context_.directory.Find(engine)->listed;
   run.endpoint = listed.endpoint;
   run.software = listed.software;
+  run.start_id = listed.start_id;
   run.attempt_id = item.id.value();
   run.model = spec.model;
   run.oldest_allowed = spec.oldest_allowed;
@@ -264,13 +323,22 @@
   return run;
 }
 
+bool JobRunner::IsSameSoftware(const ItemRun& run) const {
+  const forward::KnownUpstream* engine =
+      context_.directory.Find(run.spec().engine);
+  return engine == nullptr || engine->listed.start_id == run.spec().start_id ||
+         engine->listed.software == run.spec().software;
+}
+
 bool JobRunner::OnRunEvent(ItemRun& run, const proxy::StreamEvent& event,
                            WeightVersion version) {
   const auto it = jobs_.find(run.spec().job);
   if (it == jobs_.end()) return false;
   OwnedJob& job = it->second;
   const std::size_t i = run.spec().item;
-  if (job.ledger.AddEvent(i, event, version) == ItemProgress::Outcome::kGap) {
+  if (!IsSameSoftware(run)) return false;
+  if (job.ledger.AddEvent(i, event, version, run.spec().software) ==
+      ItemProgress::Outcome::kGap) {
     return false;
   }
   return job.ledger.item(i).progress.Fits(
@@ -304,6 +372,12 @@
   if (it == jobs_.end()) return;
   OwnedJob& job = it->second;
   const TimePoint now = context_.clock.Now();
+  if (!IsSameSoftware(run)) {
+    // The engine's id belongs to another version now, and it is not known which
+    // of the two wrote the last events.
+    job.ledger.ClearProgress(i);
+    outcome = RunOutcome::kBroken;
+  }
   switch (outcome) {
     case RunOutcome::kComplete:
       if (!job.ledger.item(i).progress.has_events()) {
@@ -342,64 +416,4 @@
   SchedulePlacement();
 }
 
-// --- Reward calls
-
-void JobRunner::StartPendingRewards() {
-  const TimePoint now = context_.clock.Now();
-  for (auto it = pending_rewards_.begin();
-       it != pending_rewards_.end() &&
-       rewards_.size() < settings_.max_concurrent_rewards;) {
-    if (it->second > now) {
-      ++it;
-      continue;
-    }
-    const ItemKey key = it->first;
-    it = pending_rewards_.erase(it);
-    StartReward(key.first, key.second);
-  }
-}
-
-void JobRunner::StartReward(const JobId& id, std::size_t i) {
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end()) return;
-  const auto& reward = it->second.ledger.spec().items[i].reward;
-  auto run = std::make_unique<RewardRun>(
-      context_, *reward, [this, id, i](const RewardOutcome& outcome) {
-        OnRewardDone(id, i, outcome);
-      });
-  RewardRun& started = *run;
-  rewards_[ItemKey(id, i)] = std::move(run);
-  started.Start();
-}
-
-void JobRunner::OnRewardDone(const JobId& id, std::size_t i,
-                             const RewardOutcome& outcome) {
-  const ItemKey key(id, i);
-  rewards_.erase(key);
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end()) return;
-  JobLedger& ledger = it->second.ledger;
-  const TimePoint now = context_.clock.Now();
-  metrics_.scoring.Record(SecondsOf(now - ledger.item(i).phase_start));
-  if (!outcome.score.empty()) {
-    ledger.SetScore(i, outcome.score, now);
-  } else {
-    ledger.MarkRewardFailed(i, outcome.upstream_errors, outcome.max_attempts,
-                            now);
-    LOG(INFO) << "event=reward_failed job=" << id
-              << " item=" << ledger.spec().items[i].id
-              << " request=" << ledger.spec().items[i].reward->id
-              << " upstream_errors=" << outcome.upstream_errors;
-  }
-  if (ledger.item(i).phase == ItemPhase::kScoring) {
-    pending_rewards_[key] = now + settings_.reward_retry_delay;
-  } else {
-    if (ledger.item(i).is_given_up) {
-      RecordGivenUpItem(it->second, i, "reward_failed");
-    }
-    ScheduleListing(id, settings_.listing_delay);
-  }
-  SchedulePlacement();
-}
-
 }  // namespace briarspread::batch
--- a/briarspread/batch/job_ledger.cc
+++ b/briarspread/batch/job_ledger.cc
@@ -44,6 +44,7 @@
 }
 
 void JobLedger::RestoreProgress(std::size_t i, const ItemProgress& prior) {
+  if (!prior.is_resumable()) return;
   if (!prior.Fits(spec_.oldest_allowed, limits_.wants_single_version)) return;
   states_[i].progress = prior;
   states_[i].is_resumed = true;
@@ -57,9 +58,10 @@
 
 ItemProgress::Outcome JobLedger::AddEvent(std::size_t i,
                                           const proxy::StreamEvent& event,
-                                          WeightVersion version) {
+                                          WeightVersion version,
+                                          const SoftwareVersion& software) {
   assert(states_[i].phase == ItemPhase::kRunning);
-  return states_[i].progress.Add(event, version);
+  return states_[i].progress.Add(event, version, software);
 }
 
 void JobLedger::MarkRunBroken(std::size_t i, TimePoint now) {
--- a/briarspread/batch/job_ledger.h
+++ b/briarspread/batch/job_ledger.h
@@ -69,12 +69,13 @@
   /// is listed.
   void RestoreListed(const std::vector<ItemResult>& listed);
   /// Restores progress from an earlier job or owner; ignored if its weight
-  /// versions are not allowed in this job.
+  /// versions are not allowed in this job, or if no engine may go on with it.
   void RestoreProgress(std::size_t i, const ItemProgress& prior);
 
   void StartRun(std::size_t i, TimePoint now);
   ItemProgress::Outcome AddEvent(std::size_t i, const proxy::StreamEvent& event,
-                                 WeightVersion version);
+                                 WeightVersion version,
+                                 const SoftwareVersion& software);
   /// Called when a run ended without the complete text; the item waits again.
   void MarkRunBroken(std::size_t i, TimePoint now);
   /// Called when the engine answered with a failure; the item waits again, or
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -4,8 +4,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -65,6 +67,12 @@
   milliseconds min_run_time{800};
   /// Time after which a load report of another instance expires.
   milliseconds load_time_to_live{2000};
+  /// Time that an item waits for an engine on which its text may go on, before
+  /// it begins again on any engine: `resume_wait_per_event` for each event of
+  /// the text, which would be generated again, within these bounds.
+  milliseconds resume_wait_per_event{20};
+  milliseconds min_resume_wait{1000};
+  milliseconds max_resume_wait{3000};
   EnginePlacementSettings placement;
 };
 
@@ -227,6 +235,10 @@
   void SchedulePlacement();
   void PlaceWaitingItems();
   bool PlaceItem(OwnedJob& job, std::size_t i);
+  /// Returns the engine that an item is to run on; nothing if it must wait. May
+  /// discard the item's text.
+  std::optional<UpstreamId> ChooseEngine(OwnedJob& job, std::size_t i,
+                                         const ServiceName& service);
   /// Returns whether the item must not run because its request is suspected of
   /// crashing engines.
   bool IsCrashSuspect(const OwnedJob& job, std::size_t i) const;
@@ -235,6 +247,17 @@
   /// Returns an estimate of the memory, in tokens, that own items use on each
   /// engine.
   std::map<UpstreamId, std::int64_t> EstimateOwnTokens() const;
+  /// Returns whether an item has text and has waited long enough for an engine
+  /// on which the text may go on.
+  bool HasWaitedToResume(const ItemState& item) const;
+  /// Discards the item's text, so that it begins again on any engine.
+  void Restart(OwnedJob& job, std::size_t i, std::string_view reason);
+  /// Discards the item's text if no engine may go on with it.
+  void RestartIfNotResumable(OwnedJob& job, std::size_t i,
+                             const EngineViews& engines);
+  /// Returns whether the run's engine still has the software version that it
+  /// had when the run began, as far as this instance knows.
+  bool IsSameSoftware(const ItemRun& run) const;
   /// Requests permits for the limited engines that may run an item with these
   /// requirements.
   void RequestPermits(const EngineRequirements& need,
--- a/briarspread/core/upstream.h
+++ b/briarspread/core/upstream.h
@@ -46,6 +46,8 @@
   Locality locality;
   /// Whether the instance accepts new work; may be stale.
   ListedState state = ListedState::kLive;
+  /// Version of its software; empty where it is unknown.
+  SoftwareVersion software{};
 };
 
 }  // namespace briarspread
--- a/briarspread/forward/forward_context.h
+++ b/briarspread/forward/forward_context.h
@@ -11,6 +11,7 @@
 #include "briarspread/forward/forward_metrics.h"
 #include "briarspread/forward/request_limiter.h"
 #include "briarspread/forward/retry_after_planner.h"
+#include "briarspread/forward/stream_origins.h"
 #include "briarspread/forward/upstream_directory.h"
 #include "briarspread/proxy/connection_pool.h"
 #include "briarspread/routing/router.h"
@@ -32,6 +33,7 @@
   ForwardMetrics& metrics;
   RetryAfterPlanner& retry_after_planner;
   RequestLimiter& limiter;
+  StreamOrigins& stream_origins;
 };
 
 /// Records what the head of an upstream's response, to a request sent at
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -48,7 +48,32 @@
 void LiveRequest::Start() {
   self_ = shared_from_this();
   timer_.After(spec_.deadline - context_.clock.Now(), [this] { OnDeadline(); });
-  StartAttempt();
+  if (HasEvents()) {
+    FindOrigin();
+  } else {
+    StartAttempt();
+  }
+}
+
+void LiveRequest::FindOrigin() {
+  const std::string* resumed =
+      spec_.request.head.headers.Find(context_.headers.resumed_attempt);
+  if (resumed == nullptr) {
+    Refuse("origin_not_named");
+    return;
+  }
+  context_.stream_origins.Find(
+      forward::AttemptId(*resumed),
+      [this, keep = self_](const std::optional<SoftwareVersion>& software) {
+        // The request may have ended meanwhile.
+        if (self_ == nullptr) return;
+        if (!software.has_value()) {
+          Refuse("origin_unknown");
+          return;
+        }
+        stream_software_ = *software;
+        StartAttempt();
+      });
 }
 
 milliseconds LiveRequest::TimeLeft() const {
@@ -68,6 +93,7 @@
   RouteRequest route_request;
   route_request.kind = InstanceKind::kPlainService;
   route_request.serves = service.value();
+  route_request.software = stream_software_;
   route_request.excluded = tried_;
   Append(without_permit, route_request.excluded);
   static const RuleSet no_rules;
@@ -96,9 +122,10 @@
   for (const LimitNotice& limit : context_.limiter.limits().All()) {
     const UpstreamId& id = limit.start.id;
     const KnownUpstream* upstream = context_.directory.Find(id);
-    const bool is_candidate = upstream != nullptr &&
-                              upstream->listed.service == service &&
-                              !upstream->listed.is_leaving;
+    const bool is_candidate =
+        upstream != nullptr && upstream->listed.service == service &&
+        !upstream->listed.is_leaving &&
+        (!HasEvents() || upstream->listed.software == stream_software_);
     if (is_candidate &&
         !context_.limiter.HasPermit(id, RequestPurpose::kLive)) {
       ids.push_back(id);
@@ -164,23 +191,21 @@
     Refuse("crashes_upstreams");
     return;
   }
+  if (HasEvents() && stream_software_.value().empty()) {
+    Refuse("origin_unknown");
+    return;
+  }
   const ServiceName service =
       ChooseBackend(spec_.route, context_.random.Next());
   const auto chosen = ChooseUpstream(service);
   if (!chosen.has_value()) {
-    if (WaitForPermit(service)) return;
-    if (!UpstreamsWithoutPermit(service).empty()) {
-      is_limited_ = true;
-      Refuse("limited");
-      return;
-    }
-    Refuse(tried_.empty() ? "no_upstream" : "no_other_upstream");
+    if (!WaitForPermit(service)) RefuseUnplaced(service);
     return;
   }
   const KnownUpstream* upstream = context_.directory.Find(*chosen);
   if (!tried_.empty()) ++context_.metrics.retries;
   if (is_streaming_) ++context_.metrics.resumed_streams;
-  if (relay_.has_value() && relay_->last_event_id().has_value()) {
+  if (HasEvents()) {
     const std::string* resumed =
         spec_.request.head.headers.Find(context_.headers.resumed_attempt);
     LOG(INFO) << "event=stream_resumed request=" << AttemptId()
@@ -190,6 +215,7 @@
               << " resumed_attempt=" << (resumed == nullptr ? "-" : *resumed);
   }
   upstream_ = *chosen;
+  attempt_software_ = upstream->listed.software;
   tried_.push_back(*chosen);
   counters_ = upstream->counters;
   counters_->in_flight.fetch_add(1);
@@ -216,6 +242,17 @@
   exchange_ = context_.pool.Start(std::move(request), *this);
 }
 
+void LiveRequest::RefuseUnplaced(const ServiceName& service) {
+  if (!UpstreamsWithoutPermit(service).empty()) {
+    is_limited_ = true;
+    Refuse("limited");
+  } else if (HasEvents()) {
+    Refuse("no_upstream_of_version");
+  } else {
+    Refuse(tried_.empty() ? "no_upstream" : "no_other_upstream");
+  }
+}
+
 void LiveRequest::EndAttempt() {
   exchange_.reset();
   if (counters_ == nullptr) return;
@@ -281,7 +318,7 @@
   const bool is_ok = relay_->Feed(data, events) == StreamRelay::Outcome::kOk;
   if (!events.empty()) {
     last_progress_ = context_.clock.Now();
-    if (is_begin) LogStreamBegin();
+    if (is_begin) RecordStreamBegin();
     ForwardBody(events);
   }
   if (is_ok || self_ == nullptr || exchange_ == nullptr) return;
@@ -346,12 +383,14 @@
   AbortResponse();
 }
 
-void LiveRequest::LogStreamBegin() const {
-  const KnownUpstream* upstream = context_.directory.Find(*upstream_);
+void LiveRequest::RecordStreamBegin() {
+  stream_software_ = attempt_software_;
   LOG(INFO) << "event=stream_began request=" << AttemptId()
-            << " upstream=" << *upstream_ << " software="
-            << (upstream == nullptr ? SoftwareVersion()
-                                    : upstream->listed.software);
+            << " upstream=" << *upstream_ << " software=" << stream_software_;
+  const std::string* id =
+      spec_.request.head.headers.Find(context_.headers.attempt_id);
+  if (id == nullptr || stream_software_.value().empty()) return;
+  context_.stream_origins.Record(forward::AttemptId(*id), stream_software_);
 }
 
 void LiveRequest::ForwardBody(std::string_view data) {
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -88,7 +88,17 @@
   void OnFailure(const proxy::ExchangeFailure& failure) override;
 
  private:
+  /// Finds the version that began the stream that the caller resumes, then
+  /// starts the first attempt.
+  void FindOrigin();
   void StartAttempt();
+  /// Whether the caller has events already, so that the response must go on
+  /// after them.
+  bool HasEvents() const {
+    return relay_.has_value() && relay_->last_event_id().has_value();
+  }
+  /// Refuses a request for which no upstream was chosen.
+  void RefuseUnplaced(const ServiceName& service);
   std::optional<UpstreamId> ChooseUpstream(const ServiceName& service);
   /// Returns the upstreams of `service` that have a limit and for which there
   /// is no permit.
@@ -108,8 +118,8 @@
   void EndAttempt();
   void HandleFailure(Verdict verdict, std::string_view reason);
   void StartStreaming();
-  /// Logs which upstream sent the first event of the stream.
-  void LogStreamBegin() const;
+  /// Records which software version sent the first event of the stream.
+  void RecordStreamBegin();
   /// Passes part of the body on, and pauses reading from the upstream while too
   /// many bytes are unsent.
   void ForwardBody(std::string_view data);
@@ -154,6 +164,11 @@
   std::shared_ptr<UpstreamCounters> counters_;
   std::vector<UpstreamId> tried_;
   TimePoint attempt_started_{};
+  /// Software version of the upstream of the current or last attempt.
+  SoftwareVersion attempt_software_;
+  /// The version that began the stream, and with which alone it may go on;
+  /// empty before the first event and where it is unknown.
+  SoftwareVersion stream_software_;
   /// Set while the request waits for a permit to be sent.
   std::shared_ptr<RequestLimiter::Waiter> permit_waiter_;
   /// When the request stops waiting for a permit; unset before it waits.
--- a/briarspread/forward/upstream_directory.cc
+++ b/briarspread/forward/upstream_directory.cc
@@ -215,7 +215,8 @@
         listed.service.value(),
         listed.endpoint,
         listed.locality,
-        listed.is_leaving ? ListedState::kLeaving : ListedState::kLive};
+        listed.is_leaving ? ListedState::kLeaving : ListedState::kLive,
+        listed.software};
     views.push_back(UpstreamView{std::move(row), upstream.load,
                                  upstream.counters, InstanceShare{},
                                  upstream.breaker});
--- a/briarspread/routing/router.cc
+++ b/briarspread/routing/router.cc
@@ -11,6 +11,8 @@
     return false;
   }
   if (listed.state == ListedState::kLeaving) return false;
+  const bool is_any_software = request.software.value().empty();
+  if (!is_any_software && listed.software != request.software) return false;
   if (upstream.counters->refuses_work.load()) return false;
   // Compares the strings directly, because constructing an `UpstreamId` could
   // allocate memory.
--- a/briarspread/routing/router.h
+++ b/briarspread/routing/router.h
@@ -29,6 +29,8 @@
   ByteCount expected_bytes{0};
   /// Maximum number of bytes that the response may send back over the link.
   ByteCount expected_answer_bytes{0};
+  /// The software version that the upstream must have; empty for any.
+  SoftwareVersion software{};
   /// Upstreams that must not be chosen, such as those already tried.
   std::vector<UpstreamId> excluded;
 };
--- a/scripts/check-versions.py
+++ b/scripts/check-versions.py
@@ -41,6 +41,8 @@
         if event == "run_ended" and int(fields["events"]) > 0:
             items.add(fields["item"], fields["software"],
                       int(fields["after_event"]) > 0)
+        elif event == "item_restarted":
+            items.writer.pop(fields["item"], None)
         elif event == "stream_began":
             began += 1
             streams.add(fields["request"], fields["software"], False)
--- a/tests/batch/job_runner_fixture.h
+++ b/tests/batch/job_runner_fixture.h
@@ -128,7 +128,12 @@
         responder->End();
         return;
       }
-      responder->SetOnDrained([responder] { responder->Abort(); });
+      // The receiver reads what was sent before the connection is reset.
+      const auto timer = std::make_shared<LoopTimer>(loop);
+      timer->After(milliseconds(20), [timer, responder] {
+        responder->Abort();
+        timer->Cancel();
+      });
     };
   }
 
--- a/tests/batch/ledger_test.cc
+++ b/tests/batch/ledger_test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 const TimePoint kNow{};
+const SoftwareVersion kSoftware("v1");
 
 proxy::StreamEvent Event(std::uint64_t id, const std::string& data) {
   proxy::StreamEvent event;
@@ -47,7 +48,7 @@
 
 void Complete(JobLedger& ledger, std::size_t i, TimePoint now = kNow) {
   ledger.StartRun(i, now);
-  ledger.AddEvent(i, Event(1, "x"), WeightVersion(4));
+  ledger.AddEvent(i, Event(1, "x"), WeightVersion(4), kSoftware);
   ledger.MarkRunComplete(i, now);
 }
 
@@ -74,11 +75,16 @@
 TEST_CASE("progress adds each event once, in order, and records its versions") {
   ItemProgress progress;
   using Outcome = ItemProgress::Outcome;
-  REQUIRE(progress.Add(Event(1, "a"), WeightVersion(4)) == Outcome::kAdded);
-  REQUIRE(progress.Add(Event(1, "a"), WeightVersion(4)) == Outcome::kRepeated);
-  REQUIRE(progress.Add(Event(3, "c"), WeightVersion(4)) == Outcome::kGap);
-  REQUIRE(progress.Add(Event(2, "b"), WeightVersion(6)) == Outcome::kAdded);
-  REQUIRE(progress.Add(Event(3, "c"), WeightVersion(5)) == Outcome::kAdded);
+  REQUIRE(progress.Add(Event(1, "a"), WeightVersion(4), kSoftware) ==
+          Outcome::kAdded);
+  REQUIRE(progress.Add(Event(1, "a"), WeightVersion(4), kSoftware) ==
+          Outcome::kRepeated);
+  REQUIRE(progress.Add(Event(3, "c"), WeightVersion(4), kSoftware) ==
+          Outcome::kGap);
+  REQUIRE(progress.Add(Event(2, "b"), WeightVersion(6), kSoftware) ==
+          Outcome::kAdded);
+  REQUIRE(progress.Add(Event(3, "c"), WeightVersion(5), kSoftware) ==
+          Outcome::kAdded);
   REQUIRE(progress.text() == "a\nb\nc");
   REQUIRE(progress.versions() == std::vector<WeightVersion>{WeightVersion(4),
                                                             WeightVersion(5),
@@ -175,11 +181,11 @@
 TEST_CASE("text of an earlier job is resumed only if its versions fit") {
   JobLedger ledger(Spec(1, 2), Limits(), kNow);
   ItemProgress old;
-  old.Add(Event(1, "a"), WeightVersion(2));
+  old.Add(Event(1, "a"), WeightVersion(2), kSoftware);
   ledger.RestoreProgress(0, old);
   REQUIRE_FALSE(ledger.item(0).progress.has_events());
   ItemProgress fit;
-  fit.Add(Event(1, "a"), WeightVersion(3));
+  fit.Add(Event(1, "a"), WeightVersion(3), kSoftware);
   ledger.RestoreProgress(1, fit);
   REQUIRE(ledger.item(1).is_resumed);
 }
@@ -187,7 +193,7 @@
 TEST_CASE("the progress cache matches whole requests and is limited in bytes") {
   const JobSpec spec = Spec(1, 3);
   ItemProgress progress;
-  progress.Add(Event(1, std::string(60, 'x')), WeightVersion(3));
+  progress.Add(Event(1, std::string(60, 'x')), WeightVersion(3), kSoftware);
   ItemProgressCache cache(100);
   cache.Put(spec.items[0], progress);
   ItemSpec changed = spec.items[0];
@@ -208,7 +214,8 @@
   std::vector<JobCheckpoint> written;
   const ItemId id("i");
   for (std::uint64_t n = 1; n <= 7; ++n) {
-    progress.Add(Event(n, "e" + std::to_string(n)), WeightVersion(3 + n / 4));
+    progress.Add(Event(n, "e" + std::to_string(n)), WeightVersion(3 + n / 4),
+                 kSoftware);
     const auto part = plan.PartFor(id, progress);
     REQUIRE(part.has_value() == (n % 2 == 0));
     if (!part.has_value()) continue;
@@ -227,12 +234,12 @@
 TEST_CASE("the checkpoint of a restarted item replaces the earlier one") {
   CheckpointPlan plan(1);
   ItemProgress first;
-  first.Add(Event(1, "a"), WeightVersion(3));
-  first.Add(Event(2, "b"), WeightVersion(3));
+  first.Add(Event(1, "a"), WeightVersion(3), kSoftware);
+  first.Add(Event(2, "b"), WeightVersion(3), kSoftware);
   const auto before = plan.PartFor(ItemId("i"), first);
   plan.MarkWritten({*before});
   ItemProgress second;
-  second.Add(Event(1, "c"), WeightVersion(4));
+  second.Add(Event(1, "c"), WeightVersion(4), kSoftware);
   const auto after = plan.PartFor(ItemId("i"), second);
   REQUIRE(after->offset == 0);
   REQUIRE(AssembleProgress({{*before}, {*after}}).at(ItemId("i")).text() ==
@@ -242,18 +249,40 @@
 TEST_CASE("a checkpoint does not continue the text before a restart") {
   CheckpointPlan plan(1);
   ItemProgress first;
-  first.Add(Event(1, "a"), WeightVersion(3));
+  first.Add(Event(1, "a"), WeightVersion(3), kSoftware);
   const auto before = plan.PartFor(ItemId("i"), first);
   plan.MarkWritten({*before});
   // Has grown beyond the earlier text by the time it is looked at.
   ItemProgress second;
-  second.Add(Event(1, "c"), WeightVersion(4));
-  second.Add(Event(2, "d"), WeightVersion(4));
+  second.Add(Event(1, "c"), WeightVersion(4), kSoftware);
+  second.Add(Event(2, "d"), WeightVersion(4), kSoftware);
   const auto after = plan.PartFor(ItemId("i"), second);
   REQUIRE(AssembleProgress({{*before}, {*after}}).at(ItemId("i")).text() ==
           "c\nd");
 }
 
+TEST_CASE(
+    "text keeps its software version on every way; unknown fits nothing") {
+  ItemProgress progress;
+  progress.Add(Event(1, "a"), WeightVersion(3), kSoftware);
+  CheckpointPlan plan(1);
+  const auto part = plan.PartFor(ItemId("i"), progress);
+  const auto kept = DecodeJobCheckpoint(Encode(JobCheckpoint{*part}));
+  REQUIRE(AssembleProgress({*kept}).at(ItemId("i")).software() == kSoftware);
+  JobHandover handover;
+  handover.progress.emplace(ItemId("i"), progress);
+  const auto handed = DecodeJobHandover(Encode(handover));
+  REQUIRE(handed->progress.at(ItemId("i")).software() == kSoftware);
+
+  JobLedger ledger(Spec(1, 2), Limits(), kNow);
+  ledger.RestoreProgress(0, handed->progress.at(ItemId("i")));
+  REQUIRE(ledger.item(0).progress.has_events());
+  // As an older build wrote it.
+  ledger.RestoreProgress(
+      1, ItemProgress("a", 1, 1, {WeightVersion(3)}, SoftwareVersion()));
+  REQUIRE_FALSE(ledger.item(1).progress.has_events());
+}
+
 TEST_CASE("encodings preserve any bytes, and malformed input is rejected") {
   JobSpec spec = Spec(1, 2, true);
   spec.host = "h";
@@ -285,8 +314,8 @@
   REQUIRE(known->is_ended);
 
   JobHandover handover;
-  handover.progress.emplace(ItemId("i"),
-                            ItemProgress("a\nb", 2, 2, {WeightVersion(3)}));
+  handover.progress.emplace(
+      ItemId("i"), ItemProgress("a\nb", 2, 2, {WeightVersion(3)}, kSoftware));
   REQUIRE(DecodeJobHandover(Encode(handover))
               ->progress.at(ItemId("i"))
               .last_event_id() == 2);
--- a/tests/forward/forward_fixture.h
+++ b/tests/forward/forward_fixture.h
@@ -53,9 +53,20 @@
                     ProcessId{InstanceId("self"), Incarnation(1)}, clock),
         retry_after_planner(RetryAfterPlannerSettings{}, clock, random),
         limiter(RequestLimiterSettings{}, clock),
-        context{
-            loop,   clock, random,      headers, configuration,       directory,
-            router, pool,  crash_guard, metrics, retry_after_planner, limiter} {
+        stream_origins(LocalStreamOriginsSettings{}, clock),
+        context{loop,
+                clock,
+                random,
+                headers,
+                configuration,
+                directory,
+                router,
+                pool,
+                crash_guard,
+                metrics,
+                retry_after_planner,
+                limiter,
+                stream_origins} {
     directory.SetOnRemoved([this](const DiscoveredUpstream& gone) {
       if (!gone.is_leaving) crash_guard.OnUpstreamEnd(gone.id, gone.start_id);
     });
@@ -92,6 +103,7 @@
   ForwardMetrics metrics;
   RetryAfterPlanner retry_after_planner;
   RequestLimiter limiter;
+  LocalStreamOrigins stream_origins;
   ForwardContext context;
 };
 
--- a/tests/forward/live_request_test.cc
+++ b/tests/forward/live_request_test.cc
@@ -359,8 +359,8 @@
 // another software version.
 TEST_CASE("a stream goes on only at the software version that began it") {
   ForwardFixture fixture;
-  FakeUpstream first(fixture.loop, StreamEvents(fixture.headers, 6, 2));
-  FakeUpstream second(fixture.loop, StreamEvents(fixture.headers, 6, 2));
+  FakeUpstream first(fixture.loop, StreamEvents(fixture.headers, 6, 4));
+  FakeUpstream second(fixture.loop, StreamEvents(fixture.headers, 6, 4));
   fixture.Add("a", first, {}, 8, "v1");
   fixture.Add("b", second, {}, 8, "v2");
   SentRequest sent(fixture, RouteKind::kStream, 9, seconds(20), true);
--- a/tests/platform/edge_fixture.h
+++ b/tests/platform/edge_fixture.h
@@ -80,6 +80,8 @@
     head.status = 200;
     head.headers.Add("X-Server-Stamp", "sig");
     head.headers.Add("Content-Type", "text/event-stream");
+    head.headers.Add("X-Attempt-Id",
+                     *request.head.headers.Find("X-Attempt-Id"));
     responder->Start(head);
     std::uint64_t n =
         request.head.headers.FindNumber("Last-Event-Id").value_or(0);
@@ -222,7 +224,9 @@
   ReadyInstance(EdgeFixture& fixture, const PlatformSettings& settings)
       : settings(settings),
         node(fixture.loop, settings, fixture.clock, fixture.random) {
-    REQUIRE(IsOk(node.Start()));
+    const Status started = node.Start();
+    INFO((IsOk(started) ? std::string() : ErrorOf(started).message));
+    REQUIRE(IsOk(started));
     fixture.Await([this] { return node.IsReady(); });
   }
   const PlatformSettings settings;
--- a/tests/platform/resumed_stream_test.cc
+++ b/tests/platform/resumed_stream_test.cc
@@ -49,6 +49,22 @@
   }
 }
 
+TEST_CASE("a stream's version is known after its instance has died") {
+  EdgeFixture fixture;
+  ReadyInstance two(fixture, fixture.Settings("two"));
+  {
+    ReadyInstance one(fixture, fixture.Settings("one"));
+    REQUIRE(RequestStream(fixture, one, "begun") == 200);
+    // Another call to the same peer, after which the record is there.
+    fixture.Await([&] {
+      return fixture
+                 .Call(*two.settings.peer, "GET", "/v1/origins?attempt=begun")
+                 .body != "[]";
+    });
+  }
+  REQUIRE(RequestStream(fixture, two, "again", "begun") == 200);
+}
+
 TEST_CASE("a stream whose version is not known is refused as not run") {
   EdgeFixture fixture;
   ReadyInstance one(fixture, fixture.Settings("one"));
