--- a/briarspread/batch/item_run.cc
+++ b/briarspread/batch/item_run.cc
@@ -141,10 +141,6 @@
     const TimePoint now = context_.clock.Now();
     // The first interval includes queueing for a slot and reading the prompt.
     if (events_ > 0) UpdateEventInterval(now);
-    if (events_ == 0 && context_.crash_guard.has_suspects()) {
-      context_.crash_guard.RecordCompleteResponse(
-          forward::FingerprintOf(spec_.request));
-    }
     ++events_;
     last_event_ = now;
     if (!listener_.OnRunEvent(*this, event, version_)) {
@@ -191,12 +187,6 @@
   if (!failure.was_reused_connection) {
     context_.directory.RecordFailure(spec_.engine);
   }
-  // A run that has received events is not suspected: requests that crash
-  // engines do so at once.
-  if (failure.verdict == Verdict::kMayHaveRun && events_ == 0) {
-    context_.crash_guard.RecordBrokenExchange(
-        spec_.engine, forward::FingerprintOf(spec_.request));
-  }
   End(RunOutcome::kBroken);
 }
 
--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -76,7 +76,6 @@
         !place.job->avoided_engines.contains(place.item) &&
         !place.job->ledger.item(place.item).progress.has_events();
     if (may_go_anywhere && full.contains(place.job)) continue;
-    if (IsCrashSuspect(*place.job, place.item)) continue;
     if (!PlaceItem(*place.job, place.item) && may_go_anywhere) {
       full.insert(place.job);
     }
@@ -167,14 +166,6 @@
   return need;
 }
 
-bool JobRunner::IsCrashSuspect(const OwnedJob& job, std::size_t i) const {
-  if (!context_.crash_guard.has_suspects()) return false;
-  const JobSpec& spec = job.ledger.spec();
-  const ItemSpec& item = spec.items[i];
-  return context_.crash_guard.ShouldRefuse(
-      forward::FingerprintOf(spec.host, item.path, item.body));
-}
-
 void JobRunner::RecordGivenUpItem(const OwnedJob& job, std::size_t i,
                                   const std::string& reason) {
   ++metrics_.items_given_up[reason];
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -239,9 +239,6 @@
   /// discard the item's text.
   std::optional<UpstreamId> ChooseEngine(OwnedJob& job, std::size_t i,
                                          const ServiceName& service);
-  /// Returns whether the item must not run because its request is suspected of
-  /// crashing engines.
-  bool IsCrashSuspect(const OwnedJob& job, std::size_t i) const;
   EngineViews GetEngineViews(const ServiceName& service,
                              const ModelName& model) const;
   /// Returns an estimate of the memory, in tokens, that own items use on each
--- a/briarspread/batch/reward_run.cc
+++ b/briarspread/batch/reward_run.cc
@@ -39,6 +39,8 @@
   spec.request.head.headers.Add("Host", call_.host);
   spec.request.head.headers.Add(context_.headers.attempt_id, call_.id);
   spec.request.body = call_.body;
+  // As its item, the call is owed even if upstreams crash under it.
+  spec.may_be_suspected = false;
   spec.route = *route;
   spec.arrived = context_.clock.Now();
   spec.deadline = spec.arrived + (route->timeout.count() > 0 ? route->timeout
--- a/briarspread/forward/crash_guard.h
+++ b/briarspread/forward/crash_guard.h
@@ -36,10 +36,11 @@
 Fingerprint FingerprintOf(const proxy::Request& request);
 
 /// Detects requests that crash upstreams, so that they are refused before they
-/// crash more. An exchange that breaks off counts against its request if its
-/// upstream ends within `confirm_time`; a complete response clears the request.
-/// Shares what it finds with the other instances. Must be used on the event
-/// loop's thread only.
+/// crash more. Only callers' requests may do so: items of batch jobs and their
+/// reward calls stay owed whatever crashes under them. An exchange that breaks
+/// off counts against its request if its upstream ends within `confirm_time`; a
+/// complete response clears the request. Shares what it finds with the other
+/// instances. Must be used on the event loop's thread only.
 class CrashGuard final {
  public:
   /// Called when this instance detects a crash, so that it can be sent to the
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -182,7 +182,7 @@
 
 bool LiveRequest::CanBeSent() const {
   const CrashGuard& crash_guard = context_.crash_guard;
-  return !crash_guard.has_suspects() ||
+  return !spec_.may_be_suspected || !crash_guard.has_suspects() ||
          !crash_guard.ShouldRefuse(FingerprintOf(spec_.request));
 }
 
@@ -456,7 +456,7 @@
 
 void LiveRequest::OnFailure(const proxy::ExchangeFailure& failure) {
   EndAttempt();
-  if (failure.verdict == Verdict::kMayHaveRun) {
+  if (failure.verdict == Verdict::kMayHaveRun && spec_.may_be_suspected) {
     context_.crash_guard.RecordBrokenExchange(*upstream_,
                                               FingerprintOf(spec_.request));
   }
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -58,6 +58,9 @@
   /// earlier.
   TimePoint deadline{};
   StallDetectionSettings stall_detection;
+  /// Whether the request may be one that crashes upstreams, and is refused once
+  /// it is suspected of that.
+  bool may_be_suspected = true;
 };
 
 /// A request that is being forwarded: sent to an upstream, and to further
