--- a/briarspread/batch/job_gateway.cc
+++ b/briarspread/batch/job_gateway.cc
@@ -195,28 +195,34 @@
                 "/results?after=" + std::to_string(after) +
                 "&wait=" + std::to_string(wait.count());
   call.timeout = wait + settings_.call_timeout;
-  peers_.Call(stored.record.owner_endpoint, std::move(call),
-              [this, stored, after,
-               done = std::move(done)](const Result<proxy::Response>& answer) {
-                if (IsOk(answer) && ValueOf(answer).head.status == kOk) {
-                  auto page = DecodeResultPage(ValueOf(answer).body);
-                  if (page.has_value()) {
-                    done(std::move(*page));
-                    return;
-                  }
-                }
-                // The owner may have changed. The store has all listed results
-                // in any case.
-                index_.Erase(stored.id);
-                FindRecord(stored.id, [this, after, done](
-                                          const Result<StoredRecord>& found) {
-                  if (!IsOk(found)) {
-                    done(ErrorOf(found));
-                    return;
-                  }
-                  ReadFromStore(ValueOf(found), after, done);
-                });
-              });
+  peers_.Call(
+      stored.record.owner_endpoint, std::move(call),
+      [this, stored, after,
+       done = std::move(done)](const Result<proxy::Response>& answer) {
+        if (IsOk(answer) && ValueOf(answer).head.status == kOk) {
+          auto page = DecodeResultPage(ValueOf(answer).body);
+          const bool is_asked_for =
+              page.has_value() && page->next == after + page->results.size();
+          if (is_asked_for) {
+            done(std::move(*page));
+            return;
+          }
+          LOG(ERROR) << "event=page_mismatch job=" << stored.id
+                     << " after=" << after
+                     << " next=" << (page.has_value() ? page->next : 0);
+        }
+        // The owner may have changed. The store has all listed results
+        // in any case.
+        index_.Erase(stored.id);
+        FindRecord(stored.id,
+                   [this, after, done](const Result<StoredRecord>& found) {
+                     if (!IsOk(found)) {
+                       done(ErrorOf(found));
+                       return;
+                     }
+                     ReadFromStore(ValueOf(found), after, done);
+                   });
+      });
 }
 
 void JobGateway::ReadFromStore(const StoredRecord& stored, std::uint64_t after,
