--- a/briarspread/core/ids.h
+++ b/briarspread/core/ids.h
@@ -35,7 +35,8 @@
 using GroupId = StrongValue<struct GroupIdTag, std::uint32_t>;
 /// Index of a sample within its group.
 using SampleIndex = StrongValue<struct SampleIndexTag, std::uint32_t>;
-/// Version of an upstream's software. Has no order; empty where it is unknown.
+/// Version of an upstream's software, unique over all services. Has no order;
+/// empty where it is unknown.
 using SoftwareVersion = StrongValue<struct SoftwareVersionTag, std::string>;
 /// Version of a model's weights. Later versions have higher numbers.
 using WeightVersion = StrongValue<struct WeightVersionTag, std::uint64_t>;
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -18,6 +18,12 @@
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
+bool HasBackend(const Route& route, const ServiceName& service) {
+  return std::any_of(
+      route.backends.begin(), route.backends.end(),
+      [&service](const Backend& each) { return each.service == service; });
+}
+
 void Append(const std::vector<UpstreamId>& from, std::vector<UpstreamId>& to) {
   to.insert(to.end(), from.begin(), from.end());
 }
@@ -173,7 +179,7 @@
   head.headers.RemoveHopByHop();
   head.headers.Set(context_.headers.deadline, std::to_string(left.count()));
   head.headers.Set(context_.headers.expected_upstream, upstream.value());
-  if (relay_.has_value() && relay_->last_event_id().has_value()) {
+  if (HasEvents()) {
     head.headers.Set(context_.headers.last_event_id,
                      std::to_string(*relay_->last_event_id()));
   }
@@ -195,28 +201,46 @@
     Refuse("origin_unknown");
     return;
   }
-  const ServiceName service =
-      ChooseBackend(spec_.route, context_.random.Next());
+  const ServiceName service = ChooseService();
   const auto chosen = ChooseUpstream(service);
-  if (!chosen.has_value()) {
-    if (!WaitForPermit(service)) RefuseUnplaced(service);
-    return;
+  if (chosen.has_value()) {
+    SendTo(*chosen);
+  } else if (!WaitForPermit(service)) {
+    RefuseUnplaced(service);
+  }
+}
+
+ServiceName LiveRequest::ChooseService() {
+  if (HasEvents()) {
+    const auto& all = context_.directory.all();
+    const auto it =
+        std::find_if(all.begin(), all.end(), [this](const auto& entry) {
+          const DiscoveredUpstream& listed = entry.second.listed;
+          return listed.software == stream_software_ &&
+                 HasBackend(spec_.route, listed.service);
+        });
+    if (it != all.end()) return it->second.listed.service;
   }
-  const KnownUpstream* upstream = context_.directory.Find(*chosen);
+  return ChooseBackend(spec_.route, context_.random.Next());
+}
+
+void LiveRequest::LogResumption(const DiscoveredUpstream& upstream) const {
+  const std::string* resumed =
+      spec_.request.head.headers.Find(context_.headers.resumed_attempt);
+  LOG(INFO) << "event=stream_resumed request=" << AttemptId()
+            << " upstream=" << upstream.id << " software=" << upstream.software
+            << " after_event=" << *relay_->last_event_id()
+            << " resumed_attempt=" << (resumed == nullptr ? "-" : *resumed);
+}
+
+void LiveRequest::SendTo(const UpstreamId& chosen) {
+  const KnownUpstream* upstream = context_.directory.Find(chosen);
   if (!tried_.empty()) ++context_.metrics.retries;
   if (is_streaming_) ++context_.metrics.resumed_streams;
-  if (HasEvents()) {
-    const std::string* resumed =
-        spec_.request.head.headers.Find(context_.headers.resumed_attempt);
-    LOG(INFO) << "event=stream_resumed request=" << AttemptId()
-              << " upstream=" << *chosen
-              << " software=" << upstream->listed.software
-              << " after_event=" << *relay_->last_event_id()
-              << " resumed_attempt=" << (resumed == nullptr ? "-" : *resumed);
-  }
-  upstream_ = *chosen;
+  if (HasEvents()) LogResumption(upstream->listed);
+  upstream_ = chosen;
   attempt_software_ = upstream->listed.software;
-  tried_.push_back(*chosen);
+  tried_.push_back(chosen);
   counters_ = upstream->counters;
   counters_->in_flight.fetch_add(1);
   attempt_started_ = context_.clock.Now();
@@ -229,7 +253,7 @@
   proxy::ExchangeRequest request;
   const milliseconds left = TimeLeft();
   request.to = upstream->listed.endpoint;
-  request.bytes = SerializeRequest(*chosen, left);
+  request.bytes = SerializeRequest(chosen, left);
   request.is_head_request = spec_.request.head.method == "HEAD";
   const std::string* attempt_id =
       spec_.request.head.headers.Find(context_.headers.attempt_id);
@@ -237,8 +261,8 @@
     request.echo_name = context_.headers.attempt_id;
     request.echo_value = *attempt_id;
   }
-  context_.limiter.TakePermit(*chosen, RequestPurpose::kLive);
-  context_.limiter.RecordSend(*chosen, RequestPurpose::kLive);
+  context_.limiter.TakePermit(chosen, RequestPurpose::kLive);
+  context_.limiter.RecordSend(chosen, RequestPurpose::kLive);
   exchange_ = context_.pool.Start(std::move(request), *this);
 }
 
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -102,7 +102,12 @@
   }
   /// Refuses a request for which no upstream was chosen.
   void RefuseUnplaced(const ServiceName& service);
+  /// Returns the service to send to: for a stream that goes on, the one that
+  /// began it.
+  ServiceName ChooseService();
   std::optional<UpstreamId> ChooseUpstream(const ServiceName& service);
+  void SendTo(const UpstreamId& chosen);
+  void LogResumption(const DiscoveredUpstream& upstream) const;
   /// Returns the upstreams of `service` that have a limit and for which there
   /// is no permit.
   std::vector<UpstreamId> UpstreamsWithoutPermit(
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -109,10 +109,12 @@
   REQUIRE(upstream->locality.region == RegionId("r"));
   REQUIRE(upstream->models[0].version == WeightVersion(4));
   REQUIRE(upstream->start_id == 5);
+  REQUIRE(upstream->software == SoftwareVersion("s/v1"));
   REQUIRE_FALSE(upstream->is_leaving);
   const std::vector<std::pair<std::string, std::string>> changes = {
       {"\"ready\"", "\"asleep\""},
       {"\"Slots\":12", "\"Slots\":\"x\""},
+      {"\"v1\"", "1"},
       {"\"z\"", "\"elsewhere\""},
       {"10.0.0.9:8080", "nowhere"},
       {"\"Service\":\"s\"", "\"Service\":7"},
--- a/tests/platform/resumed_stream_test.cc
+++ b/tests/platform/resumed_stream_test.cc
@@ -49,6 +49,22 @@
   }
 }
 
+TEST_CASE("a stream does not go on at another service") {
+  EdgeFixture fixture;
+  ReadyInstance one(fixture, fixture.Settings("one"));
+  REQUIRE(RequestStream(fixture, one, "begun") == 200);
+  nlohmann::json changed = nlohmann::json::parse(MakeConfiguration(9));
+  changed["Routes"][2]["Service"] = "llm";
+  fixture.store.memory().Write("op/config", changed.dump());
+  fixture.Await([&] {
+    return fixture.Call(*one.settings.peer, "GET", "/metrics")
+               .body.find("briarspread_configuration_version 9") !=
+           std::string::npos;
+  });
+  REQUIRE(RequestStream(fixture, one, "new") == 200);
+  REQUIRE(RequestStream(fixture, one, "again", "begun") == 503);
+}
+
 TEST_CASE("a stream's version is known after its instance has died") {
   EdgeFixture fixture;
   ReadyInstance two(fixture, fixture.Settings("two"));
