--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -24,10 +24,6 @@
       [&service](const Backend& each) { return each.service == service; });
 }
 
-void Append(const std::vector<UpstreamId>& from, std::vector<UpstreamId>& to) {
-  to.insert(to.end(), from.begin(), from.end());
-}
-
 }  // namespace
 
 LiveRequest::LiveRequest(ForwardContext& context, LiveRequestSpec spec,
@@ -37,6 +33,7 @@
       sink_(sink),
       policy_(AttemptSettings{}, spec_.route.is_idempotent(),
               spec_.route.max_attempts),
+      chooser_(context, spec_.route.is_idempotent(), spec_.deadline),
       timer_(context.loop),
       events_("") {
   if (spec_.route.kind == RouteKind::kStream && spec_.route.is_resumable) {
@@ -77,7 +74,7 @@
           Refuse("origin_unknown");
           return;
         }
-        stream_software_ = *software;
+        chooser_.RequireSoftware(*software);
         StartAttempt();
       });
 }
@@ -87,59 +84,6 @@
                                                   context_.clock.Now());
 }
 
-std::optional<UpstreamId> LiveRequest::ChooseUpstream(
-    const ServiceName& service) {
-  const std::vector<UpstreamId> without_permit =
-      UpstreamsWithoutPermit(service);
-  if (!without_permit.empty()) {
-    // Limited upstreams still get requests, as far as their limits allow.
-    const auto draw = context_.random.Next() % without_permit.size();
-    context_.limiter.RequestPermit(without_permit[draw], RequestPurpose::kLive);
-  }
-  RouteRequest route_request;
-  route_request.kind = InstanceKind::kPlainService;
-  route_request.serves = service.value();
-  route_request.software = stream_software_;
-  route_request.excluded = tried_;
-  Append(without_permit, route_request.excluded);
-  static const RuleSet no_rules;
-  const RoutingTable& table = context_.directory.table();
-  auto index = context_.router.Choose(route_request, table, no_rules);
-  if (!index.has_value() && !tried_.empty() && spec_.route.is_idempotent()) {
-    // All upstreams were tried, so the one tried longest ago is tried again: it
-    // has had the most time to recover.
-    route_request.excluded = TriedExceptOldest();
-    Append(without_permit, route_request.excluded);
-    index = context_.router.Choose(route_request, table, no_rules);
-  }
-  if (!index.has_value()) return std::nullopt;
-  const UpstreamView& view = table.upstreams[*index];
-  if (LoadEstimate(view).ExpectedWait() >
-      spec_.deadline - context_.clock.Now()) {
-    return std::nullopt;
-  }
-  return UpstreamId(view.listed.name);
-}
-
-std::vector<UpstreamId> LiveRequest::UpstreamsWithoutPermit(
-    const ServiceName& service) const {
-  std::vector<UpstreamId> ids;
-  if (!context_.limiter.has_limits()) return ids;
-  for (const LimitNotice& limit : context_.limiter.limits().All()) {
-    const UpstreamId& id = limit.start.id;
-    const KnownUpstream* upstream = context_.directory.Find(id);
-    const bool is_candidate =
-        upstream != nullptr && upstream->listed.service == service &&
-        !upstream->listed.is_leaving &&
-        (!HasEvents() || upstream->listed.software == stream_software_);
-    if (is_candidate &&
-        !context_.limiter.HasPermit(id, RequestPurpose::kLive)) {
-      ids.push_back(id);
-    }
-  }
-  return ids;
-}
-
 bool LiveRequest::WaitForPermit(const ServiceName& service) {
   RequestLimiter& limiter = context_.limiter;
   const TimePoint now = context_.clock.Now();
@@ -147,13 +91,8 @@
     permit_deadline_ = now + limiter.settings().max_live_wait;
   }
   if (now >= *permit_deadline_) return false;
-  std::vector<UpstreamId> ids = UpstreamsWithoutPermit(service);
-  bool is_pending = false;
-  for (const UpstreamId& id : ids) {
-    limiter.RequestPermit(id, RequestPurpose::kLive);
-    is_pending |= limiter.IsPermitPending(id, RequestPurpose::kLive);
-  }
-  if (!is_pending) return false;
+  std::vector<UpstreamId> ids = chooser_.WithoutPermit(service);
+  if (!chooser_.RequestPermits(ids)) return false;
   permit_waiter_ = limiter.Wait(std::move(ids), [this] {
     const auto keep = self_;
     permit_waiter_.reset();
@@ -162,17 +101,6 @@
   return permit_waiter_ != nullptr;
 }
 
-std::vector<UpstreamId> LiveRequest::TriedExceptOldest() const {
-  std::vector<UpstreamId> recent;
-  for (auto it = tried_.rbegin(); it != tried_.rend(); ++it) {
-    if (std::find(recent.begin(), recent.end(), *it) == recent.end()) {
-      recent.push_back(*it);
-    }
-  }
-  recent.pop_back();
-  return recent;
-}
-
 std::string LiveRequest::SerializeRequest(const UpstreamId& upstream,
                                           milliseconds left) const {
   proxy::RequestHead head = spec_.request.head;
@@ -197,12 +125,12 @@
     Refuse("crashes_upstreams");
     return;
   }
-  if (HasEvents() && stream_software_.value().empty()) {
+  if (HasEvents() && chooser_.required_software().value().empty()) {
     Refuse("origin_unknown");
     return;
   }
   const ServiceName service = ChooseService();
-  const auto chosen = ChooseUpstream(service);
+  const auto chosen = chooser_.Choose(service);
   if (chosen.has_value()) {
     SendTo(*chosen);
   } else if (!WaitForPermit(service)) {
@@ -216,7 +144,7 @@
     const auto it =
         std::find_if(all.begin(), all.end(), [this](const auto& entry) {
           const DiscoveredUpstream& listed = entry.second.listed;
-          return listed.software == stream_software_ &&
+          return listed.software == chooser_.required_software() &&
                  HasBackend(spec_.route, listed.service);
         });
     if (it != all.end()) return it->second.listed.service;
@@ -235,16 +163,16 @@
 
 void LiveRequest::SendTo(const UpstreamId& chosen) {
   const KnownUpstream* upstream = context_.directory.Find(chosen);
-  if (!tried_.empty()) ++context_.metrics.retries;
+  if (chooser_.attempts() > 0) ++context_.metrics.retries;
   if (is_streaming_) ++context_.metrics.resumed_streams;
   if (HasEvents()) LogResumption(upstream->listed);
   upstream_ = chosen;
   attempt_software_ = upstream->listed.software;
-  tried_.push_back(chosen);
+  chooser_.RecordAttempt(chosen);
   counters_ = upstream->counters;
   counters_->in_flight.fetch_add(1);
   attempt_started_ = context_.clock.Now();
-  if (tried_.size() == 1) {
+  if (chooser_.attempts() == 1) {
     context_.metrics.wait_time.Record(
         SecondsOf(attempt_started_ - spec_.arrived));
   }
@@ -267,13 +195,13 @@
 }
 
 void LiveRequest::RefuseUnplaced(const ServiceName& service) {
-  if (!UpstreamsWithoutPermit(service).empty()) {
+  if (!chooser_.WithoutPermit(service).empty()) {
     is_limited_ = true;
     Refuse("limited");
   } else if (HasEvents()) {
     Refuse("no_upstream_of_version");
   } else {
-    Refuse(tried_.empty() ? "no_upstream" : "no_other_upstream");
+    Refuse(chooser_.attempts() == 0 ? "no_upstream" : "no_other_upstream");
   }
 }
 
@@ -408,13 +336,13 @@
 }
 
 void LiveRequest::RecordStreamBegin() {
-  stream_software_ = attempt_software_;
+  chooser_.RequireSoftware(attempt_software_);
   LOG(INFO) << "event=stream_began request=" << AttemptId()
-            << " upstream=" << *upstream_ << " software=" << stream_software_;
+            << " upstream=" << *upstream_ << " software=" << attempt_software_;
   const std::string* id =
       spec_.request.head.headers.Find(context_.headers.attempt_id);
-  if (id == nullptr || stream_software_.value().empty()) return;
-  context_.stream_origins.Record(forward::AttemptId(*id), stream_software_);
+  if (id == nullptr || attempt_software_.value().empty()) return;
+  context_.stream_origins.Record(forward::AttemptId(*id), attempt_software_);
 }
 
 void LiveRequest::ForwardBody(std::string_view data) {
@@ -503,7 +431,7 @@
   LOG(WARNING) << "event=attempt_failed request=" << AttemptId()
                << " route=" << spec_.route.name << " upstream=" << *upstream_
                << " reason=" << reason << " verdict=" << ToString(verdict)
-               << " attempts=" << tried_.size()
+               << " attempts=" << chooser_.attempts()
                << " ms_left=" << TimeLeft().count();
   if (policy_.CanRetry(TimeLeft())) {
     StartAttempt();
@@ -515,7 +443,7 @@
 void LiveRequest::AbortResponse() {
   LOG(WARNING) << "event=answer_broken request=" << AttemptId()
                << " route=" << spec_.route.name << " upstream=" << *upstream_
-               << " attempts=" << tried_.size();
+               << " attempts=" << chooser_.attempts();
   sink_.OnResponseAborted();
   Finish();
 }
@@ -526,26 +454,12 @@
                                    ? ServiceName()
                                    : spec_.route.backends.front().service;
   const SlotAvailability availability =
-      is_limited_ ? EstimateLimitedAvailability(service)
+      is_limited_ ? chooser_.EstimateLimitedAvailability(service)
                   : EstimateAvailability(context_.directory.table(), service,
                                          context_.clock.Now());
   return context_.retry_after_planner.Plan(service, availability);
 }
 
-SlotAvailability LiveRequest::EstimateLimitedAvailability(
-    const ServiceName& service) const {
-  const auto ids = UpstreamsWithoutPermit(service);
-  SlotAvailability availability;
-  availability.interval = context_.limiter.MeanInterval(ids);
-  availability.wait = Duration::max();
-  for (const UpstreamId& id : ids) {
-    availability.wait =
-        std::min(availability.wait,
-                 context_.limiter.TimeUntilRequest(id, RequestPurpose::kLive));
-  }
-  return ids.empty() ? SlotAvailability{} : availability;
-}
-
 void LiveRequest::Refuse(std::string_view reason) {
   if (is_streaming_) {
     AbortResponse();
@@ -564,7 +478,7 @@
   LOG(WARNING) << "event=refused request=" << AttemptId()
                << " route=" << spec_.route.name << " reason=" << reason
                << " status=" << response.head.status
-               << " attempts=" << tried_.size()
+               << " attempts=" << chooser_.attempts()
                << " upstreams=" << context_.directory.all().size()
                << " ms_left=" << TimeLeft().count();
   ++context_.metrics.refusals[std::string(reason)];
@@ -584,7 +498,7 @@
   LOG(WARNING) << "event=timed_out request=" << AttemptId()
                << " route=" << spec_.route.name << " upstream="
                << (upstream_.has_value() ? upstream_->value() : "-")
-               << " attempts=" << tried_.size();
+               << " attempts=" << chooser_.attempts();
   const bool is_not_run = policy_.verdict() == Verdict::kNotRun;
   proxy::Response response =
       proxy::MakeResponse(is_not_run ? 503 : 504, "{\"error\":\"timed_out\"}");
@@ -603,7 +517,7 @@
             << " route=" << spec_.route.name << " status=" << status
             << " upstream="
             << (upstream_.has_value() ? upstream_->value() : "-")
-            << " attempts=" << tried_.size() << " ms="
+            << " attempts=" << chooser_.attempts() << " ms="
             << std::chrono::duration_cast<milliseconds>(taken).count();
 }
 
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -11,6 +11,7 @@
 #include "briarspread/forward/attempt_policy.h"
 #include "briarspread/forward/forward_context.h"
 #include "briarspread/forward/stream_relay.h"
+#include "briarspread/forward/upstream_chooser.h"
 #include "briarspread/proxy/request_handler.h"
 
 namespace briarspread::forward {
@@ -105,19 +106,11 @@
   /// Returns the service to send to: for a stream that goes on, the one that
   /// began it.
   ServiceName ChooseService();
-  std::optional<UpstreamId> ChooseUpstream(const ServiceName& service);
   void SendTo(const UpstreamId& chosen);
   void LogResumption(const DiscoveredUpstream& upstream) const;
-  /// Returns the upstreams of `service` that have a limit and for which there
-  /// is no permit.
-  std::vector<UpstreamId> UpstreamsWithoutPermit(
-      const ServiceName& service) const;
   /// Waits for a permit for an upstream of `service`. Returns false if none is
   /// to be had soon enough.
   bool WaitForPermit(const ServiceName& service);
-  /// Returns the upstreams that were tried, except the one whose last attempt
-  /// is the oldest. Precondition: at least one was tried.
-  std::vector<UpstreamId> TriedExceptOldest() const;
   std::string SerializeRequest(const UpstreamId& upstream,
                                milliseconds left) const;
   bool CanBeSent() const;
@@ -146,9 +139,6 @@
   Duration StallTimeout() const;
   void OnDeadline();
   void Refuse(std::string_view reason);
-  /// Returns when the limits of the upstreams of `service` leave room.
-  SlotAvailability EstimateLimitedAvailability(
-      const ServiceName& service) const;
   /// Returns the time after which a refused caller should retry.
   Duration RetryAfterTime();
   /// Records how long the upstream took for a complete response.
@@ -163,6 +153,7 @@
   LiveRequestSpec spec_;
   ResponseSink& sink_;
   AttemptPolicy policy_;
+  UpstreamChooser chooser_;
   LoopTimer timer_;
   /// Keeps the request alive; null once it has ended.
   std::shared_ptr<LiveRequest> self_;
@@ -170,13 +161,9 @@
   /// The upstream of the current or last attempt.
   std::optional<UpstreamId> upstream_;
   std::shared_ptr<UpstreamCounters> counters_;
-  std::vector<UpstreamId> tried_;
   TimePoint attempt_started_{};
   /// Software version of the upstream of the current or last attempt.
   SoftwareVersion attempt_software_;
-  /// The version that began the stream, and with which alone it may go on;
-  /// empty before the first event and where it is unknown.
-  SoftwareVersion stream_software_;
   /// Set while the request waits for a permit to be sent.
   std::shared_ptr<RequestLimiter::Waiter> permit_waiter_;
   /// When the request stops waiting for a permit; unset before it waits.
