Reach replicas through another instance while the own links are lost

What callers saw: at instances without links to the replicas nothing was served for the whole of a cut (0 of 13 first tries, 29 of 29 elsewhere).

Cause: the only way to a replica was the direct one, and what a failed connect taught was charged to the replica and forgotten with the request. The class: a fault of the path taken for a fault of the far end, with no memory of it. The store's calls had another way already (StoreTransport), requests had none.

Change: UpstreamTransport stands between requests and the connection pool. DirectPaths judges by connects: two endpoints that fail with none connected raise suspicion, trial connections in the background confirm it (another service's upstream first) and find out when links are back, one upstream after the other. Until then exchanges pass through a peer (RelayedExchange, RelayHandler): near ones first, one hop only, refused at once by peers that are cut off themselves, "not run" only where the peer says so. Failures of the path are not recorded against the replica. Orders and reports never pass through a peer. The connect timeout to replicas is 250 ms.

--- a/bench/forward_bench/event_gateway.cc
+++ b/bench/forward_bench/event_gateway.cc
@@ -41,6 +41,8 @@
         directory_(forward::UpstreamDirectorySettings{}, Locality{}, clock_),
         router_(TwoChoicesSettings{}, random_, clock_),
         pool_(loop_, proxy::UpstreamConnectionSettings{}),
+        upstreams_(loop_, pool_, directory_, metrics_, clock_,
+                   forward::UpstreamTransportSettings{}),
         crash_guard_(forward::CrashGuardSettings{},
                      ProcessId{InstanceId("bench"), Incarnation(1)}, clock_),
         retry_after_planner_(forward::RetryAfterPlannerSettings{}, clock_,
@@ -54,7 +56,7 @@
                  configuration_,
                  directory_,
                  router_,
-                 pool_,
+                 upstreams_,
                  crash_guard_,
                  metrics_,
                  retry_after_planner_,
@@ -104,6 +106,7 @@
   TwoChoicesRouter router_;
   proxy::ConnectionPool pool_;
   forward::ForwardMetrics metrics_;
+  forward::UpstreamTransport upstreams_;
   forward::CrashGuard crash_guard_;
   forward::RetryAfterPlanner retry_after_planner_;
   forward::RequestLimiter limiter_;
--- a/briarspread/batch/item_run.cc
+++ b/briarspread/batch/item_run.cc
@@ -66,7 +66,8 @@
   request.echo_name = context_.headers.attempt_id;
   request.echo_value = spec_.attempt_id;
   context_.limiter.RecordSend(spec_.engine, forward::RequestPurpose::kItem);
-  exchange_ = context_.pool.Start(std::move(request), *this);
+  exchange_ = context_.upstreams.Start({spec_.engine, spec_.start_id},
+                                       std::move(request), *this);
 }
 
 void ItemRun::ReleaseSlot() {
@@ -184,9 +185,7 @@
 void ItemRun::OnFailure(const proxy::ExchangeFailure& failure) {
   exchange_.reset();
   ++context_.metrics.faults[std::string(ToString(failure.fault))];
-  if (!failure.was_reused_connection) {
-    context_.directory.RecordFailure(spec_.engine);
-  }
+  context_.upstreams.RecordFailure(spec_.engine, failure);
   End(RunOutcome::kBroken);
 }
 
--- a/briarspread/fleet/peer_client.cc
+++ b/briarspread/fleet/peer_client.cc
@@ -14,11 +14,7 @@
   return settings;
 }
 
-}  // namespace
-
-PeerClient::PeerClient(asio::io_context& loop) : pool_(loop, PeerSettings()) {}
-
-void PeerClient::Call(const Endpoint& peer, PeerCall call, Done done) {
+proxy::ExchangeRequest MakeRequest(const Endpoint& peer, PeerCall call) {
   proxy::RequestHead head;
   head.method = std::move(call.method);
   head.target = std::move(call.target);
@@ -26,8 +22,22 @@
   proxy::ExchangeRequest request;
   request.to = peer;
   request.bytes = proxy::Serialize(head, call.body);
+  request.is_head_request = head.method == "HEAD";
   request.timeout = call.timeout;
-  StartCall(pool_, std::move(request),
+  return request;
+}
+
+}  // namespace
+
+PeerClient::PeerClient(asio::io_context& loop) : pool_(loop, PeerSettings()) {}
+
+std::unique_ptr<proxy::Exchange> PeerClient::Start(
+    const Endpoint& peer, PeerCall call, proxy::ExchangeListener& listener) {
+  return pool_.Start(MakeRequest(peer, std::move(call)), listener);
+}
+
+void PeerClient::Call(const Endpoint& peer, PeerCall call, Done done) {
+  StartCall(pool_, MakeRequest(peer, std::move(call)),
             [done = std::move(done)](proxy::CallResult result) {
               if (auto* response = std::get_if<proxy::Response>(&result)) {
                 done(std::move(*response));
--- a/briarspread/fleet/peer_client.h
+++ b/briarspread/fleet/peer_client.h
@@ -2,6 +2,7 @@
 #define BRIARSPREAD_FLEET_PEER_CLIENT_H_
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "briarspread/core/result.h"
@@ -15,6 +16,7 @@
   /// Path and query.
   std::string target;
   std::string body;
+  /// Maximum time until the response is complete; zero for no limit.
   milliseconds timeout{1000};
 };
 
@@ -29,6 +31,10 @@
   /// Precondition: `loop` outlives this object.
   explicit PeerClient(asio::io_context& loop);
 
+  /// Starts a call whose response is passed on as it arrives. Precondition:
+  /// `listener` lives until the exchange ends, fails or is cancelled.
+  std::unique_ptr<proxy::Exchange> Start(const Endpoint& peer, PeerCall call,
+                                         proxy::ExchangeListener& listener);
   /// Calls a peer. `done` is called exactly once, from the loop.
   void Call(const Endpoint& peer, PeerCall call, Done done);
 
--- a/briarspread/forward/forward_context.h
+++ b/briarspread/forward/forward_context.h
@@ -13,7 +13,7 @@
 #include "briarspread/forward/retry_after_planner.h"
 #include "briarspread/forward/stream_origins.h"
 #include "briarspread/forward/upstream_directory.h"
-#include "briarspread/proxy/connection_pool.h"
+#include "briarspread/forward/upstream_transport.h"
 #include "briarspread/routing/router.h"
 
 namespace briarspread::forward {
@@ -28,7 +28,7 @@
   ConfigurationHolder& configuration;
   UpstreamDirectory& directory;
   Router& router;
-  proxy::ConnectionPool& pool;
+  UpstreamTransport& upstreams;
   CrashGuard& crash_guard;
   ForwardMetrics& metrics;
   RetryAfterPlanner& retry_after_planner;
--- a/briarspread/forward/forward_metrics.cc
+++ b/briarspread/forward/forward_metrics.cc
@@ -36,6 +36,9 @@
   out.CounterEach("briarspread_upstream_faults_total", "fault", metrics.faults);
   out.Counter("briarspread_retries_total", metrics.retries);
   out.Counter("briarspread_resumed_streams_total", metrics.resumed_streams);
+  out.Counter("briarspread_relayed_exchanges_total", metrics.relayed_exchanges);
+  out.CounterEach("briarspread_relayed_for_peers_total", "outcome",
+                  metrics.relayed_for_peers);
   out.Counter("briarspread_callers_gone_total", metrics.disconnected_callers);
   out.Type("briarspread_stage_seconds", "summary");
   out.Summary("briarspread_stage_seconds", "stage=\"wait\"",
--- a/briarspread/forward/forward_metrics.h
+++ b/briarspread/forward/forward_metrics.h
@@ -33,6 +33,10 @@
   std::map<std::string, std::uint64_t> faults;
   /// Refused requests, by reason.
   std::map<std::string, std::uint64_t> refusals;
+  /// Exchanges that were to pass through another instance.
+  std::uint64_t relayed_exchanges = 0;
+  /// Exchanges relayed for other instances, by outcome.
+  std::map<std::string, std::uint64_t> relayed_for_peers;
   /// Callers that disconnected before their response had ended.
   std::uint64_t disconnected_callers = 0;
   /// Seconds that each attempt spent at an upstream, failed attempts included.
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -191,7 +191,8 @@
   }
   context_.limiter.TakePermit(chosen, RequestPurpose::kLive);
   context_.limiter.RecordSend(chosen, RequestPurpose::kLive);
-  exchange_ = context_.pool.Start(std::move(request), *this);
+  exchange_ = context_.upstreams.Start({chosen, upstream->listed.start_id},
+                                       std::move(request), *this);
 }
 
 void LiveRequest::RefuseUnplaced(const ServiceName& service) {
@@ -413,9 +414,7 @@
                                               FingerprintOf(spec_.request));
   }
   ++context_.metrics.faults[std::string(ToString(failure.fault))];
-  if (!failure.was_reused_connection) {
-    context_.directory.RecordFailure(*upstream_);
-  }
+  context_.upstreams.RecordFailure(*upstream_, failure);
   if (relay_.has_value()) {
     relay_->Restart();
   } else if (is_streaming_) {
--- a/briarspread/proxy/connection_pool.cc
+++ b/briarspread/proxy/connection_pool.cc
@@ -57,16 +57,21 @@
   return taken;
 }
 
+ConnectionPool::Connection ConnectionPool::Open(const Endpoint& to) {
+  const auto connection = std::make_shared<UpstreamConnection>(
+      loop_.get_executor(), settings_, to, observer_,
+      [this](const Connection& idle) { OnReleased(idle); });
+  all_.insert(connection);
+  ++opened_;
+  return connection;
+}
+
+void ConnectionPool::Connect(const Endpoint& to) { Open(to)->Open(); }
+
 std::unique_ptr<Exchange> ConnectionPool::Start(ExchangeRequest request,
                                                 ExchangeListener& listener) {
   Connection connection = TakeIdle(request);
-  if (connection == nullptr) {
-    connection = std::make_shared<UpstreamConnection>(
-        loop_.get_executor(), settings_, request.to,
-        [this](const Connection& idle) { OnReleased(idle); });
-    all_.insert(connection);
-    ++opened_;
-  }
+  if (connection == nullptr) connection = Open(request.to);
   connection->Run(std::move(request), listener);
   return std::make_unique<PooledExchange>(connection);
 }
--- a/briarspread/proxy/connection_pool.h
+++ b/briarspread/proxy/connection_pool.h
@@ -7,6 +7,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "briarspread/proxy/connection_observer.h"
 #include "briarspread/proxy/upstream_connection.h"
 
 namespace briarspread::proxy {
@@ -30,6 +31,13 @@
   /// exchange ends, fails or is cancelled.
   std::unique_ptr<Exchange> Start(ExchangeRequest request,
                                   ExchangeListener& listener);
+  /// Sets the observer of all connections opened from now on. Precondition:
+  /// `observer` outlives the connections.
+  void SetObserver(ConnectionObserver& observer) { observer_ = &observer; }
+  /// Opens a connection to `to` that is kept idle for the next exchange.
+  void Connect(const Endpoint& to);
+  /// Returns whether there is an idle connection to `to`.
+  bool HasIdle(const Endpoint& to) const { return idle_.contains(to); }
   /// Closes the idle connections to `to`, such as those to a removed upstream.
   void CloseIdle(const Endpoint& to);
 
@@ -45,11 +53,13 @@
   class PooledExchange;
   using Connection = std::shared_ptr<UpstreamConnection>;
 
+  Connection Open(const Endpoint& to);
   Connection TakeIdle(const ExchangeRequest& request);
   void OnReleased(const Connection& connection);
 
   asio::io_context& loop_;
   const UpstreamConnectionSettings settings_;
+  ConnectionObserver* observer_ = nullptr;
   /// Idle connections by endpoint, the most recently used last.
   std::map<Endpoint, std::vector<Connection>> idle_;
   std::unordered_set<Connection> all_;
--- a/briarspread/proxy/exchange.h
+++ b/briarspread/proxy/exchange.h
@@ -34,6 +34,8 @@
   /// received. This says little about the upstream's health: the upstream may
   /// have closed the connection because it was idle.
   bool was_reused_connection = false;
+  /// Whether another instance carried out the exchange.
+  bool was_relayed = false;
 };
 
 /// Callbacks for the progress of one exchange. Called from the event loop,
--- a/briarspread/proxy/upstream_connection.cc
+++ b/briarspread/proxy/upstream_connection.cc
@@ -56,11 +56,12 @@
 UpstreamConnection::UpstreamConnection(
     const asio::any_io_executor& executor,
     const UpstreamConnectionSettings& settings, Endpoint to,
-    OnReleased on_released)
+    ConnectionObserver* observer, OnReleased on_released)
     : socket_(executor),
       timer_(executor),
       settings_(settings),
       to_(std::move(to)),
+      observer_(observer),
       on_released_(std::move(on_released)),
       reader_(MessageReader::Kind::kResponse, settings.limits),
       idle_timeout_(settings.idle_timeout) {}
@@ -115,7 +116,12 @@
         }
         SetSocketOptions(self->socket_, self->settings_.dead_peer);
         self->is_connected_ = true;
-        self->Send();
+        if (self->observer_ != nullptr) self->observer_->OnConnected(self->to_);
+        if (self->listener_ == nullptr) {
+          self->BecomeIdle();
+        } else {
+          self->Send();
+        }
       });
 }
 
@@ -242,6 +248,7 @@
     return false;
   }
   is_head_processed_ = true;
+  if (observer_ != nullptr) observer_->OnResponseHead(to_);
   idle_timeout_ = IdleTimeout(head);
   listener_->OnHead(head);
   return !is_closed_ && listener_ != nullptr;
@@ -299,6 +306,9 @@
 
 void UpstreamConnection::Fail(ExchangeFault fault, Verdict verdict) {
   ExchangeListener* listener = listener_;
+  if (observer_ != nullptr && fault == ExchangeFault::kNotConnected) {
+    observer_->OnNotConnected(to_);
+  }
   const ExchangeFailure failure{
       fault, verdict,
       is_reused_ && !reader_.has_started() && fault == ExchangeFault::kBroken};
--- a/briarspread/proxy/upstream_connection.h
+++ b/briarspread/proxy/upstream_connection.h
@@ -11,6 +11,7 @@
 
 #include "briarspread/core/clock.h"
 #include "briarspread/core/upstream.h"
+#include "briarspread/proxy/connection_observer.h"
 #include "briarspread/proxy/exchange.h"
 #include "briarspread/proxy/message_reader.h"
 #include "briarspread/proxy/socket_options.h"
@@ -76,10 +77,14 @@
   /// Called when the connection becomes idle after an exchange, or is closed.
   using OnReleased = std::function<void(std::shared_ptr<UpstreamConnection>)>;
 
+  /// Precondition: `observer` is null or outlives this object.
   UpstreamConnection(const asio::any_io_executor& executor,
                      const UpstreamConnectionSettings& settings, Endpoint to,
-                     OnReleased on_released);
+                     ConnectionObserver* observer, OnReleased on_released);
 
+  /// Establishes the connection without an exchange. Precondition: nothing was
+  /// started yet.
+  void Open() { Connect(); }
   /// Starts an exchange, establishing the connection first if needed.
   /// Precondition: no other exchange is in flight and `is_usable()`.
   void Run(ExchangeRequest request, ExchangeListener& listener);
@@ -117,6 +122,7 @@
   asio::steady_timer timer_;
   const UpstreamConnectionSettings& settings_;
   const Endpoint to_;
+  ConnectionObserver* const observer_;
   OnReleased on_released_;
   MessageReader reader_;
   ExchangeRequest request_;
--- a/tests/forward/forward_fixture.h
+++ b/tests/forward/forward_fixture.h
@@ -49,6 +49,8 @@
         directory(UpstreamDirectorySettings{}, Locality{}, clock),
         router(TwoChoicesSettings{}, random, clock),
         pool(loop, proxy::UpstreamConnectionSettings{}),
+        upstreams(loop, pool, directory, metrics, clock,
+                  UpstreamTransportSettings{}),
         crash_guard(CrashGuardSettings{},
                     ProcessId{InstanceId("self"), Incarnation(1)}, clock),
         retry_after_planner(RetryAfterPlannerSettings{}, clock, random),
@@ -61,7 +63,7 @@
                 configuration,
                 directory,
                 router,
-                pool,
+                upstreams,
                 crash_guard,
                 metrics,
                 retry_after_planner,
@@ -99,8 +101,9 @@
   UpstreamDirectory directory;
   TwoChoicesRouter router;
   proxy::ConnectionPool pool;
-  CrashGuard crash_guard;
   ForwardMetrics metrics;
+  UpstreamTransport upstreams;
+  CrashGuard crash_guard;
   RetryAfterPlanner retry_after_planner;
   RequestLimiter limiter;
   LocalStreamOrigins stream_origins;
