Give the order lease up while the own links to replicas are lost

Cause: the lease follows the holder's registration in the store, which a cut of the links to replicas doesn't touch. Ruled out: sending orders through a peer, since orders from two machines count as orders of two holders.

Change: an instance whose links are lost is not eligible: it writes the same release as before a planned stop, with the time the next holder has to wait, tries again if the store does not confirm, and does not contend.

Test: order_lease_test.

--- a/briarspread/fleet/order_lease.cc
+++ b/briarspread/fleet/order_lease.cc
@@ -51,6 +51,11 @@
   const std::optional<KeyValue>& record = registry_.order_lease_record();
   if (is_holder()) {
     StepDownIfReplaced(record);
+    if (is_holder() && !is_eligible_) Yield();
+    return;
+  }
+  if (!is_eligible_) {
+    free_since_ = {};
     return;
   }
   const std::optional<AcquisitionPlan> plan =
@@ -143,7 +148,7 @@
 }
 
 bool OrderLease::MaySend() {
-  if (!is_holder()) return false;
+  if (!is_holder() || !is_eligible_) return false;
   const TimePoint now = clock_.NowWithSuspension();
   if (now < wait_until_) return false;
   if (!is_wait_cleared_) {
@@ -182,9 +187,8 @@
   fencing_ = {};
 }
 
-void OrderLease::Release() {
-  was_released_ = true;
-  if (!is_holder()) return;
+void OrderLease::WriteRelease(
+    std::function<void(const Result<StoreOutcome>&)> done) {
   TimePoint free_from = wait_until_;
   if (last_sent_at_ != TimePoint{}) {
     free_from = std::max(free_from, last_sent_at_ + HandoverGap());
@@ -199,14 +203,32 @@
       {InstanceRegistry::kOrderLeaseKey, StoreIndex(fencing_.value())});
   release.writes.push_back(
       {InstanceRegistry::kOrderLeaseKey, Encode(record), StoreLeaseId()});
-  fencing_ = {};
-  store_.Commit(std::move(release), [](const Result<StoreOutcome>& outcome) {
+  store_.Commit(std::move(release), std::move(done));
+}
+
+void OrderLease::Yield() {
+  is_call_in_flight_ = true;
+  WriteRelease([this](const Result<StoreOutcome>& outcome) {
+    is_call_in_flight_ = false;
+    if (!IsOk(outcome)) return;
+    LOG(INFO) << "event=order_right_yielded fencing=" << fencing_;
+    // After a conflict the record is another's, or this release's own, whose
+    // first answer was lost.
+    fencing_ = {};
+  });
+}
+
+void OrderLease::Release() {
+  was_released_ = true;
+  if (!is_holder()) return;
+  WriteRelease([](const Result<StoreOutcome>& outcome) {
     // If the write failed, others take over once this registration has expired.
     const bool is_done =
         IsOk(outcome) &&
         std::holds_alternative<StoreCommitted>(ValueOf(outcome));
     LOG(INFO) << "event=order_right_released done=" << is_done;
   });
+  fencing_ = {};
 }
 
 }  // namespace briarspread
--- a/briarspread/fleet/order_lease.h
+++ b/briarspread/fleet/order_lease.h
@@ -1,6 +1,7 @@
 #ifndef BRIARSPREAD_FLEET_ORDER_LEASE_H_
 #define BRIARSPREAD_FLEET_ORDER_LEASE_H_
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -62,6 +63,9 @@
   /// Asks the store to confirm the lease again. Called when an upstream has
   /// seen a higher fencing number.
   void Reconfirm();
+  /// Sets whether this instance can send orders at all. While it cannot, it
+  /// releases the lease, and does not contend for it.
+  void SetEligible(bool is_eligible) { is_eligible_ = is_eligible; }
   /// Releases the lease for a planned stop, recording how long the next holder
   /// has to wait. This object never acquires the lease again.
   void Release();
@@ -107,6 +111,12 @@
   /// Reads the record from the store; steps down if it has changed.
   void Confirm();
   void StepDown();
+  /// Writes a record without a holder, with the time that the next one has to
+  /// wait. Precondition: this instance is the holder.
+  void WriteRelease(std::function<void(const Result<StoreOutcome>&)> done);
+  /// Releases the lease of an instance that cannot send orders. Tried again by
+  /// the next step if the store does not confirm.
+  void Yield();
 
   AsyncStore& store_;
   const InstanceRegistry& registry_;
@@ -130,6 +140,7 @@
   TimePoint free_since_{};
   bool is_call_in_flight_ = false;
   bool was_released_ = false;
+  bool is_eligible_ = true;
 };
 
 }  // namespace briarspread
--- a/tests/fleet/order_lease_test.cc
+++ b/tests/fleet/order_lease_test.cc
@@ -71,6 +71,38 @@
   }
 }
 
+// Guards against the failure of 2026-12-04: a holder without links to the
+// upstreams kept the lease, and no version was loaded.
+TEST_CASE("a holder that cannot reach upstreams gives the lease up") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  Instance a(loop, store, clock, "a");
+  AcquireAndWait(loop, store, clock, a);
+  a.order_lease.RecordOrderSent();
+  a.order_lease.SetEligible(false);
+  REQUIRE_FALSE(a.order_lease.MaySend());
+  // The first write is lost; the next step tries again.
+  store.SetFault(Fault::kRefuse);
+  a.order_lease.Step();
+  store.Deliver();
+  store.SetFault(Fault::kNone);
+  a.order_lease.Step();
+  store.Deliver();
+  REQUIRE_FALSE(a.order_lease.is_holder());
+  a.order_lease.Step();
+  store.Deliver();
+  REQUIRE_FALSE(a.order_lease.is_holder());
+  Instance b(loop, store, clock, "b");
+  Acquire(loop, store, b);
+  clock.Advance(OrderLeaseSettings{}.stagger);
+  b.order_lease.Step();
+  store.Deliver();
+  REQUIRE(b.order_lease.is_holder());
+  // Orders of the two are kept apart.
+  REQUIRE_FALSE(b.order_lease.MaySend());
+}
+
 TEST_CASE("a holder asked to reconfirm reads the record and steps down") {
   asio::io_context loop;
   AsyncMemoryStore store;
