Pause an item whose runs break before their first event

Change: after two such runs, which go to other engines at once, an item pauses 50 ms, doubled up to 400 ms; it is never given up for that.

Test: decisions_test; the old code has no pause.

--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -51,12 +51,14 @@
     std::size_t item;
     WaitingItem order;
   };
+  const TimePoint now = context_.clock.Now();
   std::vector<Place> waiting;
   for (auto& [id, job] : jobs_) {
     if (job.record.is_ended || job.is_ending || job.is_paused) continue;
     for (std::size_t i = 0; i < job.ledger.item_count(); ++i) {
       const ItemState& state = job.ledger.item(i);
       if (state.phase != ItemPhase::kWaiting) continue;
+      if (job.placement_pauses.IsPausing(i, now)) continue;
       waiting.push_back(
           {&job, i,
            WaitingItem{job.ledger.limits().due,
@@ -395,6 +397,11 @@
       break;
     }
   }
+  if (outcome == RunOutcome::kBroken && run.events() == 0) {
+    job.placement_pauses.RecordEmptyRun(i, now);
+  } else {
+    job.placement_pauses.RecordOtherRun(i);
+  }
   RecordRunEnd(run, outcome, now);
   if (job.ledger.item(i).phase == ItemPhase::kScoring) {
     pending_rewards_[ItemKey(id, i)] = now;
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -20,6 +20,7 @@
 #include "briarspread/batch/job_ledger.h"
 #include "briarspread/batch/job_store.h"
 #include "briarspread/batch/peer_engine_loads.h"
+#include "briarspread/batch/placement_pauses.h"
 #include "briarspread/batch/reward_run.h"
 #include "briarspread/fleet/instance_record.h"
 #include "briarspread/fleet/loop_timer.h"
@@ -205,6 +206,7 @@
     LoopTimer listing_timer;
     /// Engines that an item must avoid, by item.
     std::map<std::size_t, std::vector<UpstreamId>> avoided_engines;
+    PlacementPauses placement_pauses{PlacementPausesSettings{}};
     /// How many runs of an item were ended because they stalled, by item.
     std::map<std::size_t, std::size_t> stalled_run_counts;
     /// The engine that last read the prompt of a group, by group.
--- a/tests/batch/decisions_test.cc
+++ b/tests/batch/decisions_test.cc
@@ -7,6 +7,7 @@
 #include "briarspread/batch/item_order.h"
 #include "briarspread/batch/job_index.h"
 #include "briarspread/batch/peer_engine_loads.h"
+#include "briarspread/batch/placement_pauses.h"
 #include "tests/support/manual_clock.h"
 
 namespace briarspread::batch {
@@ -190,5 +191,27 @@
   REQUIRE_FALSE(ParseEngineLoads("{\"e\":-1}").has_value());
 }
 
+TEST_CASE("an item whose runs break at once is placed after growing pauses") {
+  const PlacementPausesSettings settings;
+  PlacementPauses pauses(settings);
+  TimePoint now{};
+  constexpr std::size_t kItem = 3;
+  for (std::uint32_t run = 0; run < settings.free_runs; ++run) {
+    pauses.RecordEmptyRun(kItem, now);
+    REQUIRE_FALSE(pauses.IsPausing(kItem, now));
+  }
+  for (milliseconds pause = settings.initial_pause;
+       pause < 4 * settings.max_pause; pause *= 2) {
+    pauses.RecordEmptyRun(kItem, now);
+    REQUIRE_FALSE(pauses.IsPausing(kItem + 1, now));
+    now += std::min(pause, settings.max_pause);
+    REQUIRE(pauses.IsPausing(kItem, now - milliseconds(1)));
+    REQUIRE_FALSE(pauses.IsPausing(kItem, now));
+  }
+  pauses.RecordOtherRun(kItem);
+  pauses.RecordEmptyRun(kItem, now);
+  REQUIRE_FALSE(pauses.IsPausing(kItem, now));
+}
+
 }  // namespace
 }  // namespace briarspread::batch
