--- a/tests/platform/resumed_stream_test.cc
+++ b/tests/platform/resumed_stream_test.cc
@@ -81,6 +81,33 @@
   REQUIRE(RequestStream(fixture, two, "again", "begun") == 200);
 }
 
+// Guards against the failure of 2026-12-04: no stream went on after all
+// instances had died, since the versions were kept in memory only.
+TEST_CASE("a stream's version is known after all instances have died") {
+  EdgeFixture fixture;
+  FakeReplica other(fixture.loop);
+  fixture.store.memory().Write("servers/desk-2",
+                               other.Registration("desk", "v2"));
+  {
+    ReadyInstance one(fixture, fixture.Settings("one"));
+    ReadyInstance two(fixture, fixture.Settings("two"));
+    REQUIRE(RequestStream(fixture, one, "begun") == 200);
+    // What is written to the store meanwhile is there afterwards.
+    for (int i = 0; i < 10; ++i) {
+      fixture.Call(*two.settings.peer, "GET", "/v1/ping");
+    }
+  }
+  FakeReplica& begun_by =
+      fixture.replica.requests > 0 ? fixture.replica : other;
+  ReadyInstance one(fixture, fixture.Settings("one"));
+  ReadyInstance two(fixture, fixture.Settings("two"));
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "again-" + std::to_string(i);
+    REQUIRE(RequestStream(fixture, two, id, "begun") == 200);
+  }
+  REQUIRE(begun_by.requests == 5);
+}
+
 TEST_CASE("a stream whose version is not known is refused as not run") {
   EdgeFixture fixture;
   ReadyInstance one(fixture, fixture.Settings("one"));
