Show by failing tests how a job that is taken over is listed anew

Hypotheses: (1) a submission of the same job that arrives while the new owner still loads it adds the job with nothing of what was listed; (2) two takeovers by one instance, the second of which overwrites; (3) a listing of the store that misses chunks.

The first is shown: the store's answer to the submission names this start of the instance as the owner, TryAccept adds an empty job without a log line, and the load that ends afterwards finds the job owned and restores nothing. Three items run again. The last guard fails too: a chunk of an earlier owner at the same position is taken for an own write whose answer was lost. The second does not lose anything: the later load finds the job owned with the same list. The third has not been seen; a listing with a gap is read without an error.

--- a/tests/batch/job_runner_test.cc
+++ b/tests/batch/job_runner_test.cc
@@ -242,6 +242,61 @@
               fixture.headers.last_event_id) == 2);
 }
 
+// Guards against the failure of 2026-12-04 (TWICE): a job that was submitted
+// again while its new owner was loading it was listed anew from the beginning.
+TEST_CASE("a job submitted again during its takeover keeps what was listed") {
+  JobRunnerFixture fixture;
+  FakeUpstream engine(fixture.loop, fixture.AnswerWithEvents(2));
+  fixture.AddEngine("e", engine);
+  const JobSpec spec = JobRunnerFixture::Spec(3);
+  REQUIRE(fixture.Accept(spec));
+  const ResultPage before = fixture.AwaitResults(3);
+  const StoredRecord record = fixture.runner.RecordOf(spec.id);
+  fixture.runner.DropJob(spec.id);
+
+  InstanceRecord other_self;
+  other_self.name = InstanceId("other");
+  RecordingListener other_listener;
+  JobRunner other(fixture.context, fixture.jobs,
+                  JobRunnerFixture::FastSettings(), other_self, other_listener);
+  other.Start();
+  int answered = 0;
+  const auto count = [&](const Result<std::monostate>& got) {
+    answered += IsOk(got);
+  };
+  SECTION("the takeover's answer comes first") {
+    other.Adopt(record, JobHandover{}, count);
+    other.Accept(spec, "key", count);
+  }
+  SECTION("the submission's answer comes first") {
+    other.Accept(spec, "key", count);
+    other.Adopt(record, JobHandover{}, count);
+  }
+  SECTION("the takeover's answer is lost") {
+    fixture.store.SetFault(AsyncMemoryStore::Fault::kLoseAnswer);
+    other.Adopt(record, JobHandover{}, [&](const auto&) { ++answered; });
+    fixture.store.SetFault(AsyncMemoryStore::Fault::kNone);
+    other.Accept(spec, "key", count);
+  }
+  fixture.AwaitStore([&] { return answered == 2 && other.Owns(spec.id); });
+  const std::size_t runs = engine.requests.size();
+  for (int i = 0; i < 20; ++i) {
+    fixture.loop.restart();
+    fixture.loop.run_one_for(milliseconds(5));
+    fixture.store.Deliver();
+  }
+  // Nothing is run anew, and all stands at its position.
+  REQUIRE(engine.requests.size() == runs);
+  std::optional<ResultPage> after;
+  other.Read(spec.id, 0, milliseconds(0),
+             [&](const Result<ResultPage>& got) { after = ValueOf(got); });
+  fixture.AwaitStore([&] { return after.has_value(); });
+  REQUIRE(after->results.size() == 3);
+  for (std::size_t i = 0; i < 3; ++i) {
+    REQUIRE(after->results[i].id == before.results[i].id);
+  }
+}
+
 // Guards against a failure of a simulated day (mantaro-rl trouble-2 --seed
 // 678892846401, TWICE): a handover timed out at the owner while the new owner
 // adopted the job, and both ran it.
--- a/tests/batch/job_store_test.cc
+++ b/tests/batch/job_store_test.cc
@@ -103,6 +103,31 @@
           InstanceId("one"));
 }
 
+// Guards against the failure of 2026-12-04: an owner that knew nothing of what
+// was listed took an earlier owner's chunk for its own, and listed anew.
+TEST_CASE("another owner's chunk is not taken for an own write") {
+  JobStoreFixture fixture;
+  const StoreIndex old_index = IndexOf(fixture.Accept("one"));
+  IndexOf(fixture.Append(old_index, Chunk(0, "a")));
+  const StoreIndex index = IndexOf(fixture.ReplaceRecord("two", old_index));
+  REQUIRE(IsChanged(fixture.Append(index, Chunk(0, "b"))));
+  // The same chunk, on the other hand, is one whose answer was lost.
+  fixture.store.SetFault(Fault::kLoseAnswer);
+  REQUIRE_FALSE(IsOk(fixture.Append(index, Chunk(1, "b"))));
+  fixture.store.SetFault(Fault::kNone);
+  IndexOf(fixture.Append(index, Chunk(1, "b")));
+}
+
+TEST_CASE("results with a gap are not read") {
+  JobStoreFixture fixture;
+  const StoreIndex index = IndexOf(fixture.Accept("one"));
+  IndexOf(fixture.Append(index, Chunk(0, "a")));
+  IndexOf(fixture.Append(index, Chunk(2, "b")));
+  REQUIRE_FALSE(IsOk(fixture.Await<std::vector<ItemResult>>([&](auto done) {
+    fixture.jobs.ReadResults(JobId("job"), std::move(done));
+  })));
+}
+
 TEST_CASE("a new owner's record fences the writes of the previous owner") {
   JobStoreFixture fixture;
   const StoreIndex old_index = IndexOf(fixture.Accept("one"));
