Load a job with all its results by whichever way it becomes owned

Cause: two ways to own a job, one of which restored nothing. A submission that came again while the new owner was loading the job (trainers send a batch job again seconds after its 202) found in the store's answer that this start of the instance is the owner, and added the job with an empty list; the load that ended after it changed nothing. The class: one fact (who owns the job) established in two places, of which only one establishes the rest. The last guard let it through: a chunk at the same position was taken for an own write whose answer had been lost, whoever had written it.

Change: JobRunner::LoadOwned is the one way for all but a job accepted just now. A conflict counts as an own write only if the store has the same bytes; an owner that meets another chunk drops what it knew and loads the job again. A listing that misses a chunk is an error and is tried again.

Calls to the store: none more, but for three listings where a submission meets a takeover.

--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -135,9 +135,10 @@
           stored = *changed.current;
           const bool is_own = stored.record.owner == self_.name &&
                               stored.record.incarnation == self_.incarnation;
+          // The store may have results of it already, so it is loaded as every
+          // job that was not accepted just now.
           if (is_own && !stored.record.is_ended) {
-            AddJob(stored, acceptance.spec);
-            ++metrics_.jobs_accepted;
+            LoadOwned(stored, JobHandover{}, [](const auto&) {});
           }
         }
         listener_.OnJobRecord(stored);
@@ -199,7 +200,7 @@
         if (const auto* ok = std::get_if<RecordWritten>(&ValueOf(outcome))) {
           // From now on writes of earlier owners fail, so they can no longer
           // list results.
-          LoadAdopted(StoredRecord{id, record, ok->index}, handover, done);
+          LoadOwned(StoredRecord{id, record, ok->index}, handover, done);
           return;
         }
         const auto& changed = std::get<RecordChanged>(ValueOf(outcome));
@@ -212,43 +213,45 @@
         const JobRecord& now = changed.current->record;
         if (now.owner == self_.name && now.incarnation == self_.incarnation &&
             !Owns(id)) {
-          LoadAdopted(*changed.current, handover, done);
+          LoadOwned(*changed.current, handover, done);
           return;
         }
         done(OkStatus());
       });
 }
 
-void JobRunner::LoadAdopted(const StoredRecord& stored,
-                            const JobHandover& handover,
-                            const Done<std::monostate>& done) {
-  store_.ReadJob(stored,
-                 [this, stored, handover, done](const Result<StoredJob>& read) {
-                   if (!IsOk(read)) {
-                     // The record already names this instance as the owner. A
-                     // later read of the job loads it again.
-                     listener_.OnJobRecord(stored);
-                     done(ErrorOf(read));
-                     return;
-                   }
-                   if (Owns(stored.id)) {
-                     done(OkStatus());
-                     return;
-                   }
-                   const StoredJob& loaded = ValueOf(read);
-                   OwnedJob& job = AddJob(stored, loaded.spec);
-                   job.ledger.RestoreListed(loaded.listed);
-                   RestoreWaitingItems(job.ledger, loaded.progress);
-                   RestoreWaitingItems(job.ledger, handover.progress);
-                   ++metrics_.jobs_adopted;
-                   LOG(INFO) << "event=job_adopted job=" << stored.id
-                             << " listed=" << loaded.listed.size()
-                             << " carried=" << handover.progress.size()
-                             << " kept=" << loaded.progress.size();
-                   listener_.OnJobRecord(stored);
-                   done(OkStatus());
-                   SchedulePlacement();
-                 });
+void JobRunner::LoadOwned(const StoredRecord& stored,
+                          const JobHandover& handover,
+                          const Done<std::monostate>& done) {
+  store_.ReadJob(
+      stored, [this, stored, handover, done](const Result<StoredJob>& read) {
+        if (!IsOk(read)) {
+          // The record already names this instance as the owner. A
+          // later read of the job loads it again.
+          LOG(WARNING) << "event=job_not_loaded job=" << stored.id
+                       << " reason=\"" << ErrorOf(read).message << "\"";
+          listener_.OnJobRecord(stored);
+          done(ErrorOf(read));
+          return;
+        }
+        if (Owns(stored.id)) {
+          done(OkStatus());
+          return;
+        }
+        const StoredJob& loaded = ValueOf(read);
+        OwnedJob& job = AddJob(stored, loaded.spec);
+        job.ledger.RestoreListed(loaded.listed);
+        RestoreWaitingItems(job.ledger, loaded.progress);
+        RestoreWaitingItems(job.ledger, handover.progress);
+        ++metrics_.jobs_adopted;
+        LOG(INFO) << "event=job_adopted job=" << stored.id
+                  << " listed=" << loaded.listed.size()
+                  << " carried=" << handover.progress.size()
+                  << " kept=" << loaded.progress.size();
+        listener_.OnJobRecord(stored);
+        done(OkStatus());
+        SchedulePlacement();
+      });
 }
 
 std::vector<JobId> JobRunner::OpenJobs() const {
@@ -365,10 +368,16 @@
   ++metrics_.jobs_lost;
   LOG(WARNING) << "event=job_lost job=" << id;
   DropJob(id);
-  if (changed.current.has_value()) {
-    listener_.OnJobRecord(*changed.current);
-  } else {
+  if (!changed.current.has_value()) {
     listener_.OnJobDeleted(id);
+    return;
+  }
+  listener_.OnJobRecord(*changed.current);
+  const JobRecord& record = changed.current->record;
+  if (record.owner == self_.name && record.incarnation == self_.incarnation &&
+      !record.is_ended) {
+    // What this instance knew of the job was not what the store has.
+    LoadOwned(*changed.current, JobHandover{}, [](const auto&) {});
   }
 }
 
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -230,8 +230,11 @@
   void TryAccept(const JobId& id);
   void FinishAccept(const JobId& id, const Result<std::monostate>& result);
   OwnedJob& AddJob(const StoredRecord& stored, const JobSpec& spec);
-  void LoadAdopted(const StoredRecord& stored, const JobHandover& handover,
-                   const Done<std::monostate>& done);
+  /// Loads a job whose record names this start of the instance as the owner,
+  /// with all that the store has of it. The only way by which a job becomes
+  /// owned that was not accepted just now.
+  void LoadOwned(const StoredRecord& stored, const JobHandover& handover,
+                 const Done<std::monostate>& done);
   JobLimits LimitsOf(const JobSpec& spec, const JobRecord& record) const;
 
   void SchedulePlacement();
--- a/briarspread/batch/job_store.cc
+++ b/briarspread/batch/job_store.cc
@@ -77,10 +77,14 @@
   return RecordChanged{};
 }
 
-bool HasKey(const StoreConflict& conflict, const std::string& key) {
+/// Returns whether the store has exactly this write.
+bool HasWrite(const StoreConflict& conflict,
+              const StoreTransaction::Write& write) {
   return std::any_of(conflict.current.begin(), conflict.current.end(),
                      [&](const KeyValue& item) {
-                       return item.key == key && item.index.value() != 0;
+                       return item.key == write.key &&
+                              item.index.value() != 0 &&
+                              item.value == write.value;
                      });
 }
 
@@ -143,11 +147,11 @@
     put.writes.push_back({CheckpointKey(id, index, chunk.checkpoint_number),
                           Encode(chunk.checkpoint), StoreLeaseId()});
   }
-  const std::string first_key = put.writes.front().key;
+  const StoreTransaction::Write first = put.writes.front();
   for (const auto& write : put.writes) {
     put.conditions.push_back({write.key, StoreIndex(0)});
   }
-  store_.Commit(std::move(put), [id, index, first_key, done = std::move(done)](
+  store_.Commit(std::move(put), [id, index, first, done = std::move(done)](
                                     const Result<StoreOutcome>& outcome) {
     if (!IsOk(outcome)) {
       done(ErrorOf(outcome));
@@ -161,9 +165,8 @@
     const RecordChanged changed = ToRecordChanged(id, conflict);
     const bool is_same =
         changed.current.has_value() && changed.current->index == index;
-    if (is_same && HasKey(conflict, first_key)) {
-      // Only the owner writes under this index, so an earlier attempt, whose
-      // answer was lost, took effect.
+    if (is_same && HasWrite(conflict, first)) {
+      // An earlier attempt, whose answer was lost, took effect.
       done(RecordOutcome(RecordWritten{index}));
       return;
     }
@@ -193,25 +196,30 @@
 
 void JobStore::ReadResults(const JobId& id,
                            Done<std::vector<ItemResult>> done) {
-  store_.List(ResultPrefix(id),
-              [done = std::move(done)](const Result<StoreListing>& listing) {
-                if (!IsOk(listing)) {
-                  done(ErrorOf(listing));
-                  return;
-                }
-                std::vector<ItemResult> all;
-                for (const KeyValue& item : ValueOf(listing).items) {
-                  auto results = DecodeResults(item.value);
-                  if (!results.has_value()) {
-                    done(Malformed(item.key));
-                    return;
-                  }
-                  for (ItemResult& result : *results) {
-                    all.push_back(std::move(result));
-                  }
-                }
-                done(std::move(all));
-              });
+  const std::string prefix = ResultPrefix(id);
+  store_.List(prefix, [prefix, done = std::move(done)](
+                          const Result<StoreListing>& listing) {
+    if (!IsOk(listing)) {
+      done(ErrorOf(listing));
+      return;
+    }
+    std::vector<ItemResult> all;
+    for (const KeyValue& item : ValueOf(listing).items) {
+      if (item.key != NumberedKey(prefix, all.size())) {
+        done(Malformed(item.key));
+        return;
+      }
+      auto results = DecodeResults(item.value);
+      if (!results.has_value()) {
+        done(Malformed(item.key));
+        return;
+      }
+      for (ItemResult& result : *results) {
+        all.push_back(std::move(result));
+      }
+    }
+    done(std::move(all));
+  });
 }
 
 void JobStore::ReadSpec(const StoredRecord& stored, Done<JobSpec> done) {
--- a/briarspread/batch/job_store.h
+++ b/briarspread/batch/job_store.h
@@ -76,15 +76,17 @@
   /// Replaces the record if it is still at `index`.
   void ReplaceRecord(const JobId& id, const JobRecord& record, StoreIndex index,
                      Done<RecordOutcome> done);
-  /// Writes a chunk if the record is still at `index`, and reports
-  /// `RecordChanged` otherwise. A chunk is written once; a repeated call with
-  /// the same chunk succeeds. Precondition: the chunk is not empty.
+  /// Writes a chunk if the record is still at `index` and the store has no
+  /// other chunk at its position, and reports `RecordChanged` otherwise; with
+  /// the record at `index` in the latter case. A chunk is written once; a
+  /// repeated call with the same chunk succeeds. Precondition: the chunk is not
+  /// empty.
   void Append(const JobId& id, StoreIndex index, const JobChunk& chunk,
               Done<RecordOutcome> done);
   /// Reads the record of a job; fails with `kNotFound` if the store does not
   /// know the job.
   void ReadRecord(const JobId& id, Done<StoredRecord> done);
-  /// Reads the listed results of a job.
+  /// Reads the listed results of a job. Fails if the listing misses some.
   void ReadResults(const JobId& id, Done<std::vector<ItemResult>> done);
   /// Reads the specification of a job. Precondition: `stored` was read from the
   /// store.
