Keep peers in use that merely do not know an upstream, or know that it leaves

The outcome "unknown" goes to the next peer without a pause; for an upstream that the peer knows to be leaving, the request fails as not sent and the sender chooses another.

--- a/briarspread/forward/relay_handler.cc
+++ b/briarspread/forward/relay_handler.cc
@@ -118,12 +118,13 @@
   return true;
 }
 
-void RelayHandler::Refuse(proxy::Responder& responder,
-                          std::string_view reason) {
+void RelayHandler::RespondNotSent(proxy::Responder& responder,
+                                  std::string_view outcome,
+                                  std::string_view reason) {
   ++context_.metrics.relayed_for_peers[std::string(reason)];
   proxy::Response response =
       proxy::MakeResponse(503, "{\"error\":\"" + std::string(reason) + "\"}");
-  response.head.headers.Set(kRelayOutcomeHeader, kRelayRefused);
+  response.head.headers.Set(kRelayOutcomeHeader, std::string(outcome));
   responder.Send(response);
 }
 
@@ -133,18 +134,26 @@
   const auto id = proxy::FindParameter(query, "upstream");
   const auto start = proxy::FindParameter(query, "start");
   if (!id.has_value() || !start.has_value()) {
-    Refuse(*responder, "malformed");
+    RespondNotSent(*responder, kRelayRefused, "malformed");
     return;
   }
   const UpstreamId upstream(*id);
   const KnownUpstream* known = context_.directory.Find(upstream);
   if (known == nullptr ||
       proxy::ParseNumber(*start) != known->listed.start_id) {
-    Refuse(*responder, "upstream_unknown");
+    RespondNotSent(*responder, kRelayUnknownUpstream, "upstream_unknown");
+    return;
+  }
+  if (known->listed.is_leaving) {
+    // The sender has not learned it yet.
+    RespondNotSent(*responder,
+                   FormatRelayFailure(
+                       {proxy::ExchangeFault::kNotConnected, Verdict::kNotRun}),
+                   "upstream_leaving");
     return;
   }
   if (context_.upstreams.is_cut_off()) {
-    Refuse(*responder, "cut_off");
+    RespondNotSent(*responder, kRelayRefused, "cut_off");
     return;
   }
   proxy::ExchangeRequest exchange;
--- a/briarspread/forward/relay_handler.h
+++ b/briarspread/forward/relay_handler.h
@@ -26,7 +26,9 @@
  private:
   void Relay(const proxy::Request& request,
              const std::shared_ptr<proxy::Responder>& responder);
-  void Refuse(proxy::Responder& responder, std::string_view reason);
+  /// Responds for a request that was not sent, with `outcome` as the outcome.
+  void RespondNotSent(proxy::Responder& responder, std::string_view outcome,
+                      std::string_view reason);
 
   ForwardContext& context_;
   std::shared_ptr<std::size_t> in_flight_;
--- a/briarspread/forward/relayed_exchange.cc
+++ b/briarspread/forward/relayed_exchange.cc
@@ -86,7 +86,6 @@
 }
 
 void RelayedExchange::LeavePeer() {
-  peers_.RecordUnusable(*peer_);
   EndAtPeer();
   StartAtNextPeer();
 }
@@ -104,6 +103,12 @@
   const std::string* outcome = head.headers.Find(kRelayOutcomeHeader);
   if (outcome == nullptr || *outcome == kRelayRefused) {
     // An instance that does not know the path has not relayed the request.
+    peers_.RecordUnusable(*peer_);
+    exchange_->Cancel();
+    LeavePeer();
+    return;
+  }
+  if (*outcome == kRelayUnknownUpstream) {
     exchange_->Cancel();
     LeavePeer();
     return;
@@ -135,11 +140,11 @@
 }
 
 void RelayedExchange::OnFailure(const proxy::ExchangeFailure& failure) {
+  peers_.RecordUnusable(*peer_);
   if (failure.verdict == Verdict::kNotRun) {
     LeavePeer();
     return;
   }
-  peers_.RecordUnusable(*peer_);
   EndAtPeer();
   proxy::ExchangeFailure passed_on =
       failure_.value_or(proxy::ExchangeFailure{});
--- a/briarspread/forward/relayed_exchange.h
+++ b/briarspread/forward/relayed_exchange.h
@@ -20,10 +20,12 @@
 /// Header of a peer's response that says what became of the relayed request.
 inline constexpr char kRelayOutcomeHeader[] = "Relay-Outcome";
 /// Values of that header: the response is the upstream's; the peer does not
-/// relay, and the request was not sent; or the word is followed by the names of
-/// a fault and of a verdict.
+/// relay; it does not know this start of the upstream, and in neither case was
+/// the request sent; or the word is followed by the names of a fault and of a
+/// verdict.
 inline constexpr char kRelayAnswered[] = "answered";
 inline constexpr char kRelayRefused[] = "refused";
+inline constexpr char kRelayUnknownUpstream[] = "unknown";
 inline constexpr char kRelayFailed[] = "failed";
 
 /// Returns the value of the outcome header for a failed exchange. Thread-safe.
@@ -69,7 +71,7 @@
  private:
   void StartAtNextPeer();
   PeerCall MakeCall() const;
-  /// Records that the peer does not relay, and tries another.
+  /// Leaves a peer that has not sent the request, and tries another.
   void LeavePeer();
   void EndAtPeer();
 
--- a/tests/forward/relayed_exchange_test.cc
+++ b/tests/forward/relayed_exchange_test.cc
@@ -225,6 +225,27 @@
   REQUIRE(site.upstream.requests.size() == 8);
 }
 
+TEST_CASE("a peer sends nothing to an upstream that is leaving") {
+  Site site(RespondWith(200, ""));
+  for (Peer& peer : site.peers) {
+    peer.fixture.directory.MarkLeaving(UpstreamId("u"));
+  }
+  site.Start();
+  site.AwaitEnd();
+  REQUIRE(site.listener.failure->verdict == Verdict::kNotRun);
+  REQUIRE(site.upstream.requests.empty());
+}
+
+TEST_CASE("peers that do not know an upstream yet relay to others") {
+  Site site(RespondWith(200, "whole"));
+  for (Peer& peer : site.peers) peer.fixture.directory.ReplaceAll({});
+  site.Start();
+  site.AwaitEnd();
+  // Sent directly, since neither peer knows it.
+  REQUIRE(site.listener.body == "whole");
+  REQUIRE(site.relays.Choose({}).has_value());
+}
+
 TEST_CASE("a request is sent directly if no peer relays") {
   Site site(RespondWith(200, "whole"));
   for (Peer& peer : site.peers) peer.knows_path = false;
