Fail requests at once while all instances are cut off

By reading: with no peer left that relays, each attempt of an instance that knows its links to be lost still took a direct connect of 250 ms. It now fails as not sent at once; trial connections go on in the background. Test: fails at once, nothing sent.

--- a/briarspread/forward/relayed_exchange.h
+++ b/briarspread/forward/relayed_exchange.h
@@ -35,13 +35,12 @@
 proxy::ExchangeFailure ParseRelayFailure(std::string_view text);
 
 /// An exchange with an upstream that another instance carries out. Tries
-/// further peers as long as the request was not sent; if none relays, the
-/// exchange is carried out directly. Must be used on the event loop's thread
-/// only.
+/// further peers as long as the request was not sent; if none relays, it is
+/// left to `Spec::start_direct`. Must be used on the event loop's thread only.
 class RelayedExchange final : public proxy::Exchange,
                               public proxy::ExchangeListener {
  public:
-  /// Starts the exchange directly, with the listener that is given.
+  /// Starts the exchange without a peer, with the listener that is given.
   using StartDirect = std::function<std::unique_ptr<proxy::Exchange>(
       proxy::ExchangeRequest, proxy::ExchangeListener&)>;
   /// Called when a peer passed on the head of the upstream's response.
--- a/briarspread/forward/upstream_transport.cc
+++ b/briarspread/forward/upstream_transport.cc
@@ -11,6 +11,23 @@
 
 constexpr std::string_view kLinksOk = "ok";
 
+/// An exchange whose request is not sent, since nothing reaches the upstream.
+class FailedExchange final : public proxy::Exchange {
+ public:
+  FailedExchange(asio::io_context& loop, proxy::ExchangeListener& listener)
+      : timer_(loop) {
+    timer_.After(milliseconds(0), [&listener] {
+      listener.OnFailure(
+          {proxy::ExchangeFault::kNotConnected, Verdict::kNotRun});
+    });
+  }
+  void Cancel() override { timer_.Cancel(); }
+  void SetPaused(bool) override {}
+
+ private:
+  LoopTimer timer_;
+};
+
 }  // namespace
 
 UpstreamTransport::UpstreamTransport(asio::io_context& loop,
@@ -19,7 +36,8 @@
                                      ForwardMetrics& metrics,
                                      const Clock& clock,
                                      const UpstreamTransportSettings& settings)
-    : pool_(pool),
+    : loop_(loop),
+      pool_(pool),
       directory_(directory),
       metrics_(metrics),
       clock_(clock),
@@ -51,7 +69,7 @@
   spec.request = std::move(request);
   spec.start_direct = [this](proxy::ExchangeRequest direct,
                              proxy::ExchangeListener& receiver) {
-    return pool_.Start(std::move(direct), receiver);
+    return StartUnrelayed(std::move(direct), receiver);
   };
   spec.on_reached = [this, to] { paths_.RecordReachedByPeer(to); };
   auto exchange = std::make_unique<RelayedExchange>(
@@ -60,6 +78,12 @@
   return exchange;
 }
 
+std::unique_ptr<proxy::Exchange> UpstreamTransport::StartUnrelayed(
+    proxy::ExchangeRequest request, proxy::ExchangeListener& listener) {
+  if (is_cut_off()) return std::make_unique<FailedExchange>(loop_, listener);
+  return pool_.Start(std::move(request), listener);
+}
+
 void UpstreamTransport::RecordFailure(const UpstreamId& upstream,
                                       const proxy::ExchangeFailure& failure) {
   if (failure.was_reused_connection) return;
--- a/briarspread/forward/upstream_transport.h
+++ b/briarspread/forward/upstream_transport.h
@@ -64,12 +64,17 @@
 
  private:
   bool ShouldRelay(const Endpoint& to) const;
+  /// Starts an exchange that no peer relays: directly, or, if the links are
+  /// known to be lost, one that fails at once.
+  std::unique_ptr<proxy::Exchange> StartUnrelayed(
+      proxy::ExchangeRequest request, proxy::ExchangeListener& listener);
   std::vector<TrialCandidate> ListCandidates() const;
   void ScheduleTrial(milliseconds delay);
   void Try();
   /// Logs a change of what is known about the links.
   void LogState();
 
+  asio::io_context& loop_;
   proxy::ConnectionPool& pool_;
   UpstreamDirectory& directory_;
   ForwardMetrics& metrics_;
--- a/tests/forward/relayed_exchange_test.cc
+++ b/tests/forward/relayed_exchange_test.cc
@@ -246,6 +246,22 @@
   REQUIRE(site.relays.Choose({}).has_value());
 }
 
+TEST_CASE("a request is not sent if all instances are known to be cut off") {
+  Site site(RespondWith(200, ""));
+  // The trial connections of the instance itself fail as well.
+  DiscoveredUpstream listed =
+      site.origin.directory.Find(UpstreamId("u"))->listed;
+  listed.endpoint = Endpoint{"127.0.0.1", briarspread::testing::FreePort()};
+  site.origin.directory.Put(listed);
+  site.origin.upstreams.OnNotConnected(listed.endpoint);
+  site.Await([&] { return site.origin.upstreams.is_cut_off(); });
+  for (Peer& peer : site.peers) peer.knows_path = false;
+  site.Start();
+  site.AwaitEnd();
+  REQUIRE(site.listener.failure->verdict == Verdict::kNotRun);
+  REQUIRE(site.upstream.requests.empty());
+}
+
 TEST_CASE("a request is sent directly if no peer relays") {
   Site site(RespondWith(200, "whole"));
   for (Peer& peer : site.peers) peer.knows_path = false;
