--- a/briarspread/forward/relay_handler.cc
+++ b/briarspread/forward/relay_handler.cc
@@ -164,9 +164,9 @@
   if (!exchange.echo_value.empty()) {
     exchange.echo_name = context_.headers.attempt_id;
   }
-  std::make_shared<RelayedRequest>(context_, upstream, exchange.echo_value,
-                                   responder, in_flight_)
-      ->Start(std::move(exchange));
+  const auto relayed = std::make_shared<RelayedRequest>(
+      context_, upstream, exchange.echo_value, responder, in_flight_);
+  relayed->Start(std::move(exchange));
 }
 
 }  // namespace briarspread::forward
--- a/briarspread/proxy/connection_pool.cc
+++ b/briarspread/proxy/connection_pool.cc
@@ -58,7 +58,7 @@
 }
 
 ConnectionPool::Connection ConnectionPool::Open(const Endpoint& to) {
-  const auto connection = std::make_shared<UpstreamConnection>(
+  auto connection = std::make_shared<UpstreamConnection>(
       loop_.get_executor(), settings_, to, observer_,
       [this](const Connection& idle) { OnReleased(idle); });
   all_.insert(connection);
