--- a/tests/platform/lost_links_test.cc
+++ b/tests/platform/lost_links_test.cc
@@ -116,9 +116,8 @@
 TEST_CASE("a batch job of an instance without links to replicas is run") {
   LostLinks site;
   const Endpoint at = *site.cut_off.settings.frontend;
-  REQUIRE(
-      site.fixture.Call(at, "POST", "/roll/job-1", kSubmission, "job-1")
-          .head.status == 202);
+  REQUIRE(site.fixture.Call(at, "POST", "/roll/job-1", kSubmission, "job-1")
+              .head.status == 202);
   const nlohmann::json page = site.fixture.AwaitResults(at, 2);
   for (const auto& result : page["Results"]) {
     REQUIRE(result["State"] == "complete");
