--- a/briarspread/batch/placement_pauses.h
+++ b/briarspread/batch/placement_pauses.h
@@ -15,8 +15,8 @@
   /// once, on another engine.
   std::uint32_t free_runs = 2;
   /// Pause after the next such run; doubled by each further one.
-  milliseconds initial_pause{50};
-  milliseconds max_pause{400};
+  milliseconds initial_pause{25};
+  milliseconds max_pause{200};
 };
 
 /// Keeps items from being placed again in a loop while their runs break before
