--- a/briarspread/forward/relayed_exchange.cc
+++ b/briarspread/forward/relayed_exchange.cc
@@ -1,8 +1,5 @@
 #include "briarspread/forward/relayed_exchange.h"
 
-#include <glog/logging.h>
-
-#include <array>
 #include <utility>
 
 namespace briarspread::forward {
