Log two errors of new code that were passed over in silence

Found on reading the change once more: a store lease for origins that is not granted, and an order lease whose release the store does not confirm, were tried again without a line. Both now log a warning (origins_not_written, order_right_not_yielded); a member's comment says what it holds.

--- a/briarspread/fleet/order_lease.cc
+++ b/briarspread/fleet/order_lease.cc
@@ -210,7 +210,10 @@
   is_call_in_flight_ = true;
   WriteRelease([this](const Result<StoreOutcome>& outcome) {
     is_call_in_flight_ = false;
-    if (!IsOk(outcome)) return;
+    if (!IsOk(outcome)) {
+      LOG(WARNING) << "event=order_right_not_yielded fencing=" << fencing_;
+      return;
+    }
     LOG(INFO) << "event=order_right_yielded fencing=" << fencing_;
     // After a conflict the record is another's, or this release's own, whose
     // first answer was lost.
--- a/briarspread/forward/direct_paths.h
+++ b/briarspread/forward/direct_paths.h
@@ -68,8 +68,9 @@
 
  private:
   struct Failure {
+    /// When a connection last could not be established.
     TimePoint since{};
-    /// Whether another instance reached the endpoint since then.
+    /// Whether another instance reached the endpoint after the first failure.
     bool is_reached_by_peer = false;
     TimePoint last_trial{};
   };
--- a/briarspread/forward/durable_stream_origins.cc
+++ b/briarspread/forward/durable_stream_origins.cc
@@ -49,6 +49,8 @@
                       is_calling_ = false;
                       last_write_ = clock_.Now();
                       if (!IsOk(granted)) {
+                        LOG(WARNING) << "event=origins_not_written origins="
+                                     << unwritten_.size();
                         ScheduleWrite();
                         return;
                       }
