--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -23,6 +23,8 @@
 constexpr std::size_t kClientsPerEdge = 10;
 constexpr int kMaxJobs = 15;
 constexpr double kRunSeconds = 75;
+/// `garble` spoils 0.02 of a replica's answers: one after 49 others.
+constexpr std::size_t kAnswersBefore = 49;
 /// LOST allows so many.
 constexpr int kAllowed = 3;
 
@@ -105,8 +107,8 @@
 bool IsImpossible(const std::string& item) { return item.ends_with("0005"); }
 
 /// Makes the engine answer impossible items with 422. A faulty engine truncates
-/// the first such answer: less than `Content-Length` bytes come, and then
-/// nothing.
+/// one such answer, after `kAnswersBefore` others: less than `Content-Length`
+/// bytes come, and then nothing.
 void AnswerImpossible(Deployment& deployment, Replica& engine, bool is_faulty,
                       std::atomic<bool>& has_truncated) {
   engine.SetHook([&deployment, &engine, is_faulty, &has_truncated](
@@ -117,7 +119,8 @@
     if (!connection.ReadBody(head.headers, Now() + 5)) return false;
     engine.RecordRun(head, 1, "");
     const std::string body = "{\"error\":\"the prompt cannot be read\"}";
-    if (!is_faulty || has_truncated.exchange(true)) {
+    const bool is_due = is_faulty && engine.runs().size() > kAnswersBefore;
+    if (!is_due || has_truncated.exchange(true)) {
       deployment.record().Line(engine.spec().id + " answers 422 to " + id);
       return connection.SendResponse(422, engine.AnswerHeaders(head), body);
     }
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -19,7 +19,11 @@
 constexpr std::size_t kLongLimit = std::size_t{1} << 20U;
 constexpr std::size_t kReadBefore = std::size_t{64} << 10U;
 constexpr double kReadLaterSeconds = 0.25;
-constexpr int kLongRequests = 12;
+constexpr int kLongRequests = 20;
+constexpr double kLongInterval = 0.25;
+/// Limits of `garble`: how long it lasts, and one answer in so many.
+constexpr double kFaultSeconds = 5.5;
+constexpr std::size_t kAnswersForEach = 50;
 
 /// Returns the byte at a position of a long body.
 char ByteAt(std::size_t position) {
@@ -35,6 +39,7 @@
 /// What a replica read where the rest of a long body was due.
 struct Findings {
   std::atomic<int> early{0};
+  std::atomic<double> first_early{0};
   std::atomic<int> foreign{0};
   std::atomic<int> whole{0};
   std::atomic<int> broken_off{0};
@@ -82,6 +87,13 @@
     const std::size_t length =
         std::strtoull(head.headers.Get("Content-Length").c_str(), nullptr, 10);
     if (length < kLongLimit) return std::nullopt;
+    const auto early = static_cast<std::size_t>(findings.early.load());
+    const bool is_share_used =
+        (early + 1) * kAnswersForEach > replica.runs().size();
+    const double first = findings.first_early;
+    const bool is_over = first > 0 && Now() > first + kFaultSeconds;
+    if (is_share_used || is_over) return std::nullopt;
+    if (first == 0) findings.first_early = Now();
     const std::string id = head.headers.Get("X-Attempt-Id");
     const auto begin = connection.ReadBytes(kReadBefore, Now() + 5);
     if (!begin.has_value()) return false;
@@ -132,13 +144,13 @@
                          {"edge-lim-a-2", kZone, "lim"},
                          {"storage-lim-a-1", kZone, "lim", "storage"}});
   std::atomic<bool> is_over{false};
-  constexpr std::size_t kShortClients = 6;
+  constexpr std::size_t kShortClients = 24;
   std::vector<std::thread> threads;
   threads.reserve(kShortClients);
   for (std::size_t k = 0; k < kShortClients; ++k) {
     threads.emplace_back([&] { SendShort(deployment, is_over); });
   }
-  SleepFor(1);
+  SleepFor(2);
   const std::string body = LongBody();
   int answered = 0;
   for (int n = 0; n < kLongRequests; ++n) {
@@ -153,7 +165,7 @@
     deployment.record().Line(
         "answer to " + id + ": " +
         (answer.has_value() ? std::to_string(answer->status) : "none"));
-    SleepFor(2);
+    SleepFor(kLongInterval);
   }
   SleepFor(3);
   is_over = true;
@@ -171,9 +183,11 @@
           run.target.find("/l/") != std::string::npos && run.body != body;
     }
   }
+  const std::size_t answers = deployment.replicas()[0]->runs().size();
   const std::string seen =
       std::to_string(findings.early.load()) +
-      " long requests answered early; the rest of their bodies was: " +
+      " long requests answered early, of " + std::to_string(answers) +
+      " answers of that replica; the rest of their bodies was: " +
       std::to_string(findings.foreign.load()) + " other bytes, " +
       std::to_string(findings.whole.load()) + " the client's, " +
       std::to_string(findings.broken_off.load()) + " broken off; " +
