--- a/briarspread/batch/job_gateway.cc
+++ b/briarspread/batch/job_gateway.cc
@@ -101,7 +101,7 @@
   const StoredRecord* known = index_.Find(stored.id);
   const bool is_news = known == nullptr || known->index < stored.index;
   index_.Put(stored);
-  orphans_.erase(stored.id);
+  if (!IsOrphan(stored)) orphans_.erase(stored.id);
   if (!is_news || !IsOwnRecord(stored.record)) return;
   for (const InstanceRecord& peer : registry_.Peers()) {
     PeerCall notice;
@@ -140,32 +140,6 @@
       });
 }
 
-void JobGateway::LoadOwnJob(const StoredRecord& stored) {
-  // The record names this instance as the owner, but the job is not loaded
-  // here: the answer to its accept or takeover was lost, or the job has since
-  // been handed over.
-  Orphan& orphan = orphans_[stored.id];
-  if (orphan.is_adopting || runner_->Owns(stored.id)) return;
-  orphan.is_adopting = true;
-  store_.ReadRecord(
-      stored.id, [this, id = stored.id](const Result<StoredRecord>& read) {
-        if (!IsOk(read)) {
-          orphans_.erase(id);
-          return;
-        }
-        const StoredRecord& current = ValueOf(read);
-        index_.Put(current);
-        const bool is_own = IsOwnRecord(current.record);
-        if (!is_own || current.record.is_ended || is_stopping_) {
-          orphans_.erase(id);
-          return;
-        }
-        runner_->Adopt(
-            current, JobHandover{},
-            [this, id](const Result<std::monostate>&) { orphans_.erase(id); });
-      });
-}
-
 void JobGateway::Read(const JobId& id, std::uint64_t after, milliseconds wait,
                       Done<ResultPage> done) {
   if (runner_->Owns(id)) {
--- a/briarspread/batch/job_gateway.h
+++ b/briarspread/batch/job_gateway.h
@@ -30,6 +30,13 @@
   milliseconds takeover_stagger{1500};
   /// Interval between checks for jobs without a reachable owner.
   milliseconds takeover_interval{300};
+  /// Delay before a failed takeover, load or read of a record is retried. It
+  /// doubles with each failure, up to the maximum.
+  milliseconds min_retry_pause{300};
+  milliseconds max_retry_pause{5000};
+  /// Time for which the store is asked whether a write of unknown outcome has
+  /// taken effect: such a write may be executed late.
+  milliseconds unknown_outcome_time{20000};
   /// Interval between full listings of the records in the store, which find
   /// jobs whose notice was lost.
   seconds index_refresh_interval{15};
@@ -72,6 +79,9 @@
   void OnInstancesChanged() { ReviewOwners(); }
   /// Called when another instance announces the record of a job.
   void OnNotice(const StoredRecord& stored) { index_.Put(stored); }
+  /// Called when another instance asks for a job that is not held here: the
+  /// store may name this instance as its owner.
+  void OnUnheldJobRequested(const JobId& id);
   /// Called when another instance hands a job over to this one.
   void OnHandover(const StoredRecord& stored, const JobHandover& handover,
                   Done<std::monostate> done);
@@ -84,12 +94,23 @@
 
   void OnJobRecord(const StoredRecord& stored) override;
   void OnJobDeleted(const JobId& id) override { index_.Erase(id); }
+  void OnOwnershipUnknown(const JobId& id) override {
+    ConfirmRecord(id, settings_.unknown_outcome_time);
+  }
 
  private:
-  /// A job whose owner may be unreachable.
+  /// Delays between retries.
+  struct RetryPause {
+    TimePoint until{};
+    Duration pause{0};
+  };
+
+  /// An open job that no instance may be running: its owner may be unreachable,
+  /// or is this instance, which does not hold it.
   struct Orphan {
-    /// When the owner was first found to be unregistered.
+    /// When it was first found that no instance may be running the job.
     TimePoint lost_at{};
+    RetryPause retry;
     bool is_probing = false;
     bool is_adopting = false;
     /// Consecutive probes that the owner did not answer.
@@ -99,6 +120,14 @@
     bool is_owner_lost = false;
   };
 
+  /// A record that is to be read from the store.
+  struct UnconfirmedRecord {
+    /// Until when a missing record may still appear.
+    TimePoint until{};
+    RetryPause retry;
+    bool is_reading = false;
+  };
+
   void SubmitToPeer(JobSpec spec, const InstanceRecord& home,
                     Done<std::monostate> done);
   /// Looks the record of the job up in the index, then in the store.
@@ -112,7 +141,25 @@
   void ReadBodyFromStore(const StoredRecord& stored, const ItemId& item,
                          Done<std::string> done);
   void EndInStore(const JobId& id, Done<std::monostate> done);
+  /// Loads a job that the store says this instance owns, unless it is held or
+  /// being loaded.
   void LoadOwnJob(const StoredRecord& stored);
+  /// Puts off the next attempt after a failed one.
+  void PauseRetries(RetryPause& retry) const;
+  /// Reads the record of a job from the store, again until it is found or
+  /// `missing_for` has passed, so that a job that names this instance is
+  /// loaded.
+  void ConfirmRecord(const JobId& id, Duration missing_for);
+  void ReadUnconfirmedRecords();
+  void OnUnconfirmedRecordRead(const JobId& id,
+                               const Result<StoredRecord>& read);
+  /// Handles the end of a takeover or load of an orphan.
+  void OnOrphanAdopted(const JobId& id, const Result<std::monostate>& result);
+  /// Whether no instance may be running the job.
+  bool IsOrphan(const StoredRecord& stored) const;
+  void ReviewOrphan(const StoredRecord& stored);
+  /// Loads or takes over an orphan whose record was read just now.
+  void OnOrphanRead(const JobId& id, const Result<StoredRecord>& read);
   void ReviewOwners();
   void ProbeOwner(const StoredRecord& stored);
   void AdoptOrphan(const StoredRecord& stored);
@@ -129,9 +176,11 @@
   JobRunner* runner_ = nullptr;
   JobIndex index_;
   std::map<JobId, Orphan> orphans_;
+  std::map<JobId, UnconfirmedRecord> unconfirmed_;
   LoopTimer review_timer_;
   LoopTimer index_refresh_timer_;
   bool has_refreshed_index_ = false;
+  RetryPause index_retry_;
   bool is_stopping_ = false;
 };
 
--- a/briarspread/batch/job_peer_handler.cc
+++ b/briarspread/batch/job_peer_handler.cc
@@ -140,9 +140,15 @@
   SendStatus(*responder, 200);
 }
 
+bool JobPeerHandler::IsHeld(const JobId& id) {
+  if (gateway_.runner().Owns(id)) return true;
+  gateway_.OnUnheldJobRequested(id);
+  return false;
+}
+
 void JobPeerHandler::Read(const JobId& id, std::string_view query,
                           const ResponderPtr& responder) {
-  if (!gateway_.runner().Owns(id)) {
+  if (!IsHeld(id)) {
     SendStatus(*responder, 404);
     return;
   }
@@ -160,7 +166,7 @@
 void JobPeerHandler::ReadBody(const JobId& id, std::string_view query,
                               const ResponderPtr& responder) {
   const auto item = proxy::FindParameter(query, "item");
-  if (!gateway_.runner().Owns(id) || !item.has_value()) {
+  if (!IsHeld(id) || !item.has_value()) {
     SendStatus(*responder, 404);
     return;
   }
@@ -173,7 +179,7 @@
 }
 
 void JobPeerHandler::End(const JobId& id, const ResponderPtr& responder) {
-  if (!gateway_.runner().Owns(id)) {
+  if (!IsHeld(id)) {
     SendStatus(*responder, 404);
     return;
   }
--- a/briarspread/batch/job_peer_handler.h
+++ b/briarspread/batch/job_peer_handler.h
@@ -27,6 +27,8 @@
                     const ResponderPtr& responder);
   void HandleLoads(std::string_view query, const std::string& body,
                    const ResponderPtr& responder);
+  /// Whether the job is held here. If not, checks whether it should be.
+  bool IsHeld(const JobId& id);
   void Read(const JobId& id, std::string_view query,
             const ResponderPtr& responder);
   void ReadBody(const JobId& id, std::string_view query,
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -138,7 +138,7 @@
           // The store may have results of it already, so it is loaded as every
           // job that was not accepted just now.
           if (is_own && !stored.record.is_ended) {
-            LoadOwned(stored, JobHandover{}, [](const auto&) {});
+            Load(stored, JobHandover{}, [](const auto&) {});
           }
         }
         listener_.OnJobRecord(stored);
@@ -157,6 +157,9 @@
     LOG(WARNING) << "event=job_not_accepted job=" << id
                  << " verdict=" << ToString(ErrorOf(result).verdict)
                  << " reason=\"" << ErrorOf(result).message << "\"";
+    if (ErrorOf(result).verdict != Verdict::kNotRun) {
+      listener_.OnOwnershipUnknown(id);
+    }
   }
   for (const auto& done : callbacks) done(result);
 }
@@ -194,13 +197,16 @@
       [this, id = stored.id, record, handover,
        done = std::move(done)](const Result<RecordOutcome>& outcome) {
         if (!IsOk(outcome)) {
+          if (ErrorOf(outcome).verdict != Verdict::kNotRun) {
+            listener_.OnOwnershipUnknown(id);
+          }
           done(ErrorOf(outcome));
           return;
         }
         if (const auto* ok = std::get_if<RecordWritten>(&ValueOf(outcome))) {
           // From now on writes of earlier owners fail, so they can no longer
           // list results.
-          LoadOwned(StoredRecord{id, record, ok->index}, handover, done);
+          Load(StoredRecord{id, record, ok->index}, handover, done);
           return;
         }
         const auto& changed = std::get<RecordChanged>(ValueOf(outcome));
@@ -213,21 +219,22 @@
         const JobRecord& now = changed.current->record;
         if (now.owner == self_.name && now.incarnation == self_.incarnation &&
             !Owns(id)) {
-          LoadOwned(*changed.current, handover, done);
+          Load(*changed.current, handover, done);
           return;
         }
         done(OkStatus());
       });
 }
 
-void JobRunner::LoadOwned(const StoredRecord& stored,
-                          const JobHandover& handover,
-                          const Done<std::monostate>& done) {
+void JobRunner::Load(const StoredRecord& stored, const JobHandover& handover,
+                     const Done<std::monostate>& done) {
+  loading_.insert(stored.id);
   store_.ReadJob(
       stored, [this, stored, handover, done](const Result<StoredJob>& read) {
+        loading_.erase(loading_.find(stored.id));
         if (!IsOk(read)) {
-          // The record already names this instance as the owner. A
-          // later read of the job loads it again.
+          // The record names this instance as the owner. The listener learns it
+          // and loads the job again.
           LOG(WARNING) << "event=job_not_loaded job=" << stored.id
                        << " reason=\"" << ErrorOf(read).message << "\"";
           listener_.OnJobRecord(stored);
@@ -377,7 +384,7 @@
   if (record.owner == self_.name && record.incarnation == self_.incarnation &&
       !record.is_ended) {
     // What this instance knew of the job was not what the store has.
-    LoadOwned(*changed.current, JobHandover{}, [](const auto&) {});
+    Load(*changed.current, JobHandover{}, [](const auto&) {});
   }
 }
 
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -93,6 +93,9 @@
     virtual void OnJobRecord(const StoredRecord& stored) = 0;
     /// Called when the job no longer exists in the store.
     virtual void OnJobDeleted(const JobId& id) = 0;
+    /// Called when a write that names this instance as the job's owner may have
+    /// taken effect, or may still do so, although it has failed.
+    virtual void OnOwnershipUnknown(const JobId& id) = 0;
   };
 
   /// Precondition: references outlive this object.
@@ -113,7 +116,14 @@
   /// `handover` holds the progress that this owner passed on; may be empty.
   void Adopt(const StoredRecord& stored, const JobHandover& handover,
              Done<std::monostate> done);
+  /// Loads a job with all that the store has of it. The only way by which a job
+  /// becomes owned that was not accepted just now. Precondition: the record
+  /// names this start of the instance as the owner.
+  void Load(const StoredRecord& stored, const JobHandover& handover,
+            const Done<std::monostate>& done);
   bool Owns(const JobId& id) const { return jobs_.contains(id); }
+  /// Whether the job is being loaded.
+  bool IsLoading(const JobId& id) const { return loading_.contains(id); }
 
   /// Returns results from position `after` on; if there are none, waits up to
   /// `wait` for one. Precondition: `Owns(id)`, as for all functions below that
@@ -230,11 +240,6 @@
   void TryAccept(const JobId& id);
   void FinishAccept(const JobId& id, const Result<std::monostate>& result);
   OwnedJob& AddJob(const StoredRecord& stored, const JobSpec& spec);
-  /// Loads a job whose record names this start of the instance as the owner,
-  /// with all that the store has of it. The only way by which a job becomes
-  /// owned that was not accepted just now.
-  void LoadOwned(const StoredRecord& stored, const JobHandover& handover,
-                 const Done<std::monostate>& done);
   JobLimits LimitsOf(const JobSpec& spec, const JobRecord& record) const;
 
   void SchedulePlacement();
@@ -319,6 +324,8 @@
   ItemProgressCache progress_cache_;
   PeerEngineLoads peer_loads_;
   std::map<JobId, OwnedJob> jobs_;
+  /// Jobs that are being loaded, once for each load.
+  std::multiset<JobId> loading_;
   std::map<JobId, PendingAccept> pending_accepts_;
   std::map<ItemKey, std::unique_ptr<ItemRun>> runs_;
   std::map<ItemKey, std::unique_ptr<RewardRun>> rewards_;
--- a/briarspread/batch/job_takeover.cc
+++ b/briarspread/batch/job_takeover.cc
@@ -23,7 +23,12 @@
 
 void JobGateway::RefreshIndex() {
   store_.ListRecords([this](const Result<std::vector<StoredRecord>>& records) {
-    if (!IsOk(records)) return;
+    if (!IsOk(records)) {
+      LOG(WARNING) << "event=job_listing_failed reason=\""
+                   << ErrorOf(records).message << "\"";
+      PauseRetries(index_retry_);
+      return;
+    }
     has_refreshed_index_ = true;
     for (const StoredRecord& stored : ValueOf(records)) index_.Put(stored);
   });
@@ -31,32 +36,43 @@
 
 void JobGateway::ReviewOwners() {
   if (is_stopping_ || !registry_.has_listed()) return;
-  if (!has_refreshed_index_) {
+  if (!has_refreshed_index_ && clock_.Now() >= index_retry_.until) {
     // Finds jobs that were accepted before this process started.
-    has_refreshed_index_ = true;
+    PauseRetries(index_retry_);
     RefreshIndex();
   }
+  ReadUnconfirmedRecords();
   std::vector<StoredRecord> lost;
+  std::set<JobId> lost_ids;
   for (const auto& [id, stored] : index_.all()) {
-    const bool is_open = !stored.record.is_ended && !runner_->Owns(id);
-    if (is_open && !IsOwnerRegistered(stored.record)) lost.push_back(stored);
+    if (!IsOrphan(stored)) continue;
+    lost.push_back(stored);
+    lost_ids.insert(id);
   }
   std::erase_if(orphans_, [&](const auto& entry) {
-    return !entry.second.is_adopting &&
-           std::none_of(lost.begin(), lost.end(), [&](const auto& stored) {
-             return stored.id == entry.first;
-           });
+    return !entry.second.is_adopting && !lost_ids.contains(entry.first);
   });
-  for (const StoredRecord& stored : lost) {
-    const auto [it, is_new] = orphans_.try_emplace(stored.id);
-    Orphan& orphan = it->second;
-    if (is_new) orphan.lost_at = clock_.Now();
-    if (orphan.is_adopting || orphan.is_probing) continue;
-    if (!orphan.is_owner_lost) {
-      ProbeOwner(stored);
-    } else {
-      AdoptOrphan(stored);
-    }
+  for (const StoredRecord& stored : lost) ReviewOrphan(stored);
+}
+
+bool JobGateway::IsOrphan(const StoredRecord& stored) const {
+  if (stored.record.is_ended || runner_->Owns(stored.id)) return false;
+  if (IsOwnRecord(stored.record)) return !runner_->IsLoading(stored.id);
+  return !IsOwnerRegistered(stored.record);
+}
+
+void JobGateway::ReviewOrphan(const StoredRecord& stored) {
+  const auto [it, is_new] = orphans_.try_emplace(stored.id);
+  Orphan& orphan = it->second;
+  if (is_new) orphan.lost_at = clock_.Now();
+  if (orphan.is_adopting || orphan.is_probing) return;
+  if (clock_.Now() < orphan.retry.until) return;
+  if (IsOwnRecord(stored.record)) {
+    LoadOwnJob(stored);
+  } else if (!orphan.is_owner_lost) {
+    ProbeOwner(stored);
+  } else {
+    AdoptOrphan(stored);
   }
 }
 
@@ -105,23 +121,122 @@
   orphan.is_adopting = true;
   LOG(INFO) << "event=takeover job=" << stored.id
             << " owner=" << stored.record.owner;
-  store_.ReadRecord(
-      stored.id, [this, id = stored.id](const Result<StoredRecord>& read) {
-        if (!IsOk(read)) {
-          orphans_.erase(id);
-          if (ErrorOf(read).code == ErrorCode::kNotFound) index_.Erase(id);
-          return;
-        }
-        const StoredRecord& current = ValueOf(read);
-        index_.Put(current);
-        if (current.record.is_ended || IsOwnerRegistered(current.record)) {
-          orphans_.erase(id);
-          return;
-        }
-        runner_->Adopt(
-            current, JobHandover{},
-            [this, id](const Result<std::monostate>&) { orphans_.erase(id); });
-      });
+  store_.ReadRecord(stored.id,
+                    [this, id = stored.id](const Result<StoredRecord>& read) {
+                      OnOrphanRead(id, read);
+                    });
+}
+
+void JobGateway::LoadOwnJob(const StoredRecord& stored) {
+  // The answer to its accept or takeover was lost, a part of it could not be
+  // read, or the job has since been handed over.
+  if (is_stopping_ || !IsOrphan(stored)) return;
+  Orphan& orphan = orphans_[stored.id];
+  if (orphan.is_adopting) return;
+  orphan.is_adopting = true;
+  LOG(INFO) << "event=unheld_job job=" << stored.id;
+  store_.ReadRecord(stored.id,
+                    [this, id = stored.id](const Result<StoredRecord>& read) {
+                      OnOrphanRead(id, read);
+                    });
+}
+
+void JobGateway::OnOrphanRead(const JobId& id,
+                              const Result<StoredRecord>& read) {
+  if (!IsOk(read)) {
+    if (ErrorOf(read).code == ErrorCode::kNotFound) {
+      index_.Erase(id);
+      orphans_.erase(id);
+      return;
+    }
+    OnOrphanAdopted(id, ErrorOf(read));
+    return;
+  }
+  const StoredRecord& current = ValueOf(read);
+  index_.Put(current);
+  if (is_stopping_ || !IsOrphan(current)) {
+    orphans_.erase(id);
+    return;
+  }
+  const auto done = [this, id](const Result<std::monostate>& result) {
+    OnOrphanAdopted(id, result);
+  };
+  if (IsOwnRecord(current.record)) {
+    runner_->Load(current, JobHandover{}, done);
+  } else {
+    runner_->Adopt(current, JobHandover{}, done);
+  }
+}
+
+void JobGateway::OnOrphanAdopted(const JobId& id,
+                                 const Result<std::monostate>& result) {
+  const auto it = orphans_.find(id);
+  if (it == orphans_.end()) return;
+  if (IsOk(result)) {
+    orphans_.erase(it);
+    return;
+  }
+  // The next review reads the record again: a write whose answer was lost may
+  // have made this instance the owner.
+  LOG(WARNING) << "event=takeover_delayed job=" << id << " reason=\""
+               << ErrorOf(result).message << "\"";
+  it->second.is_adopting = false;
+  PauseRetries(it->second.retry);
+}
+
+void JobGateway::PauseRetries(RetryPause& retry) const {
+  retry.pause = std::clamp<Duration>(2 * retry.pause, settings_.min_retry_pause,
+                                     settings_.max_retry_pause);
+  retry.until = clock_.Now() + retry.pause;
+}
+
+// --- Records of unknown state
+
+void JobGateway::OnUnheldJobRequested(const JobId& id) {
+  const StoredRecord* known = index_.Find(id);
+  if (known != nullptr && known->record.is_ended) return;
+  ConfirmRecord(id, Duration(0));
+}
+
+void JobGateway::ConfirmRecord(const JobId& id, Duration missing_for) {
+  if (is_stopping_) return;
+  UnconfirmedRecord& unconfirmed = unconfirmed_[id];
+  unconfirmed.until = std::max(unconfirmed.until, clock_.Now() + missing_for);
+}
+
+void JobGateway::ReadUnconfirmedRecords() {
+  std::vector<JobId> due;
+  for (auto& [id, unconfirmed] : unconfirmed_) {
+    if (unconfirmed.is_reading || clock_.Now() < unconfirmed.retry.until) {
+      continue;
+    }
+    unconfirmed.is_reading = true;
+    due.push_back(id);
+  }
+  for (const JobId& id : due) {
+    store_.ReadRecord(id, [this, id](const Result<StoredRecord>& read) {
+      OnUnconfirmedRecordRead(id, read);
+    });
+  }
+}
+
+void JobGateway::OnUnconfirmedRecordRead(const JobId& id,
+                                         const Result<StoredRecord>& read) {
+  const auto it = unconfirmed_.find(id);
+  if (it == unconfirmed_.end()) return;
+  if (IsOk(read)) {
+    unconfirmed_.erase(it);
+    index_.Put(ValueOf(read));
+    if (IsOwnRecord(ValueOf(read).record)) LoadOwnJob(ValueOf(read));
+    return;
+  }
+  const bool is_missing = ErrorOf(read).code == ErrorCode::kNotFound;
+  if (is_missing && clock_.Now() >= it->second.until) {
+    unconfirmed_.erase(it);
+    return;
+  }
+  it->second.is_reading = false;
+  PauseRetries(it->second.retry);
 }
 
 std::vector<Endpoint> JobGateway::OtherOwnerEndpoints() const {
--- a/tests/batch/job_runner_fixture.h
+++ b/tests/batch/job_runner_fixture.h
@@ -21,6 +21,7 @@
 struct RecordingListener final : JobRunner::Listener {
   void OnJobRecord(const StoredRecord& stored) override { last = stored; }
   void OnJobDeleted(const JobId&) override {}
+  void OnOwnershipUnknown(const JobId&) override {}
   std::optional<StoredRecord> last;
 };
 
--- a/tests/support/async_memory_store.cc
+++ b/tests/support/async_memory_store.cc
@@ -1,5 +1,6 @@
 #include "tests/support/async_memory_store.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace briarspread::testing {
@@ -11,12 +12,25 @@
 
 }  // namespace
 
+AsyncMemoryStore::Fault AsyncMemoryStore::TakeFault(
+    const std::string& subject) {
+  const auto it = std::find_if(next_faults_.begin(), next_faults_.end(),
+                               [&subject](const NextFault& next) {
+                                 return subject.starts_with(next.prefix);
+                               });
+  if (it == next_faults_.end()) return fault_;
+  const Fault fault = it->fault;
+  next_faults_.erase(it);
+  return fault;
+}
+
 template <typename T>
-void AsyncMemoryStore::QueueAnswer(std::function<Result<T>()> apply,
+void AsyncMemoryStore::QueueAnswer(const std::string& subject,
+                                   std::function<Result<T>()> apply,
                                    Done<T> done) {
   ++calls_;
   Result<T> result = Failure(Verdict::kNotRun);
-  switch (fault_) {
+  switch (TakeFault(subject)) {
     case Fault::kNone:
       result = apply();
       break;
@@ -105,6 +119,7 @@
 void AsyncMemoryStore::Get(const std::string& key,
                            Done<std::optional<KeyValue>> done) {
   QueueAnswer<std::optional<KeyValue>>(
+      "read " + key,
       [this, key]() -> Result<std::optional<KeyValue>> {
         const auto it = items_.find(key);
         if (it == items_.end()) return std::optional<KeyValue>();
@@ -116,6 +131,7 @@
 void AsyncMemoryStore::List(const std::string& prefix,
                             Done<StoreListing> done) {
   QueueAnswer<StoreListing>(
+      "read " + prefix,
       [this, prefix]() -> Result<StoreListing> {
         StoreListing listing;
         listing.store_index = StoreIndex(index_);
@@ -135,12 +151,16 @@
     return;
   }
   QueueAnswer<StoreChanges>(
+      "watch " + prefix,
       []() -> Result<StoreChanges> { return StoreChanges{}; }, std::move(done));
 }
 
 void AsyncMemoryStore::Commit(StoreTransaction transaction,
                               Done<StoreOutcome> done) {
+  const std::string key =
+      transaction.writes.empty() ? "" : transaction.writes.front().key;
   QueueAnswer<StoreOutcome>(
+      "commit " + key,
       [this, transaction]() -> Result<StoreOutcome> {
         StoreConflict conflict;
         bool holds = true;
@@ -166,6 +186,7 @@
 void AsyncMemoryStore::GrantLease(milliseconds time_to_live,
                                   Done<StoreLease> done) {
   QueueAnswer<StoreLease>(
+      "",
       [this, time_to_live]() -> Result<StoreLease> {
         const StoreLeaseId lease(next_lease_++);
         leases_.insert(lease);
@@ -176,6 +197,7 @@
 
 void AsyncMemoryStore::RenewLease(StoreLeaseId lease, Done<StoreLease> done) {
   QueueAnswer<StoreLease>(
+      "",
       [this, lease]() -> Result<StoreLease> {
         if (!leases_.contains(lease)) {
           return Error{ErrorCode::kNotFound, Verdict::kNotRun, "ended"};
@@ -187,6 +209,7 @@
 
 void AsyncMemoryStore::EndLease(StoreLeaseId lease, Done<std::monostate> done) {
   QueueAnswer<std::monostate>(
+      "",
       [this, lease]() -> Result<std::monostate> {
         ExpireLease(lease);
         return OkStatus();
--- a/tests/support/async_memory_store.h
+++ b/tests/support/async_memory_store.h
@@ -28,6 +28,16 @@
   };
 
   void SetFault(Fault fault) { fault_ = fault; }
+  /// Injects a fault into the next read or listing whose key or prefix starts
+  /// with `prefix`.
+  void FailNextRead(const std::string& prefix, Fault fault) {
+    next_faults_.push_back({"read " + prefix, fault});
+  }
+  /// Injects a fault into the next commit whose first written key starts with
+  /// `prefix`.
+  void FailNextCommit(const std::string& prefix, Fault fault) {
+    next_faults_.push_back({"commit " + prefix, fault});
+  }
   /// Calls the callbacks of all queued responses, including responses to calls
   /// made by these callbacks.
   void Deliver();
@@ -66,14 +76,25 @@
     Done<StoreChanges> done;
   };
 
-  /// Runs `apply` unless the fault prevents it, and queues a call of `done`
-  /// with the result or the failure.
+  /// A fault of the next call whose subject starts with the prefix.
+  struct NextFault {
+    std::string prefix;
+    Fault fault = Fault::kNone;
+  };
+
+  /// Runs `apply` unless a fault prevents it, and queues a call of `done` with
+  /// the result or the failure. `subject` is the kind of the call and its key;
+  /// empty for calls on leases.
   template <typename T>
-  void QueueAnswer(std::function<Result<T>()> apply, Done<T> done);
+  void QueueAnswer(const std::string& subject, std::function<Result<T>()> apply,
+                   Done<T> done);
+  /// Returns the fault of a call with this subject.
+  Fault TakeFault(const std::string& subject);
   void RecordChange(StoreChange change);
   void AnswerWatches();
 
   Fault fault_ = Fault::kNone;
+  std::vector<NextFault> next_faults_;
   std::map<std::string, KeyValue> items_;
   std::map<std::string, StoreLeaseId> key_leases_;
   std::set<StoreLeaseId> leases_;
