--- a/briarspread/batch/job_gateway.cc
+++ b/briarspread/batch/job_gateway.cc
@@ -12,6 +12,29 @@
 namespace {
 
 constexpr int kOk = 200;
+/// Status of a peer's answer that promises that nothing was executed.
+constexpr int kNotRunStatus = 503;
+
+/// Whether a call to a peer that did not succeed may have been executed.
+bool MayHaveRun(const Result<proxy::Response>& answer) {
+  if (!IsOk(answer)) return ErrorOf(answer).verdict != Verdict::kNotRun;
+  return ValueOf(answer).head.status != kNotRunStatus;
+}
+
+/// Returns a callback that passes a result on to `done`, but an error never as
+/// not run.
+JobGateway::Done<std::monostate> NeverNotRun(
+    JobGateway::Done<std::monostate> done) {
+  return [done = std::move(done)](const Result<std::monostate>& result) {
+    if (IsOk(result)) {
+      done(result);
+      return;
+    }
+    Error error = ErrorOf(result);
+    error.verdict = Verdict::kMayHaveRun;
+    done(error);
+  };
+}
 
 }  // namespace
 
@@ -89,11 +112,14 @@
                   done(OkStatus());
                   return;
                 }
+                const bool may_have_run = MayHaveRun(answer);
                 LOG(INFO) << "event=home_refused job=" << spec.id
-                          << " home=" << home.name;
+                          << " home=" << home.name
+                          << " may_have_run=" << may_have_run;
                 // Safe although the home may have accepted the job: the store
                 // lets only one of the two accept it.
-                runner_->Accept(spec, home_key, done);
+                runner_->Accept(spec, home_key,
+                                may_have_run ? NeverNotRun(done) : done);
               });
 }
 
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -107,15 +107,7 @@
         if (found == pending_accepts_.end()) return;
         PendingAccept& acceptance = found->second;
         if (!IsOk(outcome)) {
-          const Error& error = ErrorOf(outcome);
-          if (error.verdict == Verdict::kNotRun ||
-              context_.clock.Now() > acceptance.retry_deadline) {
-            FinishAccept(id, error);
-            return;
-          }
-          // The write may have taken effect; the retry finds out.
-          acceptance.retry_timer.After(settings_.store_retry_delay,
-                                       [this, id] { TryAccept(id); });
+          OnAcceptFailed(id, acceptance, ErrorOf(outcome));
           return;
         }
         StoredRecord stored{id, acceptance.record, StoreIndex()};
@@ -147,6 +139,20 @@
       });
 }
 
+void JobRunner::OnAcceptFailed(const JobId& id, PendingAccept& acceptance,
+                               Error error) {
+  acceptance.may_have_run |= error.verdict != Verdict::kNotRun;
+  const bool is_late = context_.clock.Now() > acceptance.retry_deadline;
+  if (acceptance.may_have_run && !is_late) {
+    // An attempt may have taken effect; the retry finds out.
+    acceptance.retry_timer.After(settings_.store_retry_delay,
+                                 [this, id] { TryAccept(id); });
+    return;
+  }
+  if (acceptance.may_have_run) error.verdict = Verdict::kMayHaveRun;
+  FinishAccept(id, error);
+}
+
 void JobRunner::FinishAccept(const JobId& id,
                              const Result<std::monostate>& result) {
   const auto it = pending_accepts_.find(id);
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -230,6 +230,8 @@
     JobSpec spec;
     JobRecord record;
     TimePoint retry_deadline{};
+    /// Whether an attempt may have taken effect, or may still do so.
+    bool may_have_run = false;
     std::vector<Done<std::monostate>> callbacks;
     LoopTimer retry_timer;
   };
@@ -238,6 +240,9 @@
   using EngineViews = std::vector<EngineView>;
 
   void TryAccept(const JobId& id);
+  /// Retries an attempt while an earlier one may have taken effect; otherwise
+  /// ends the accept.
+  void OnAcceptFailed(const JobId& id, PendingAccept& acceptance, Error error);
   void FinishAccept(const JobId& id, const Result<std::monostate>& result);
   OwnedJob& AddJob(const StoredRecord& stored, const JobSpec& spec);
   JobLimits LimitsOf(const JobSpec& spec, const JobRecord& record) const;
