--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -249,6 +249,8 @@
 }
 
 bool JobRunner::PlaceItem(OwnedJob& job, std::size_t i) {
+  // The end of its last run may have made the item final.
+  if (job.ledger.item(i).phase != ItemPhase::kWaiting) return false;
   const JobId& id = job.ledger.spec().id;
   const forward::Route* route = RouteOf(job, i);
   if (route == nullptr) {
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -249,6 +249,8 @@
 
   void SchedulePlacement();
   void PlaceWaitingItems();
+  /// Starts a run of the item. Returns false if none was started: the item does
+  /// not wait, or no engine has room.
   bool PlaceItem(OwnedJob& job, std::size_t i);
   /// Returns the engine that an item is to run on; nothing if it must wait. May
   /// discard the item's text.
