--- a/briarspread/forward/durable_stream_origins.cc
+++ b/briarspread/forward/durable_stream_origins.cc
@@ -28,9 +28,25 @@
                                   const SoftwareVersion& software) {
   shared_.Record(attempt, software);
   unwritten_.push_back({attempt, software});
+  if (unwritten_.size() > settings_.max_unwritten && !is_calling_) {
+    LOG_EVERY_N(WARNING, 1000) << "event=origin_not_kept";
+    unwritten_.pop_front();
+  }
   ScheduleWrite();
 }
 
+std::size_t DurableStreamOrigins::CountForOneWrite() const {
+  std::size_t n = 0;
+  std::size_t bytes = 0;
+  while (n < unwritten_.size()) {
+    bytes += unwritten_[n].attempt.value().size() +
+             unwritten_[n].software.value().size();
+    if (n > 0 && bytes > settings_.max_write_bytes) break;
+    ++n;
+  }
+  return n;
+}
+
 void DurableStreamOrigins::ScheduleWrite() {
   if (unwritten_.empty() || is_calling_ || write_timer_.is_set()) return;
   const milliseconds interval = std::max(
@@ -68,25 +84,29 @@
   }
   is_calling_ = true;
   last_write_ = now;
+  const std::size_t written = CountForOneWrite();
+  const std::vector<StreamOrigin> together(
+      unwritten_.begin(),
+      unwritten_.begin() + static_cast<std::ptrdiff_t>(written));
   StoreTransaction put;
   put.writes.push_back({kPrefix + self_.name.value() + "/" +
                             std::to_string(self_.incarnation.value()) + "-" +
                             std::to_string(writes_++),
-                        EncodeStreamOrigins(unwritten_), lease_});
-  store_.Commit(std::move(put), [this, written = unwritten_.size()](
-                                    const Result<StoreOutcome>& outcome) {
-    is_calling_ = false;
-    if (IsOk(outcome)) {
-      unwritten_.erase(
-          unwritten_.begin(),
-          unwritten_.begin() + static_cast<std::ptrdiff_t>(written));
-    } else {
-      // Written again under the next key: the lost write may still come.
-      LOG(WARNING) << "event=origins_not_written origins=" << written;
-      if (ErrorOf(outcome).code == ErrorCode::kNotFound) lease_ = {};
-    }
-    ScheduleWrite();
-  });
+                        EncodeStreamOrigins(together), lease_});
+  store_.Commit(
+      std::move(put), [this, written](const Result<StoreOutcome>& outcome) {
+        is_calling_ = false;
+        if (IsOk(outcome)) {
+          unwritten_.erase(
+              unwritten_.begin(),
+              unwritten_.begin() + static_cast<std::ptrdiff_t>(written));
+        } else {
+          // Written again under the next key: the lost write may still come.
+          LOG(WARNING) << "event=origins_not_written origins=" << written;
+          if (ErrorOf(outcome).code == ErrorCode::kNotFound) lease_ = {};
+        }
+        ScheduleWrite();
+      });
 }
 
 void DurableStreamOrigins::Find(const AttemptId& attempt, Done done) {
--- a/briarspread/forward/durable_stream_origins.h
+++ b/briarspread/forward/durable_stream_origins.h
@@ -1,6 +1,7 @@
 #ifndef BRIARSPREAD_FORWARD_DURABLE_STREAM_ORIGINS_H_
 #define BRIARSPREAD_FORWARD_DURABLE_STREAM_ORIGINS_H_
 
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -26,6 +27,12 @@
   /// Time after which origins are written under a new store lease; they stay
   /// for the rest of `retention` at least.
   std::chrono::minutes lease_use{1};
+  /// Origins are written together up to this sum of the sizes of their ids and
+  /// versions. Their encoding fits into one value of the store.
+  std::size_t max_write_bytes = 100'000;
+  /// Maximum number of origins that wait to be written; beyond it, the oldest
+  /// are dropped.
+  std::size_t max_unwritten = 100'000;
   /// The store's list is not read again within this time.
   milliseconds min_read_interval{2000};
   LocalStreamOriginsSettings local;
@@ -54,6 +61,9 @@
  private:
   void ScheduleWrite();
   void Write();
+  /// Returns how many of the unwritten origins, oldest first, are written
+  /// together.
+  std::size_t CountForOneWrite() const;
   /// Asks for a lease to write under; writes once it is granted.
   void RequestLease();
   void Read();
@@ -68,7 +78,7 @@
   const InstanceCount count_instances_;
   const DurableStreamOriginsSettings settings_;
   LoopTimer write_timer_;
-  std::vector<StreamOrigin> unwritten_;
+  std::deque<StreamOrigin> unwritten_;
   bool is_calling_ = false;
   StoreLeaseId lease_;
   TimePoint lease_granted_{};
--- a/tests/forward/stream_origins_test.cc
+++ b/tests/forward/stream_origins_test.cc
@@ -2,7 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include "briarspread/forward/durable_stream_origins.h"
 #include "briarspread/forward/origin_exchange.h"
+#include "tests/support/async_memory_store.h"
+#include "tests/support/loop_runner.h"
 #include "tests/support/manual_clock.h"
 
 namespace briarspread::forward {
@@ -41,5 +44,39 @@
   }
 }
 
+// Guards against the cause of review/3 (LOST) here: what an outage of the store
+// had let grow was written as one value, over the store's limit, for good.
+TEST_CASE("all origins are written after an outage of the store") {
+  using briarspread::testing::AsyncMemoryStore;
+  asio::io_context loop;
+  SystemClock clock;
+  AsyncMemoryStore store;
+  LocalStreamOrigins memory(LocalStreamOriginsSettings{}, clock);
+  InstanceRecord self;
+  DurableStreamOriginsSettings settings;
+  settings.min_write_interval = milliseconds(1);
+  settings.interval_per_instance = milliseconds(0);
+  DurableStreamOrigins origins(
+      loop, memory, store, self, clock, [] { return 1; }, settings);
+  store.SetFault(AsyncMemoryStore::Fault::kRefuse);
+  constexpr int kOrigins = 30'000;
+  for (int i = 0; i < kOrigins; ++i) {
+    origins.Record(AttemptId("attempt-" + std::to_string(i)),
+                   SoftwareVersion("v1"));
+  }
+  store.SetFault(AsyncMemoryStore::Fault::kNone);
+  const auto count_written = [&] {
+    std::size_t n = 0;
+    for (const auto& [key, item] : store.items()) {
+      n += ParseStreamOrigins(item.value)->size();
+    }
+    return n;
+  };
+  REQUIRE(briarspread::testing::RunUntil(loop, [&] {
+    store.Deliver();
+    return count_written() == kOrigins;
+  }));
+}
+
 }  // namespace
 }  // namespace briarspread::forward
