Skip registrations with numbers or nesting out of range (report of other operators)

Report: one odd entry of another writer, very deeply nested, with a number too large or a port out of range; machines that read the list ended again and again or stopped following it.

Here: ports, bytes and missing fields were skipped already. A weight version of -1 or 1e300 was taken as (the latter by an undefined conversion), the newest of all; 2^32 slots as one. Parsing 1 MB of "[" takes 75 MB at its peak (the library alone, measured by hand); the smallest machines have 88 to 110 MB for a process.

An id that cannot stand in a header is skipped.

The end-to-end case of edge_input_test passed before too: a test's process has memory enough. An end for want of memory was not played.

--- a/briarspread/fleet/instance_registry.cc
+++ b/briarspread/fleet/instance_registry.cc
@@ -5,12 +5,17 @@
 #include <string_view>
 #include <utility>
 
+#include "briarspread/core/bounded_json.h"
+
 namespace briarspread {
 namespace {
 
 std::optional<InstanceRecord> Parse(const std::string& text) {
-  const auto json = nlohmann::json::parse(text, nullptr, false);
-  if (json.is_discarded()) return std::nullopt;
+  const auto json = ParseBoundedJson(text, JsonBounds{});
+  if (json.is_discarded()) {
+    LOG(WARNING) << "event=registration_skipped bytes=" << text.size();
+    return std::nullopt;
+  }
   try {
     return json.get<InstanceRecord>();
   } catch (const nlohmann::json::exception& error) {
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -128,6 +128,38 @@
   REQUIRE_FALSE(ParseUpstream("servers/i-1", "\xff\x01", zones).has_value());
 }
 
+// Guards against a report of other operators: one entry of another writer with
+// a number too large, or very deeply nested, ended the processes that read it.
+TEST_CASE("a registration with numbers or nesting out of range is skipped") {
+  const std::map<ZoneId, RegionId> zones = {{ZoneId("z"), RegionId("r")}};
+  const auto is_skipped = [&](const std::string& from, const std::string& to) {
+    std::string text = kEntry;
+    text.replace(text.find(from), from.size(), to);
+    INFO(to.substr(0, 80));
+    return !ParseUpstream("servers/i-1", text, zones).has_value();
+  };
+  for (const char* number :
+       {"-1", "0.5", "1e300", "1e400", "4294967296", "18446744073709551615",
+        "18446744073709551616", "null", "[]"}) {
+    CHECK(is_skipped("\"Slots\":12", "\"Slots\":" + std::string(number)));
+    if (std::string(number) == "4294967296") continue;
+    CHECK(is_skipped("\"Version\":4", "\"Version\":" + std::string(number)));
+    CHECK(is_skipped("\"born\":5", "\"born\":" + std::string(number)));
+  }
+  for (const char* port : {"0", "65536", "70000", "-1", "1e3", ""}) {
+    CHECK(is_skipped("10.0.0.9:8080", "10.0.0.9:" + std::string(port)));
+  }
+  const std::string nested = std::string(100, '[') + std::string(100, ']');
+  CHECK(is_skipped("\"Models\"", "\"more\":" + nested + ",\"Models\""));
+  CHECK(is_skipped("\"Models\"", "\"more\":\"" + std::string(100'000, 'x') +
+                                     "\",\"Models\""));
+  CHECK(is_skipped("[{\"Name\"", "[7,{\"Name\""));
+  // An id is sent in a header.
+  for (const char* key : {"servers/", "servers/a b", "servers/a\r\nX: y"}) {
+    CHECK_FALSE(ParseUpstream(key, kEntry, zones).has_value());
+  }
+}
+
 TEST_CASE("a malformed submission is rejected with a message") {
   const std::string body =
       R"({"Step":7,"Model":"m","MinVersion":6,"TargetGroups":12,"Items":[
--- a/tests/platform/edge_input_test.cc
+++ b/tests/platform/edge_input_test.cc
@@ -151,5 +151,35 @@
       200);
 }
 
+// Guards against a report of other operators: machines that read a list with
+// one odd entry ended again and again, or stopped following it.
+TEST_CASE("odd registrations do not keep an instance from following the list") {
+  EdgeFixture fixture;
+  const std::string odd_numbers =
+      R"({"Service":"desk","Address":"127.0.0.1:70000","Zone":"z","Slots":1e300,)"
+      R"("State":"ready","born":-1,"Models":[{"Name":"m","Version":1e300}]})";
+  const auto add_odd = [&](const std::string& name) {
+    auto& memory = fixture.store.memory();
+    memory.Write("servers/" + name + "-nested", std::string(900'000, '['));
+    memory.Write("servers/" + name + "-numbers", odd_numbers);
+    memory.Write("servers/" + name + "-bytes", "\xff\xfe{");
+  };
+  // Two instances: one may read the list through the other.
+  add_odd("listed");
+  ReadyInstance one(fixture, fixture.Settings("one"));
+  ReadyInstance two(fixture, fixture.Settings("two"));
+  add_odd("watched");
+  FakeReplica later(fixture.loop);
+  fixture.store.memory().Write("servers/later", later.Registration("desk"));
+  fixture.store.memory().Erase("servers/desk");
+  for (const ReadyInstance* instance : {&one, &two}) {
+    fixture.Await([&] {
+      const int before = later.requests;
+      fixture.Call(*instance->settings.frontend, "POST", "/plain/x");
+      return later.requests > before;
+    });
+  }
+}
+
 }  // namespace
 }  // namespace briarspread::platform
