--- a/briarspread/batch/item_run.cc
+++ b/briarspread/batch/item_run.cc
@@ -8,6 +8,8 @@
 namespace briarspread::batch {
 namespace {
 
+/// Media type of the streams that engines send.
+constexpr std::string_view kEventStreamType = "text/event-stream";
 /// Time for which an engine gets no items after it refused a request.
 constexpr milliseconds kRefusalBackoff{150};
 /// Weight of the newest interval in the moving average, as a fraction: one in
@@ -95,6 +97,11 @@
   const bool is_signed =
       head.headers.Find(context_.headers.signature) != nullptr;
   if (head.status != 200 || !is_signed) return RunOutcome::kBroken;
+  // Without events, a body of another type would count as a complete stream.
+  const std::string* type = head.headers.Find("Content-Type");
+  if (type != nullptr && !type->starts_with(kEventStreamType)) {
+    return RunOutcome::kBroken;
+  }
   return RunOutcome::kComplete;
 }
 
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -16,6 +16,11 @@
 /// Number of unsent bytes above which reading from the upstream is paused.
 constexpr std::size_t kMaxUnsentBytes = std::size_t{256} * 1024;
 
+/// Returns a media type without its parameters.
+std::string_view MediaTypeOf(std::string_view content_type) {
+  return content_type.substr(0, content_type.find_first_of("; "));
+}
+
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
 bool HasBackend(const Route& route, const ServiceName& service) {
@@ -243,11 +248,21 @@
     return;
   }
   if (spec_.route.kind != RouteKind::kStream || !IsSuccess(head.status)) return;
-  if (is_streaming_) {
-    is_forwarding_body_ = true;
-  } else {
+  if (!is_streaming_) {
     StartStreaming();
+  } else if (ContinuesStream(head)) {
+    is_forwarding_body_ = true;
   }
+  // Any other response is buffered and ends the attempt as failed.
+}
+
+bool LiveRequest::ContinuesStream(const proxy::ResponseHead& head) const {
+  if (head.status != begun_head_.status) return false;
+  const std::string* begun = begun_head_.headers.Find("Content-Type");
+  const std::string* type = head.headers.Find("Content-Type");
+  return begun == nullptr ||
+         (type != nullptr &&
+          proxy::EqualsIgnoreCase(MediaTypeOf(*type), MediaTypeOf(*begun)));
 }
 
 void LiveRequest::OnBody(std::string_view data) {
@@ -357,6 +372,7 @@
 void LiveRequest::StartStreaming() {
   is_streaming_ = true;
   is_forwarding_body_ = true;
+  begun_head_ = response_.head;
   last_progress_ = context_.clock.Now();
   timer_.Every(spec_.stall_detection.check_interval,
                [this] { CheckProgress(); });
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -148,6 +148,9 @@
   milliseconds TimeLeft() const;
   bool IsUnsigned(const proxy::ResponseHead& head) const;
   bool IsNotRun(const proxy::ResponseHead& head) const;
+  /// Whether a response goes on with the stream that was begun: a success with
+  /// the same status and media type.
+  bool ContinuesStream(const proxy::ResponseHead& head) const;
 
   ForwardContext& context_;
   LiveRequestSpec spec_;
@@ -176,6 +179,8 @@
   bool is_limited_ = false;
   /// Whether the response's head was passed on.
   bool is_streaming_ = false;
+  /// The head that was passed on.
+  proxy::ResponseHead begun_head_;
   /// Whether the current attempt's body is passed on instead of buffered.
   bool is_forwarding_body_ = false;
   /// Set for a stream that may be resumed at another upstream.
--- a/tests/batch/announced_outcome_test.cc
+++ b/tests/batch/announced_outcome_test.cc
@@ -43,6 +43,27 @@
   }
 }
 
+// Guards against a part of a report of other operators: after a text had begun,
+// an answer that is no stream ended it as if it were complete.
+TEST_CASE("a resumed text is not completed by a body that is no stream") {
+  JobRunnerFixture fixture;
+  FakeUpstream breaks(fixture.loop, fixture.AnswerWithEvents(2, true));
+  FakeUpstream other(
+      fixture.loop, [&](const proxy::Request&, const ResponderPtr& responder) {
+        responder->Send(forward::SignedResponse(fixture.headers, 200, ""));
+      });
+  FakeUpstream sound(fixture.loop, fixture.AnswerWithEvents(4));
+  fixture.AddEngine("breaks", breaks);
+  REQUIRE(fixture.Accept(JobRunnerFixture::Spec()));
+  // The second run resumes the text.
+  fixture.AwaitStore([&] { return breaks.requests.size() >= 2; });
+  fixture.AddEngine("other", other);
+  fixture.directory.Remove({UpstreamId("breaks")});
+  fixture.AwaitStore([&] { return !other.requests.empty(); });
+  fixture.AddEngine("sound", sound);
+  REQUIRE(fixture.AwaitResults(1).results[0].text == "e1\ne2\ne3\ne4");
+}
+
 /// An engine that answers each run as drawn; without draws left, soundly.
 class DrawnEngine {
  public:
--- a/tests/batch/ownership_property_test.cc
+++ b/tests/batch/ownership_property_test.cc
@@ -189,6 +189,7 @@
     proxy::Response response = forward::SignedResponse(
         fixture_.headers, 200,
         "id: 1\ndata: run " + std::to_string(++runs_) + "\n\n");
+    response.head.headers.Set("Content-Type", "text/event-stream");
     response.head.headers.Add(fixture_.headers.weight_version, "2");
     responder.Send(response);
   }
--- a/tests/forward/live_request_test.cc
+++ b/tests/forward/live_request_test.cc
@@ -308,12 +308,14 @@
 /// in the middle of the next one.
 FakeUpstream::RespondFunction StreamEvents(const ExchangeHeaders& headers,
                                            std::uint64_t last,
-                                           std::uint64_t breaks_after) {
-  return [&headers, last, breaks_after](const proxy::Request& request,
-                                        const ResponderPtr& responder) {
+                                           std::uint64_t breaks_after,
+                                           const std::string& type = "") {
+  return [&headers, last, breaks_after, type](const proxy::Request& request,
+                                              const ResponderPtr& responder) {
     proxy::ResponseHead head;
     head.status = 200;
     head.headers.Add(headers.signature, "sig");
+    if (!type.empty()) head.headers.Add("Content-Type", type);
     responder->Start(head);
     const std::uint64_t from =
         request.head.headers.FindNumber(headers.last_event_id).value_or(0) + 1;
@@ -399,6 +401,33 @@
   REQUIRE(EventsUpTo(6).starts_with(sent.sink.body));
 }
 
+// Guards against a report of other operators: clients found the next upstream's
+// error in the middle of their stream, or the stream ended as if complete.
+TEST_CASE("nothing but the stream itself goes on after a stream has begun") {
+  const std::string long_text(300'000, 'w');
+  for (const int status : {200, 204, 206, 302, 404, 500, 503}) {
+    for (const std::string& text : {std::string("why"), long_text}) {
+      ForwardFixture fixture;
+      FakeUpstream breaks(fixture.loop, StreamEvents(fixture.headers, 6, 2,
+                                                     "text/event-stream"));
+      proxy::Response other =
+          SignedResponse(fixture.headers, status,
+                         status == 204 ? "" : "id: 3\ndata: " + text + "\n\n");
+      other.head.headers.Set("Content-Type", "text/plain");
+      FakeUpstream answers_otherwise(fixture.loop, RespondWith(other));
+      fixture.Add("a", breaks);
+      SentRequest sent(fixture, RouteKind::kStream, 2, seconds(20), true);
+      fixture.Await([&] { return sent.sink.head.has_value(); });
+      fixture.Add("b", answers_otherwise);
+      fixture.Await([&] { return sent.sink.has_ended || sent.sink.is_broken; });
+      INFO(status << " " << text.size());
+      REQUIRE(sent.sink.is_broken);
+      REQUIRE(EventsUpTo(6).starts_with(sent.sink.body));
+      REQUIRE(sent.sink.body.size() < EventsUpTo(6).size());
+    }
+  }
+}
+
 TEST_CASE("a stream refused before its first event is retried elsewhere") {
   for (const bool is_resumable : {false, true}) {
     ForwardFixture fixture;
--- a/tests/platform/edge_fixture.h
+++ b/tests/platform/edge_fixture.h
@@ -43,6 +43,7 @@
     if (!limit.empty()) response.head.headers.Add("Server-Limit", limit);
     if (request.head.target.starts_with("/roll/")) {
       response.head.headers.Add("X-Weight-Versions", "1");
+      response.head.headers.Set("Content-Type", "text/event-stream");
       response.body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
     }
     responder->Send(response);
