Test that an instance out of step takes no stream of a newer version up

The test passes without a change of the product: with a stale list the instance refuses, or has learned the new list of its peer.

Suspected, without a test: an upstream that starts again under the id that it had, with another version, is taken for the earlier one by an instance whose list is behind, since nothing in a response names the version.

--- a/tests/platform/resumed_stream_test.cc
+++ b/tests/platform/resumed_stream_test.cc
@@ -108,6 +108,41 @@
   REQUIRE(begun_by.requests == 5);
 }
 
+// Guards against a report of other operators: an instance that was out of step
+// while replicas of a new version joined took their streams up at the old one.
+TEST_CASE("an instance out of step takes no stream of a newer version up") {
+  EdgeFixture fixture;
+  FakeReplica newer(fixture.loop);
+  fixture.store.memory().Write("servers/desk",
+                               newer.Registration("desk", "v2"));
+  ReadyInstance one(fixture, fixture.Settings("one"));
+  REQUIRE(RequestStream(fixture, one, "begun") == 200);
+  REQUIRE(newer.requests == 1);
+  // The other instance still has the list of before.
+  StoreStandIn stale(fixture.loop);
+  stale.memory().Write("op/config", MakeConfiguration(4));
+  stale.memory().Write("servers/desk",
+                       fixture.replica.Registration("desk", "v1"));
+  const std::string peer = "fleet/instances/one";
+  fixture.Await([&] { return fixture.store.memory().items().contains(peer); });
+  PlatformSettings settings = fixture.Settings("two");
+  settings.store = stale.endpoint();
+  LoopTimer deliver(fixture.loop);
+  deliver.Every(milliseconds(1), [&stale] { stale.Deliver(); });
+  SECTION("its peers know the version") {
+    stale.memory().Write(peer, fixture.store.memory().items().at(peer).value);
+  }
+  SECTION("it reaches nobody who does") {}
+  ReadyInstance two(fixture, settings);
+  REQUIRE(RequestStream(fixture, two, "new") == 200);
+  const int before = fixture.replica.requests;
+  const int newer_before = newer.requests;
+  const int status = RequestStream(fixture, two, "again", "begun");
+  REQUIRE(fixture.replica.requests == before);
+  // It may have learned the new list from its peer meanwhile.
+  REQUIRE((status == 503 || newer.requests == newer_before + 1));
+}
+
 TEST_CASE("a stream whose version is not known is refused as not run") {
   EdgeFixture fixture;
   ReadyInstance one(fixture, fixture.Settings("one"));
