--- a/briarspread/proxy/upstream_connection.cc
+++ b/briarspread/proxy/upstream_connection.cc
@@ -143,9 +143,14 @@
   } else {
     timer_.cancel();
   }
+  is_writing_ = true;
+  // The bytes outlive the write, whatever ends the exchange.
+  const auto bytes =
+      std::make_shared<const std::string>(std::move(request_.bytes));
   asio::async_write(
-      socket_, asio::buffer(request_.bytes),
-      [self = shared_from_this()](asio::error_code ec, std::size_t) {
+      socket_, asio::buffer(*bytes),
+      [self = shared_from_this(), bytes](asio::error_code ec, std::size_t) {
+        self->is_writing_ = false;
         // A response may arrive before the request is sent completely. After a
         // failed write the read side then determines how the exchange ends.
         if (ec && !self->is_closed_ && self->listener_ != nullptr &&
@@ -270,8 +275,10 @@
 void UpstreamConnection::Finish() {
   if (listener_ == nullptr) return;
   ExchangeListener* listener = std::exchange(listener_, nullptr);
+  // After an early response the upstream still expects the rest of the body.
   const bool is_reusable = reader_.keeps_alive() && can_be_reused_ &&
-                           idle_timeout_.count() > 0 && !reader_.body().size();
+                           !is_writing_ && idle_timeout_.count() > 0 &&
+                           !reader_.body().size();
   timer_.cancel();
   if (is_reusable) {
     reader_.StartNext();
--- a/briarspread/proxy/upstream_connection.h
+++ b/briarspread/proxy/upstream_connection.h
@@ -137,6 +137,8 @@
   milliseconds idle_timeout_;
   TimePoint started_{};
   bool is_connected_ = false;
+  /// Whether the current request is being written.
+  bool is_writing_ = false;
   bool is_reused_ = false;
   bool is_head_processed_ = false;
   bool is_reading_ = false;
