Delete the checkpoints of a job with the rest of it

A deleted job's results, specification and record were removed, but not its checkpoints, which stayed in the store for good. "a deleted job leaves nothing in the store" now writes checkpoints too: keys were left before, none with the change.

--- a/briarspread/batch/job_store.cc
+++ b/briarspread/batch/job_store.cc
@@ -324,33 +324,32 @@
 }
 
 void JobStore::Delete(const StoredRecord& stored, Done<std::monostate> done) {
-  store_.List(ResultPrefix(stored.id),
-              [this, stored,
-               done = std::move(done)](const Result<StoreListing>& listing) {
-                if (!IsOk(listing)) {
-                  done(ErrorOf(listing));
-                  return;
-                }
-                DeleteKeys(stored, ValueOf(listing).items, done);
-              });
+  store_.List(ChunkPrefix(stored.id), [this, stored, done = std::move(done)](
+                                          const Result<StoreListing>& listing) {
+    if (!IsOk(listing)) {
+      done(ErrorOf(listing));
+      return;
+    }
+    DeleteKeys(stored, ValueOf(listing).items, done);
+  });
 }
 
 void JobStore::DeleteKeys(const StoredRecord& stored,
-                          const std::vector<KeyValue>& results,
+                          const std::vector<KeyValue>& chunks,
                           const Done<std::monostate>& done) {
   StoreTransaction drop;
   drop.conditions.push_back({RecordKey(stored.id), stored.index});
   const bool is_last =
-      results.size() + stored.record.spec_parts + 2 <= kMaxTransactionEntries;
+      chunks.size() + stored.record.spec_parts + 2 <= kMaxTransactionEntries;
   if (is_last) {
     for (std::uint32_t i = 0; i < stored.record.spec_parts; ++i) {
       drop.removals.push_back(NumberedKey(SpecPrefix(stored.id), i));
     }
-    for (const KeyValue& item : results) drop.removals.push_back(item.key);
+    for (const KeyValue& item : chunks) drop.removals.push_back(item.key);
     drop.removals.push_back(RecordKey(stored.id));
   } else {
-    const std::size_t n = std::min(results.size(), kMaxTransactionEntries - 2);
-    for (std::size_t i = 0; i < n; ++i) drop.removals.push_back(results[i].key);
+    const std::size_t n = std::min(chunks.size(), kMaxTransactionEntries - 2);
+    for (std::size_t i = 0; i < n; ++i) drop.removals.push_back(chunks[i].key);
   }
   store_.Commit(std::move(drop), [this, stored, is_last,
                                   done](const Result<StoreOutcome>& outcome) {
--- a/briarspread/batch/job_store.h
+++ b/briarspread/batch/job_store.h
@@ -104,7 +104,7 @@
 
  private:
   void DeleteKeys(const StoredRecord& stored,
-                  const std::vector<KeyValue>& results,
+                  const std::vector<KeyValue>& chunks,
                   const Done<std::monostate>& done);
 
   AsyncStore& store_;
--- a/tests/batch/job_store_test.cc
+++ b/tests/batch/job_store_test.cc
@@ -201,6 +201,8 @@
   StoreIndex index = IndexOf(fixture.Accept("one"));
   for (std::uint64_t n = 0; n < 40; ++n) {
     JobChunk chunk = Chunk(n, "i" + std::to_string(n));
+    chunk.checkpoint_number = n;
+    chunk.checkpoint.push_back({ItemId("a"), 0, "text", n + 1, n + 1, {}});
     IndexOf(fixture.Append(index, chunk));
   }
   const auto deleted = fixture.Await<std::monostate>([&](auto done) {
