--- a/briarspread/batch/job_gateway.h
+++ b/briarspread/batch/job_gateway.h
@@ -163,7 +163,8 @@
   /// Whether no instance may be running the job.
   bool IsOrphan(const StoredRecord& stored) const;
   void ReviewOrphan(const StoredRecord& stored);
-  /// Loads or takes over an orphan whose record was read just now.
+  /// Reads the record of an orphan, then loads the job or takes it over.
+  void ReadOrphan(const JobId& id);
   void OnOrphanRead(const JobId& id, const Result<StoredRecord>& read);
   void ReviewOwners();
   void ProbeOwner(const StoredRecord& stored);
--- a/briarspread/batch/job_listing.cc
+++ b/briarspread/batch/job_listing.cc
@@ -235,10 +235,9 @@
     job.index = ok->index;
   } else {
     const auto& changed = std::get<RecordChanged>(ValueOf(outcome));
-    const bool is_own_end =
-        changed.current.has_value() && changed.current->record.is_ended &&
-        changed.current->record.owner == self_.name &&
-        changed.current->record.incarnation == self_.incarnation;
+    const bool is_own_end = changed.current.has_value() &&
+                            changed.current->record.is_ended &&
+                            IsOwn(changed.current->record);
     if (!is_own_end) {
       HandleOwnershipLoss(id, changed);
       return;
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -74,6 +74,10 @@
   return limits;
 }
 
+bool JobRunner::IsOwn(const JobRecord& record) const {
+  return record.owner == self_.name && record.incarnation == self_.incarnation;
+}
+
 void JobRunner::Accept(JobSpec spec, const std::string& home_key,
                        Done<std::monostate> done) {
   const JobId id = spec.id;
@@ -125,11 +129,9 @@
             return;
           }
           stored = *changed.current;
-          const bool is_own = stored.record.owner == self_.name &&
-                              stored.record.incarnation == self_.incarnation;
           // The store may have results of it already, so it is loaded as every
           // job that was not accepted just now.
-          if (is_own && !stored.record.is_ended) {
+          if (IsOwn(stored.record) && !stored.record.is_ended) {
             Load(stored, JobHandover{}, [](const auto&) {});
           }
         }
@@ -223,9 +225,7 @@
           return;
         }
         listener_.OnJobRecord(*changed.current);
-        const JobRecord& now = changed.current->record;
-        if (now.owner == self_.name && now.incarnation == self_.incarnation &&
-            !Owns(id)) {
+        if (IsOwn(changed.current->record) && !Owns(id)) {
           Load(*changed.current, handover, done);
           return;
         }
@@ -339,9 +339,7 @@
         }
         const auto& changed = std::get<RecordChanged>(ValueOf(outcome));
         const bool is_own =
-            changed.current.has_value() &&
-            changed.current->record.owner == self_.name &&
-            changed.current->record.incarnation == self_.incarnation;
+            changed.current.has_value() && IsOwn(changed.current->record);
         if (!is_own) {
           HandleOwnershipLoss(id, changed);
           return;
@@ -380,10 +378,9 @@
 void JobRunner::OnRecordSeen(const StoredRecord& stored) {
   const auto it = jobs_.find(stored.id);
   if (it == jobs_.end() || stored.index <= it->second.index) return;
-  const bool is_own = stored.record.owner == self_.name &&
-                      stored.record.incarnation == self_.incarnation;
   // The outcome of an own write is about to come.
-  if (is_own && (!stored.record.is_ended || it->second.is_ending)) return;
+  if (IsOwn(stored.record) && (!stored.record.is_ended || it->second.is_ending))
+    return;
   HandleOwnershipLoss(stored.id, RecordChanged{stored});
 }
 
@@ -398,8 +395,7 @@
   }
   listener_.OnJobRecord(*changed.current);
   const JobRecord& record = changed.current->record;
-  if (record.owner == self_.name && record.incarnation == self_.incarnation &&
-      !record.is_ended) {
+  if (IsOwn(record) && !record.is_ended) {
     // What this instance knew of the job was not what the store has.
     Load(*changed.current, JobHandover{}, [](const auto&) {});
   }
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -245,6 +245,8 @@
   /// State of the engines of one service with respect to one model.
   using EngineViews = std::vector<EngineView>;
 
+  /// Whether the record names this start of the instance as the owner.
+  bool IsOwn(const JobRecord& record) const;
   void TryAccept(const JobId& id);
   /// Retries an attempt while an earlier one may have taken effect; otherwise
   /// ends the accept.
--- a/briarspread/batch/job_takeover.cc
+++ b/briarspread/batch/job_takeover.cc
@@ -128,27 +128,25 @@
   Orphan& orphan = orphans_[stored.id];
   const auto rank = self - order.begin();
   if (clock_.Now() - orphan.lost_at < rank * settings_.takeover_stagger) return;
-  orphan.is_adopting = true;
   LOG(INFO) << "event=takeover job=" << stored.id
             << " owner=" << stored.record.owner;
-  store_.ReadRecord(stored.id,
-                    [this, id = stored.id](const Result<StoredRecord>& read) {
-                      OnOrphanRead(id, read);
-                    });
+  ReadOrphan(stored.id);
 }
 
 void JobGateway::LoadOwnJob(const StoredRecord& stored) {
   // The answer to its accept or takeover was lost, a part of it could not be
   // read, or the job has since been handed over.
   if (is_stopping_ || !IsOrphan(stored)) return;
-  Orphan& orphan = orphans_[stored.id];
-  if (orphan.is_adopting) return;
-  orphan.is_adopting = true;
+  if (orphans_[stored.id].is_adopting) return;
   LOG(INFO) << "event=unheld_job job=" << stored.id;
-  store_.ReadRecord(stored.id,
-                    [this, id = stored.id](const Result<StoredRecord>& read) {
-                      OnOrphanRead(id, read);
-                    });
+  ReadOrphan(stored.id);
+}
+
+void JobGateway::ReadOrphan(const JobId& id) {
+  orphans_[id].is_adopting = true;
+  store_.ReadRecord(id, [this, id](const Result<StoredRecord>& read) {
+    OnOrphanRead(id, read);
+  });
 }
 
 void JobGateway::OnOrphanRead(const JobId& id,
