--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -378,9 +378,10 @@
 void JobRunner::OnRecordSeen(const StoredRecord& stored) {
   const auto it = jobs_.find(stored.id);
   if (it == jobs_.end() || stored.index <= it->second.index) return;
+  const bool is_own_change =
+      IsOwn(stored.record) && (!stored.record.is_ended || it->second.is_ending);
   // The outcome of an own write is about to come.
-  if (IsOwn(stored.record) && (!stored.record.is_ended || it->second.is_ending))
-    return;
+  if (is_own_change) return;
   HandleOwnershipLoss(stored.id, RecordChanged{stored});
 }
 
