One reader of media types, one test of ownership, an epoch that is no load

Read once more as a newcomer; no change of behaviour but for the first line. - The media type of a response was compared in two ways, for an item by a prefix with its case, for a stream without case and parameters: both use HeaderList::MediaType now (with a test). - JobRunner::IsOwn and JobGateway::IsOwnRecord were the same function. - OwnedJob::load, beside the load of engines, is OwnedJob::epoch. - Test doubles that stood twice: the head of an engine's response, the record of an instance and the listener of the registry. - Comments: why 100,000 bytes of origins fit into one value, what the field bytes of encoded sizes are, and what a refused chunk loses.

--- a/briarspread/batch/item_run.cc
+++ b/briarspread/batch/item_run.cc
@@ -98,8 +98,8 @@
       head.headers.Find(context_.headers.signature) != nullptr;
   if (head.status != 200 || !is_signed) return RunOutcome::kBroken;
   // Without events, a body of another type would count as a complete stream.
-  const std::string* type = head.headers.Find("Content-Type");
-  if (type != nullptr && !type->starts_with(kEventStreamType)) {
+  const std::string_view type = head.headers.MediaType();
+  if (!type.empty() && !proxy::EqualsIgnoreCase(type, kEventStreamType)) {
     return RunOutcome::kBroken;
   }
   return RunOutcome::kComplete;
--- a/briarspread/batch/job_checkpoint.cc
+++ b/briarspread/batch/job_checkpoint.cc
@@ -62,6 +62,7 @@
 
 /// Returns an upper estimate of the encoded size of a part.
 std::size_t EncodedSize(const CheckpointPart& part) {
+  // CBOR's field names and lengths, and a version as a 64-bit number.
   constexpr std::size_t kFieldBytes = 128;
   constexpr std::size_t kVersionBytes = 9;
   return kFieldBytes + part.id.value().size() + part.text.size() +
--- a/briarspread/batch/job_gateway.cc
+++ b/briarspread/batch/job_gateway.cc
@@ -128,7 +128,7 @@
   const bool is_news = known == nullptr || known->index < stored.index;
   index_.Put(stored);
   if (!IsOrphan(stored)) orphans_.erase(stored.id);
-  if (!is_news || !IsOwnRecord(stored.record)) return;
+  if (!is_news || !runner_->IsOwn(stored.record)) return;
   for (const InstanceRecord& peer : registry_.Peers()) {
     PeerCall notice;
     notice.method = "POST";
@@ -145,11 +145,6 @@
 
 // --- Reading
 
-bool JobGateway::IsOwnRecord(const JobRecord& record) const {
-  return record.owner == registry_.self().name &&
-         record.incarnation == registry_.self().incarnation;
-}
-
 bool JobGateway::IsOwnerRegistered(const JobRecord& record) const {
   return registry_.IsRegistered(record.owner, record.incarnation);
 }
@@ -184,7 +179,7 @@
       return;
     }
     const StoredRecord& stored = ValueOf(found);
-    if (IsOwnRecord(stored.record)) {
+    if (runner_->IsOwn(stored.record)) {
       if (!stored.record.is_ended) LoadOwnJob(stored);
       ReadFromStore(stored, after, done);
       return;
@@ -256,7 +251,7 @@
       return;
     }
     const StoredRecord stored = ValueOf(found);
-    if (IsOwnRecord(stored.record)) {
+    if (runner_->IsOwn(stored.record)) {
       ReadBodyFromStore(stored, item, done);
       return;
     }
@@ -314,7 +309,7 @@
       done(OkStatus());
       return;
     }
-    if (IsOwnRecord(stored.record)) {
+    if (runner_->IsOwn(stored.record)) {
       LoadOwnJob(stored);
       done(UnavailableError("the job is being loaded"));
       return;
--- a/briarspread/batch/job_gateway.h
+++ b/briarspread/batch/job_gateway.h
@@ -99,16 +99,17 @@
   }
 
  private:
-  /// Delays between retries.
+  /// The pause before the next retry, and how long it is; zero before the first
+  /// failure.
   struct RetryPause {
     TimePoint until{};
     Duration pause{0};
   };
 
-  /// An open job that no instance may be running: its owner may be unreachable,
+  /// An open job that possibly no instance runs: its owner may be unreachable,
   /// or is this instance, which does not hold it.
   struct Orphan {
-    /// When it was first found that no instance may be running the job.
+    /// When the job was first found to be an orphan.
     TimePoint lost_at{};
     RetryPause retry;
     bool is_probing = false;
@@ -130,14 +131,14 @@
 
   void SubmitToPeer(JobSpec spec, const InstanceRecord& home,
                     Done<std::monostate> done);
-  /// Puts a record into the index, and gives the job up if it was held.
+  /// Puts a record into the index, and gives the job up if it is held here
+  /// although the record says otherwise.
   void LearnRecord(const StoredRecord& stored);
   /// Has the records of the held jobs read if the registration had lapsed:
   /// other instances may have taken the jobs over meanwhile.
   void CheckRegistration();
   /// Looks the record of the job up in the index, then in the store.
   void FindRecord(const JobId& id, Done<StoredRecord> done);
-  bool IsOwnRecord(const JobRecord& record) const;
   bool IsOwnerRegistered(const JobRecord& record) const;
   void ReadFromOwner(const StoredRecord& stored, std::uint64_t after,
                      milliseconds wait, Done<ResultPage> done);
@@ -149,7 +150,7 @@
   /// Loads a job that the store says this instance owns, unless it is held or
   /// being loaded.
   void LoadOwnJob(const StoredRecord& stored);
-  /// Puts off the next attempt after a failed one.
+  /// Doubles the pause after a failure, within the settings' limits.
   void PauseRetries(RetryPause& retry) const;
   /// Reads the record of a job from the store, again until it is found or
   /// `missing_for` has passed, so that a job that names this instance is
@@ -160,7 +161,7 @@
                                const Result<StoredRecord>& read);
   /// Handles the end of a takeover or load of an orphan.
   void OnOrphanAdopted(const JobId& id, const Result<std::monostate>& result);
-  /// Whether no instance may be running the job.
+  /// Whether possibly no instance runs the job, although it is open.
   bool IsOrphan(const StoredRecord& stored) const;
   void ReviewOrphan(const StoredRecord& stored);
   /// Reads the record of an orphan, then loads the job or takes it over.
@@ -186,6 +187,7 @@
   LoopTimer review_timer_;
   LoopTimer index_refresh_timer_;
   bool has_refreshed_index_ = false;
+  /// Pause between attempts at the first listing of the records.
   RetryPause index_retry_;
   /// The lease of the registration under which the held jobs were owned.
   StoreLeaseId registration_lease_;
--- a/briarspread/batch/job_ledger.cc
+++ b/briarspread/batch/job_ledger.cc
@@ -13,6 +13,7 @@
 
 /// Returns an upper estimate of the encoded size of a result.
 std::size_t EncodedSize(const ItemResult& result) {
+  // CBOR's field names and lengths, and a version as a 64-bit number.
   constexpr std::size_t kFieldBytes = 96;
   constexpr std::size_t kVersionBytes = 9;
   return kFieldBytes + result.id.value().size() + result.text.size() +
--- a/briarspread/batch/job_listing.cc
+++ b/briarspread/batch/job_listing.cc
@@ -72,8 +72,8 @@
   job.is_writing = true;
   job.last_write = context_.clock.Now();
   store_.Append(id, job.index, job.chunk,
-                [this, id, load = job.load](const auto& outcome) {
-                  if (IsCurrent(id, load)) OnChunkWritten(id, outcome);
+                [this, id, epoch = job.epoch](const auto& outcome) {
+                  if (IsCurrent(id, epoch)) OnChunkWritten(id, outcome);
                 });
 }
 
@@ -97,9 +97,9 @@
   return chunk;
 }
 
-bool JobRunner::IsCurrent(const JobId& id, std::uint64_t load) const {
+bool JobRunner::IsCurrent(const JobId& id, std::uint64_t epoch) const {
   const auto it = jobs_.find(id);
-  return it != jobs_.end() && it->second.load == load;
+  return it != jobs_.end() && it->second.epoch == epoch;
 }
 
 JobRunner::OwnedJob* JobRunner::FinishWrite(
@@ -221,8 +221,8 @@
   JobRecord record = job.record;
   record.is_ended = true;
   store_.ReplaceRecord(id, record, job.index,
-                       [this, id, load = job.load](const auto& outcome) {
-                         if (IsCurrent(id, load)) OnEndWritten(id, outcome);
+                       [this, id, epoch = job.epoch](const auto& outcome) {
+                         if (IsCurrent(id, epoch)) OnEndWritten(id, outcome);
                        });
 }
 
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -180,7 +180,7 @@
       jobs_.try_emplace(stored.id, context_.loop, spec, limits,
                         settings_.events_per_checkpoint, now);
   OwnedJob& job = it->second;
-  job.load = ++loads_;
+  job.epoch = ++last_epoch_;
   job.record = stored.record;
   job.index = stored.index;
   job.owned_since = now;
@@ -324,8 +324,9 @@
   if (it == jobs_.end()) return;
   store_.ReplaceRecord(
       id, it->second.record, it->second.index,
-      [this, id, load = it->second.load](const Result<RecordOutcome>& outcome) {
-        if (!IsCurrent(id, load)) return;
+      [this, id,
+       epoch = it->second.epoch](const Result<RecordOutcome>& outcome) {
+        if (!IsCurrent(id, epoch)) return;
         const auto found = jobs_.find(id);
         if (!IsOk(outcome)) {
           found->second.listing_timer.After(settings_.store_retry_delay,
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -122,6 +122,8 @@
   void Load(const StoredRecord& stored, const JobHandover& handover,
             const Done<std::monostate>& done);
   bool Owns(const JobId& id) const { return jobs_.contains(id); }
+  /// Whether the record names this start of the instance as the owner.
+  bool IsOwn(const JobRecord& record) const;
   /// Gives an own job up if this record of it, read or announced just now,
   /// shows that another instance has replaced this one as the owner or ended
   /// the job. No effect on jobs that are not owned.
@@ -194,8 +196,9 @@
           listing_timer(loop) {}
 
     JobLedger ledger;
-    /// Identifies this time that the job was accepted or loaded here.
-    std::uint64_t load = 0;
+    /// Differs each time that a job becomes owned here, so that answers to
+    /// writes of an earlier time are recognized.
+    std::uint64_t epoch = 0;
     JobRecord record;
     /// Index of the record in the store; results are written only while the
     /// record has this index.
@@ -245,8 +248,6 @@
   /// State of the engines of one service with respect to one model.
   using EngineViews = std::vector<EngineView>;
 
-  /// Whether the record names this start of the instance as the owner.
-  bool IsOwn(const JobRecord& record) const;
   void TryAccept(const JobId& id);
   /// Retries an attempt while an earlier one may have taken effect; otherwise
   /// ends the accept.
@@ -306,12 +307,13 @@
   /// Returns what is to be written now; an empty chunk if there is nothing.
   JobChunk NextChunk(const OwnedJob& job) const;
   void WriteEnd(const JobId& id);
-  /// Whether the job is still owned since the load with this number.
-  bool IsCurrent(const JobId& id, std::uint64_t load) const;
-  /// Drops what can be spared of a chunk that the store will never take.
+  /// Whether the job has been owned without a break since this epoch.
+  bool IsCurrent(const JobId& id, std::uint64_t epoch) const;
+  /// After the store refused the job's chunk as invalid: drops the checkpoint,
+  /// which is only kept progress, and the results if the job is ending.
   void DropRefusedWrite(OwnedJob& job, const Error& error);
   /// Returns the job whose write has finished; null if the write failed, in
-  /// which case a retry is scheduled.
+  /// which case a retry is scheduled. Precondition: `Owns(id)`.
   OwnedJob* FinishWrite(const JobId& id, const std::string& what,
                         const Result<RecordOutcome>& outcome);
   void OnChunkWritten(const JobId& id, const Result<RecordOutcome>& outcome);
@@ -345,8 +347,8 @@
   std::map<JobId, OwnedJob> jobs_;
   /// Jobs that are being loaded, once for each load.
   std::multiset<JobId> loading_;
-  /// Number of jobs that were accepted or loaded.
-  std::uint64_t loads_ = 0;
+  /// Epoch of the job that became owned last.
+  std::uint64_t last_epoch_ = 0;
   std::map<JobId, PendingAccept> pending_accepts_;
   std::map<ItemKey, std::unique_ptr<ItemRun>> runs_;
   std::map<ItemKey, std::unique_ptr<RewardRun>> rewards_;
--- a/briarspread/batch/job_takeover.cc
+++ b/briarspread/batch/job_takeover.cc
@@ -67,7 +67,7 @@
 
 bool JobGateway::IsOrphan(const StoredRecord& stored) const {
   if (stored.record.is_ended || runner_->Owns(stored.id)) return false;
-  if (IsOwnRecord(stored.record)) return !runner_->IsLoading(stored.id);
+  if (runner_->IsOwn(stored.record)) return !runner_->IsLoading(stored.id);
   return !IsOwnerRegistered(stored.record);
 }
 
@@ -77,7 +77,7 @@
   if (is_new) orphan.lost_at = clock_.Now();
   if (orphan.is_adopting || orphan.is_probing) return;
   if (clock_.Now() < orphan.retry.until) return;
-  if (IsOwnRecord(stored.record)) {
+  if (runner_->IsOwn(stored.record)) {
     LoadOwnJob(stored);
   } else if (!orphan.is_owner_lost) {
     ProbeOwner(stored);
@@ -169,7 +169,7 @@
   const auto done = [this, id](const Result<std::monostate>& result) {
     OnOrphanAdopted(id, result);
   };
-  if (IsOwnRecord(current.record)) {
+  if (runner_->IsOwn(current.record)) {
     runner_->Load(current, JobHandover{}, done);
   } else {
     runner_->Adopt(current, JobHandover{}, done);
@@ -235,7 +235,7 @@
   if (IsOk(read)) {
     unconfirmed_.erase(it);
     LearnRecord(ValueOf(read));
-    if (IsOwnRecord(ValueOf(read).record)) LoadOwnJob(ValueOf(read));
+    if (runner_->IsOwn(ValueOf(read).record)) LoadOwnJob(ValueOf(read));
     return;
   }
   const bool is_missing = ErrorOf(read).code == ErrorCode::kNotFound;
@@ -251,7 +251,7 @@
   std::set<Endpoint> owners;
   for (const auto& [id, stored] : index_.all()) {
     const JobRecord& record = stored.record;
-    if (record.is_ended || IsOwnRecord(record)) continue;
+    if (record.is_ended || runner_->IsOwn(record)) continue;
     if (IsOwnerRegistered(record)) owners.insert(record.owner_endpoint);
   }
   return {owners.begin(), owners.end()};
--- a/briarspread/forward/durable_stream_origins.h
+++ b/briarspread/forward/durable_stream_origins.h
@@ -28,7 +28,9 @@
   /// for the rest of `retention` at least.
   std::chrono::minutes lease_use{1};
   /// Origins are written together up to this sum of the sizes of their ids and
-  /// versions. Their encoding fits into one value of the store.
+  /// versions, in bytes. Encoded, such a byte takes at most three (an invalid
+  /// one is replaced) and an origin about 30 more, so that origins with ids of
+  /// three bytes or more fit into one value of the store (1,000,000 bytes).
   std::size_t max_write_bytes = 100'000;
   /// Maximum number of origins that wait to be written; beyond it, the oldest
   /// are dropped.
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -16,11 +16,6 @@
 /// Number of unsent bytes above which reading from the upstream is paused.
 constexpr std::size_t kMaxUnsentBytes = std::size_t{256} * 1024;
 
-/// Returns a media type without its parameters.
-std::string_view MediaTypeOf(std::string_view content_type) {
-  return content_type.substr(0, content_type.find_first_of("; "));
-}
-
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
 bool HasBackend(const Route& route, const ServiceName& service) {
@@ -257,12 +252,10 @@
 }
 
 bool LiveRequest::ContinuesStream(const proxy::ResponseHead& head) const {
-  if (head.status != begun_head_.status) return false;
-  const std::string* begun = begun_head_.headers.Find("Content-Type");
-  const std::string* type = head.headers.Find("Content-Type");
-  return begun == nullptr ||
-         (type != nullptr &&
-          proxy::EqualsIgnoreCase(MediaTypeOf(*type), MediaTypeOf(*begun)));
+  const std::string_view begun = begun_head_.headers.MediaType();
+  return head.status == begun_head_.status &&
+         (begun.empty() ||
+          proxy::EqualsIgnoreCase(head.headers.MediaType(), begun));
 }
 
 void LiveRequest::OnBody(std::string_view data) {
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -148,8 +148,8 @@
   milliseconds TimeLeft() const;
   bool IsUnsigned(const proxy::ResponseHead& head) const;
   bool IsNotRun(const proxy::ResponseHead& head) const;
-  /// Whether a response goes on with the stream that was begun: a success with
-  /// the same status and media type.
+  /// Whether a response may go on with the stream that was begun: it has the
+  /// same status, and the same media type if the first response named one.
   bool ContinuesStream(const proxy::ResponseHead& head) const;
 
   ForwardContext& context_;
--- a/briarspread/proxy/http_message.cc
+++ b/briarspread/proxy/http_message.cc
@@ -136,6 +136,12 @@
   return it == lines_.end() ? nullptr : &it->value;
 }
 
+std::string_view HeaderList::MediaType() const {
+  const std::string* line = Find("Content-Type");
+  if (line == nullptr) return {};
+  return std::string_view{*line}.substr(0, line->find_first_of("; "));
+}
+
 std::optional<std::uint64_t> HeaderList::FindNumber(
     std::string_view name) const {
   const std::string* value = Find(name);
--- a/briarspread/proxy/http_message.h
+++ b/briarspread/proxy/http_message.h
@@ -31,6 +31,9 @@
   /// Returns the value of the first line named `name` as an unsigned decimal
   /// number, or nothing if it is absent or malformed.
   std::optional<std::uint64_t> FindNumber(std::string_view name) const;
+  /// Returns the media type in `Content-Type` without its parameters; empty if
+  /// there is none. Valid until the list changes.
+  std::string_view MediaType() const;
   /// Removes the headers that apply to a single connection only, including
   /// those listed in `Connection` lines.
   void RemoveHopByHop();
--- a/tests/batch/announced_outcome_test.cc
+++ b/tests/batch/announced_outcome_test.cc
@@ -17,14 +17,6 @@
   return settings;
 }
 
-proxy::ResponseHead Head(const JobRunnerFixture& fixture, int status) {
-  proxy::ResponseHead head;
-  head.status = status;
-  head.headers.Add(fixture.headers.signature, "sig");
-  head.headers.Add(fixture.headers.weight_version, "2");
-  return head;
-}
-
 // Guards against the failure of review/2 (LOST): the process of a job's owner
 // ended by an assertion, with all requests in flight there.
 TEST_CASE("a run whose failure response is held ends its item once") {
@@ -32,7 +24,7 @@
     JobRunnerFixture fixture(ImpatientSettings());
     FakeUpstream engine(fixture.loop, [&](const proxy::Request&,
                                           const ResponderPtr& responder) {
-      responder->Start(Head(fixture, status));
+      responder->Start(fixture.EngineHead(status));
       responder->Write("{\"error\":");
     });
     fixture.AddEngine("a", engine);
@@ -87,7 +79,7 @@
       return;
     }
     const auto [status, end] = draws_[next_++];
-    responder->Start(Head(fixture_, kStatuses[status % kStatuses.size()]));
+    responder->Start(fixture_.EngineHead(kStatuses[status % kStatuses.size()]));
     responder->Write("id: 1\ndata: e1\n\nid: 2\nda");
     if (end % 3 == 0) responder->End();
     if (end % 3 == 1) responder->Abort();
--- a/tests/batch/job_gateway_fixture.h
+++ b/tests/batch/job_gateway_fixture.h
@@ -11,13 +11,11 @@
 #include "briarspread/batch/job_peer_handler.h"
 #include "briarspread/fleet/home_order.h"
 #include "tests/batch/job_runner_fixture.h"
+#include "tests/fleet/instance_world.h"
 
 namespace briarspread::batch {
 
-struct IgnoringRegistryListener final : InstanceRegistry::Listener {
-  void OnInstancesChanged() override {}
-  void OnStoreReachable(bool) override {}
-};
+using briarspread::testing::Record;
 
 /// Fixture with the job gateway of one registered instance and the job runner
 /// that it uses, both on a store in memory.
@@ -45,15 +43,6 @@
     return settings;
   }
 
-  static InstanceRecord Record(const std::string& name,
-                               std::uint64_t incarnation) {
-    InstanceRecord record;
-    record.name = InstanceId(name);
-    record.incarnation = Incarnation(incarnation);
-    record.peer_endpoint = Endpoint{"127.0.0.1", 1};
-    return record;
-  }
-
   /// Returns the record of a job that this instance owns.
   static JobRecord RecordOfOwner(const InstanceRecord& owner,
                                  const JobSpec& spec) {
@@ -93,7 +82,7 @@
                .name.value() == name;
   }
 
-  IgnoringRegistryListener registry_listener;
+  briarspread::testing::CountingListener registry_listener;
   InstanceRegistry registry;
   PeerClient peers;
   JobGateway gateway;
--- a/tests/batch/job_runner_fixture.h
+++ b/tests/batch/job_runner_fixture.h
@@ -105,6 +105,15 @@
     Add(id, engine, {{kModel, WeightVersion(version)}}, 8, software);
   }
 
+  /// Returns the head of an engine's response, which names weight version 2.
+  proxy::ResponseHead EngineHead(int status) const {
+    proxy::ResponseHead head;
+    head.status = status;
+    head.headers.Add(headers.signature, "sig");
+    head.headers.Add(headers.weight_version, "2");
+    return head;
+  }
+
   /// Returns an engine's answer: a stream of the events up to `last`, starting
   /// after the last event id of the request, that then ends or breaks off.
   FakeUpstream::RespondFunction AnswerWithEvents(std::uint64_t last,
--- a/tests/batch/job_runner_test.cc
+++ b/tests/batch/job_runner_test.cc
@@ -144,11 +144,7 @@
   bool is_gone = false;
   FakeUpstream slow(fixture.loop,
                     [&](const proxy::Request&, const ResponderPtr& responder) {
-                      proxy::ResponseHead head;
-                      head.status = 200;
-                      head.headers.Add(fixture.headers.signature, "sig");
-                      head.headers.Add(fixture.headers.weight_version, "2");
-                      responder->Start(head);
+                      responder->Start(fixture.EngineHead(200));
                       responder->Write("id: 1\ndata: x\n\n");
                       responder->SetOnDisconnect([&] { is_gone = true; });
                     });
@@ -198,11 +194,7 @@
   JobRunnerFixture fixture(settings);
   FakeUpstream stops(
       fixture.loop, [&](const proxy::Request&, const ResponderPtr& responder) {
-        proxy::ResponseHead head;
-        head.status = 200;
-        head.headers.Add(fixture.headers.signature, "sig");
-        head.headers.Add(fixture.headers.weight_version, "2");
-        responder->Start(head);
+        responder->Start(fixture.EngineHead(200));
         responder->Write("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n");
       });
   fixture.AddEngine("stops", stops);
--- a/tests/batch/refused_accept_test.cc
+++ b/tests/batch/refused_accept_test.cc
@@ -69,7 +69,7 @@
     fixture.AwaitStore([&] { return answer.has_value(); });
     return ErrorOf(*answer).verdict;
   };
-  InstanceRecord record = JobGatewayFixture::Record("home", 1);
+  InstanceRecord record = Record("home", 1);
   record.peer_endpoint = home.endpoint();
   fixture.AddInstance(record);
   fixture.store.SetFault(Fault::kRefuse);
--- a/tests/batch/replaced_owner_test.cc
+++ b/tests/batch/replaced_owner_test.cc
@@ -14,11 +14,7 @@
                                       int events, std::size_t bytes) {
   return [&fixture, events, bytes](const proxy::Request&,
                                    const ResponderPtr& responder) {
-    proxy::ResponseHead head;
-    head.status = 200;
-    head.headers.Add(fixture.headers.signature, "sig");
-    head.headers.Add(fixture.headers.weight_version, "2");
-    responder->Start(head);
+    responder->Start(fixture.EngineHead(200));
     for (int n = 1; n <= events; ++n) {
       responder->Write("id: " + std::to_string(n) +
                        "\ndata: " + std::string(bytes, 'x') + "\n\n");
@@ -80,7 +76,7 @@
   const JobSpec spec = JobRunnerFixture::Spec();
   fixture.gateway.Submit(spec, [&](const auto& got) { accepted = got; });
   fixture.AwaitStore([&] { return fixture.own.running_count() == 1; });
-  InstanceRecord taker = JobGatewayFixture::Record("taker", 1);
+  InstanceRecord taker = Record("taker", 1);
   fixture.AddInstance(taker);
   StoredRecord taken = fixture.own.RecordOf(spec.id);
   taken.record.owner = taker.name;
--- a/tests/batch/stalled_run_test.cc
+++ b/tests/batch/stalled_run_test.cc
@@ -9,21 +9,13 @@
 
 using forward::RespondEndlessly;
 
-proxy::ResponseHead Head(const JobRunnerFixture& fixture, int status) {
-  proxy::ResponseHead head;
-  head.status = status;
-  head.headers.Add(fixture.headers.signature, "sig");
-  head.headers.Add(fixture.headers.weight_version, "2");
-  return head;
-}
-
 TEST_CASE("a run on an engine that sends bytes but no events is moved") {
   JobRunnerSettings settings = JobRunnerFixture::FastSettings();
   settings.min_stall_timeout = milliseconds(100);
   JobRunnerFixture fixture(settings);
   FakeUpstream stalls(
       fixture.loop,
-      RespondEndlessly(fixture.loop, Head(fixture, 200), ": alive\n"));
+      RespondEndlessly(fixture.loop, fixture.EngineHead(200), ": alive\n"));
   FakeUpstream sound(fixture.loop, fixture.AnswerWithEvents(3));
   fixture.AddEngine("a", stalls);
   REQUIRE(fixture.Accept(JobRunnerFixture::Spec()));
@@ -36,7 +28,7 @@
 TEST_CASE("a failure response with an endless body counts as a failed run") {
   JobRunnerFixture fixture;
   FakeUpstream engine(fixture.loop,
-                      RespondEndlessly(fixture.loop, Head(fixture, 500),
+                      RespondEndlessly(fixture.loop, fixture.EngineHead(500),
                                        std::string(8192, 'x')));
   fixture.AddEngine("e", engine);
   REQUIRE(fixture.Accept(JobRunnerFixture::Spec()));
--- a/tests/batch/unheld_job_test.cc
+++ b/tests/batch/unheld_job_test.cc
@@ -66,10 +66,9 @@
   FakeUpstream engine(fixture.loop, fixture.AnswerWithEvents(2));
   fixture.AddEngine("e", engine);
   const JobSpec spec = JobRunnerFixture::Spec();
-  fixture.jobs.Accept(
-      spec,
-      JobGatewayFixture::RecordOfOwner(JobGatewayFixture::Record("a", 1), spec),
-      [](const auto&) {});
+  fixture.jobs.Accept(spec,
+                      JobGatewayFixture::RecordOfOwner(Record("a", 1), spec),
+                      [](const auto&) {});
   fixture.store.Deliver();
   fixture.gateway.OnUnheldJobRequested(spec.id);
   fixture.AwaitStore([&] { return engine.requests.size() == 1; });
--- a/tests/proxy/message_reader_test.cc
+++ b/tests/proxy/message_reader_test.cc
@@ -13,6 +13,16 @@
   return reader.error();
 }
 
+TEST_CASE("a media type is read without its parameters") {
+  HeaderList headers;
+  REQUIRE(headers.MediaType().empty());
+  for (const char* line : {"text/event-stream", "text/event-stream; charset=x",
+                           "text/event-stream ;x"}) {
+    headers.Set("content-type", line);
+    REQUIRE(headers.MediaType() == "text/event-stream");
+  }
+}
+
 TEST_CASE("a request is parsed byte by byte up to its last byte") {
   const std::string first =
       "POST /a?b=c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz";
