--- a/briarspread/batch/reward_run.cc
+++ b/briarspread/batch/reward_run.cc
@@ -53,8 +53,7 @@
 void RewardRun::OnResponse(proxy::Response answer) {
   const std::string* signature =
       answer.head.headers.Find(context_.headers.signature);
-  if (answer.head.status >= 200 && answer.head.status < 300 &&
-      signature != nullptr) {
+  if (proxy::IsSuccess(answer.head.status) && signature != nullptr) {
     outcome_.score = *signature;
   }
   // The request still uses this object, so `done`, which may destroy it, is
--- a/briarspread/proxy/http_message.h
+++ b/briarspread/proxy/http_message.h
@@ -48,6 +48,9 @@
 /// Whether two names are equal, ignoring ASCII case. Thread-safe.
 bool EqualsIgnoreCase(std::string_view a, std::string_view b);
 
+/// Whether a response with this status reports success. Thread-safe.
+constexpr bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
 /// Parses all of `text` as an unsigned decimal number; returns nothing if it is
 /// malformed. Thread-safe.
 std::optional<std::uint64_t> ParseNumber(std::string_view text);
