Client accounts: keys at every entrance, accounts towards upstreams

Cause: requests of deployments with client accounts carry a key that the product did not know. It forwarded the key and set no account.

One class decides for live requests, streams, submissions, reads, ends and item bodies. A job belongs to the account that submitted it, in its specification and its record. Without accounts in the configuration nothing changes, stored jobs included.

--- a/briarspread/batch/job.cc
+++ b/briarspread/batch/job.cc
@@ -104,19 +104,37 @@
   return results;
 }
 
+/// Sets the account of a job; omitted without one, so that the encoding of jobs
+/// without accounts is unchanged.
+void SetAccount(const accounts::AccountId& account, Json& json) {
+  if (!account.value().empty()) json["account"] = account.value();
+}
+
+accounts::AccountId AccountFrom(const Json& json) {
+  return accounts::AccountId(json.value("account", ""));
+}
+
 }  // namespace
 
+bool MayAccess(const JobRecord& record,
+               const std::optional<accounts::AccountId>& caller) {
+  return !caller.has_value() || record.account.value().empty() ||
+         record.account == *caller;
+}
+
 std::string Encode(const JobSpec& spec) {
   Json items = Json::array();
   for (const ItemSpec& item : spec.items) items.push_back(ToJson(item));
-  return ToBytes({{"id", spec.id.value()},
-                  {"host", spec.host},
-                  {"path", spec.path},
-                  {"step", spec.step},
-                  {"model", spec.model.value()},
-                  {"oldest_allowed", spec.oldest_allowed.value()},
-                  {"target_groups", spec.target_groups},
-                  {"items", std::move(items)}});
+  Json json = {{"id", spec.id.value()},
+               {"host", spec.host},
+               {"path", spec.path},
+               {"step", spec.step},
+               {"model", spec.model.value()},
+               {"oldest_allowed", spec.oldest_allowed.value()},
+               {"target_groups", spec.target_groups},
+               {"items", std::move(items)}};
+  SetAccount(spec.account, json);
+  return ToBytes(json);
 }
 
 std::optional<JobSpec> DecodeJobSpec(const std::string& bytes) {
@@ -133,6 +151,7 @@
     for (const Json& item : json.at("items")) {
       spec.items.push_back(ItemFrom(item));
     }
+    spec.account = AccountFrom(json);
     return spec;
   });
 }
@@ -162,15 +181,17 @@
 std::string Encode(const JobRecord& record) {
   const auto submitted = std::chrono::duration_cast<milliseconds>(
       record.submitted.time_since_epoch());
-  return ToBytes({{"owner", record.owner.value()},
-                  {"incarnation", record.incarnation.value()},
-                  {"host", record.owner_endpoint.host},
-                  {"port", record.owner_endpoint.port},
-                  {"submitted_ms", submitted.count()},
-                  {"total", record.total},
-                  {"spec_parts", record.spec_parts},
-                  {"home_key", record.home_key},
-                  {"ended", record.is_ended}});
+  Json json = {{"owner", record.owner.value()},
+               {"incarnation", record.incarnation.value()},
+               {"host", record.owner_endpoint.host},
+               {"port", record.owner_endpoint.port},
+               {"submitted_ms", submitted.count()},
+               {"total", record.total},
+               {"spec_parts", record.spec_parts},
+               {"home_key", record.home_key},
+               {"ended", record.is_ended}};
+  SetAccount(record.account, json);
+  return ToBytes(json);
 }
 
 std::optional<JobRecord> DecodeJobRecord(const std::string& bytes) {
@@ -187,6 +208,7 @@
     record.spec_parts = json.at("spec_parts").get<std::uint32_t>();
     record.home_key = json.at("home_key").get<std::string>();
     record.is_ended = json.at("ended").get<bool>();
+    record.account = AccountFrom(json);
     return record;
   });
 }
--- a/briarspread/batch/job.h
+++ b/briarspread/batch/job.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "briarspread/accounts/account.h"
 #include "briarspread/core/clock.h"
 #include "briarspread/core/ids.h"
 #include "briarspread/core/upstream.h"
@@ -47,6 +48,8 @@
 /// A batch job as submitted: one step of a trainer.
 struct JobSpec {
   JobId id;
+  /// The client account that submitted the job; empty without accounts.
+  accounts::AccountId account;
   /// The host that selects the job's route. Its items are sent with it.
   std::string host;
   /// The path that the job was submitted to.
@@ -100,8 +103,15 @@
   /// Key that selects the home of the job; see `HomeOrder`.
   std::string home_key;
   bool is_ended = false;
+  /// The client account that the job belongs to; empty without accounts.
+  accounts::AccountId account;
 };
 
+/// Returns whether a caller may access a job: its account is the job's, or one
+/// of the two has no account. Thread-safe.
+bool MayAccess(const JobRecord& record,
+               const std::optional<accounts::AccountId>& caller);
+
 /// Encodings for the store and for calls between instances. The format is CBOR,
 /// since bodies and texts may contain any bytes. Decoding returns nothing for
 /// malformed input. Thread-safe.
--- a/briarspread/batch/job_gateway.cc
+++ b/briarspread/batch/job_gateway.cc
@@ -21,6 +21,15 @@
   return ValueOf(answer).head.status != kNotRunStatus;
 }
 
+Error NoSuchJob() {
+  return Error{ErrorCode::kNotFound, Verdict::kNotRun, "no such job"};
+}
+
+std::optional<accounts::AccountId> AccountOf(const JobSpec& spec) {
+  if (spec.account.value().empty()) return std::nullopt;
+  return spec.account;
+}
+
 /// Returns a callback that passes a result on to `done`, but an error never as
 /// not run.
 JobGateway::Done<std::monostate> NeverNotRun(
@@ -68,8 +77,13 @@
 // --- Submitting
 
 void JobGateway::Submit(JobSpec spec, Done<std::monostate> done) {
-  if (runner_->Owns(spec.id) || index_.Find(spec.id) != nullptr) {
-    done(OkStatus());
+  const std::optional<JobRecord> known = FindKnownRecord(spec.id);
+  if (known.has_value()) {
+    if (MayAccess(*known, AccountOf(spec))) {
+      done(OkStatus());
+    } else {
+      done(NoSuchJob());
+    }
     return;
   }
   const std::string home_key = HomeKeyOf(spec);
@@ -143,6 +157,42 @@
   }
 }
 
+// --- Access
+
+std::optional<JobRecord> JobGateway::FindKnownRecord(const JobId& id) {
+  if (runner_->Owns(id)) return runner_->RecordOf(id).record;
+  const StoredRecord* indexed = index_.Find(id);
+  if (indexed == nullptr) return std::nullopt;
+  return indexed->record;
+}
+
+void JobGateway::CheckAccess(const JobId& id,
+                             const std::optional<accounts::AccountId>& caller,
+                             Done<std::monostate> done) {
+  if (!caller.has_value()) {
+    done(OkStatus());
+    return;
+  }
+  const auto check = [caller, done](const JobRecord& record) {
+    if (MayAccess(record, caller)) {
+      done(OkStatus());
+    } else {
+      done(NoSuchJob());
+    }
+  };
+  if (const auto known = FindKnownRecord(id)) {
+    check(*known);
+    return;
+  }
+  FindRecord(id, [check, done](const Result<StoredRecord>& found) {
+    if (!IsOk(found)) {
+      done(ErrorOf(found));
+      return;
+    }
+    check(ValueOf(found).record);
+  });
+}
+
 // --- Reading
 
 bool JobGateway::IsOwnerRegistered(const JobRecord& record) const {
--- a/briarspread/batch/job_gateway.h
+++ b/briarspread/batch/job_gateway.h
@@ -61,8 +61,14 @@
   void Start(JobRunner& runner);
 
   /// Accepts a job, here or at its home. An error with the verdict `kNotRun`
-  /// means that no part of the job runs.
+  /// means that no part of the job runs; `kNotFound` means that another account
+  /// has a job with this id.
   void Submit(JobSpec spec, Done<std::monostate> done);
+  /// Checks that a job exists and that a caller of this account may access it;
+  /// fails with `kNotFound` if not. Without an account, `done` gets no error.
+  void CheckAccess(const JobId& id,
+                   const std::optional<accounts::AccountId>& caller,
+                   Done<std::monostate> done);
   /// Like `JobRunner::Read`, but for jobs of any owner. Fails with `kNotFound`
   /// only if the store has no such job.
   void Read(const JobId& id, std::uint64_t after, milliseconds wait,
@@ -129,6 +135,8 @@
     bool is_reading = false;
   };
 
+  /// Returns the record of a job that is held here or indexed.
+  std::optional<JobRecord> FindKnownRecord(const JobId& id);
   void SubmitToPeer(JobSpec spec, const InstanceRecord& home,
                     Done<std::monostate> done);
   /// Puts a record into the index, and gives the job up if it is held here
--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -8,6 +8,7 @@
 #include "briarspread/batch/item_order.h"
 #include "briarspread/batch/job_runner.h"
 #include "briarspread/core/rendezvous.h"
+#include "briarspread/forward/request_authorizer.h"
 
 namespace briarspread::batch {
 namespace {
@@ -282,6 +283,16 @@
   return true;
 }
 
+void JobRunner::SetAccount(const JobSpec& spec,
+                           proxy::HeaderList& headers) const {
+  const auto& configuration = context_.configuration.current();
+  if (configuration == nullptr) return;
+  std::optional<accounts::AccountId> account;
+  if (!spec.account.value().empty()) account = spec.account;
+  forward::SetAccountHeaders(*configuration, context_.headers, account,
+                             headers);
+}
+
 ItemRunSpec JobRunner::MakeRunSpec(const OwnedJob& job, std::size_t i,
                                    const UpstreamId& engine) const {
   /// Urgency of items whose job is due within `kUrgentTime`, and of all others.
@@ -311,6 +322,7 @@
   }
   head.headers.Set("Host", spec.host);
   head.headers.Set(context_.headers.attempt_id, item.id.value());
+  SetAccount(spec, head.headers);
   const bool is_urgent =
       job.ledger.limits().due - context_.clock.Now() < kUrgentTime;
   head.headers.Set(context_.headers.urgency, is_urgent ? kUrgent : kNormal);
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -287,6 +287,9 @@
                       const EngineViews& engines);
   EngineRequirements RequirementsOf(const OwnedJob& job, std::size_t i) const;
   const forward::Route* RouteOf(const OwnedJob& job, std::size_t i) const;
+  /// Sets the account of the job in the headers of a run, whatever the
+  /// submitter put there.
+  void SetAccount(const JobSpec& spec, proxy::HeaderList& headers) const;
   ItemRunSpec MakeRunSpec(const OwnedJob& job, std::size_t i,
                           const UpstreamId& engine) const;
 
--- a/briarspread/forward/caller_gateway.cc
+++ b/briarspread/forward/caller_gateway.cc
@@ -53,10 +53,20 @@
       target.path);
 }
 
+Authorization CallerGateway::Authorize(const proxy::Request& request,
+                                       const Route* route) const {
+  return forward::Authorize(*context_.configuration.current(), route,
+                            request.head.headers, context_.headers);
+}
+
 void CallerGateway::Forward(
     proxy::Request request, const Route& route,
+    const std::optional<accounts::Account>& account,
     const std::shared_ptr<proxy::Responder>& responder) {
   LiveRequestSpec spec;
+  if (account.has_value()) spec.account = account->id;
+  SetAccountHeaders(*context_.configuration.current(), context_.headers,
+                    spec.account, request.head.headers);
   spec.arrived = context_.clock.Now();
   milliseconds time =
       route.timeout.count() > 0 ? route.timeout : kDefaultTimeout;
@@ -69,6 +79,9 @@
   }
   spec.deadline = spec.arrived + time;
   spec.route = route;
+  if (account.has_value() && account->priority.has_value()) {
+    spec.route.priority = *account->priority;
+  }
   spec.request = std::move(request);
   const auto exchange = std::make_shared<CallerExchange>(responder);
   exchange->request =
@@ -100,6 +113,12 @@
   responder.Send(response);
 }
 
+void CallerGateway::RefuseUnauthorized(const proxy::Request& request,
+                                       proxy::Responder& responder) {
+  LogRefusal(request, "unauthorized");
+  responder.Send(proxy::MakeResponse(401, "{\"error\":\"unauthorized\"}"));
+}
+
 void CallerGateway::RefuseUnrouted(const proxy::Request& request,
                                    proxy::Responder& responder) {
   LogRefusal(request, "no_route");
--- a/briarspread/forward/caller_gateway.h
+++ b/briarspread/forward/caller_gateway.h
@@ -2,9 +2,11 @@
 #define BRIARSPREAD_FORWARD_CALLER_GATEWAY_H_
 
 #include <memory>
+#include <optional>
 
 #include "briarspread/forward/forward_context.h"
 #include "briarspread/forward/live_request.h"
+#include "briarspread/forward/request_authorizer.h"
 #include "briarspread/proxy/request_handler.h"
 
 namespace briarspread::forward {
@@ -22,14 +24,22 @@
   bool has_configuration() const {
     return context_.configuration.current() != nullptr;
   }
-  /// Forwards a request to an upstream of `route` and sends the response, or a
-  /// refusal, through `responder`.
+  /// Returns whether a request on `route`, or without a route if it is null,
+  /// may go on, and its client account. Precondition: `has_configuration()`.
+  Authorization Authorize(const proxy::Request& request,
+                          const Route* route) const;
+  /// Forwards a request of `account`, if it has one, to an upstream of `route`
+  /// and sends the response, or a refusal, through `responder`.
   void Forward(proxy::Request request, const Route& route,
+               const std::optional<accounts::Account>& account,
                const std::shared_ptr<proxy::Responder>& responder);
   /// Responds with status 503, for a request that arrives before the first
   /// configuration. The request did not run.
   void RefuseUnready(const proxy::Request& request,
                      proxy::Responder& responder);
+  /// Responds with status 401, for a request whose key is missing or unknown.
+  void RefuseUnauthorized(const proxy::Request& request,
+                          proxy::Responder& responder);
   /// Responds with status 404, for a request that matches no route.
   void RefuseUnrouted(const proxy::Request& request,
                       proxy::Responder& responder);
--- a/briarspread/forward/configuration.h
+++ b/briarspread/forward/configuration.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "briarspread/accounts/account_index.h"
 #include "briarspread/core/clock.h"
 #include "briarspread/core/ids.h"
 
@@ -52,6 +53,8 @@
   milliseconds latency_goal{0};
   /// Rank of the route's requests; zero is the most urgent.
   std::uint32_t priority = 0;
+  /// Whether callers need no key, where client accounts are configured.
+  bool is_public = false;
   /// Services that share the requests; never empty.
   std::vector<Backend> backends;
   /// Maximum number of attempts of one request that may have run.
@@ -98,6 +101,8 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   CallerLimits limits;
+  /// The client accounts. Without any, callers need no keys.
+  accounts::AccountIndex accounts;
 
   /// Returns the route of `host` whose prefix is the longest that `path` begins
   /// with, or null. `host` may carry a port, which is ignored. Thread-safe.
--- a/briarspread/forward/exchange_headers.h
+++ b/briarspread/forward/exchange_headers.h
@@ -33,6 +33,10 @@
   std::string weight_version = "Briarspread-Weight-Versions";
   /// Rank of a request at an engine; 0 is the most urgent.
   std::string urgency = "Briarspread-Urgency";
+  /// API key of a caller's client account. Never sent to an upstream.
+  std::string api_key = "Briarspread-Key";
+  /// Name of the client account that a request to an upstream belongs to.
+  std::string account = "Briarspread-Account";
   /// Id of the last event that the receiver of a resumed stream already has.
   std::string last_event_id = "Last-Event-Id";
   /// Id of the caller's attempt that brought the first event of the stream that
--- a/briarspread/forward/forward_context.h
+++ b/briarspread/forward/forward_context.h
@@ -3,6 +3,7 @@
 
 #include <asio/io_context.hpp>
 
+#include "briarspread/accounts/usage_recorder.h"
 #include "briarspread/core/clock.h"
 #include "briarspread/core/random_source.h"
 #include "briarspread/forward/configuration.h"
@@ -34,6 +35,8 @@
   RetryAfterPlanner& retry_after_planner;
   RequestLimiter& limiter;
   StreamOrigins& stream_origins;
+  /// Receives the usage of client accounts; null if it is not recorded.
+  accounts::UsageRecorder* usage = nullptr;
 };
 
 /// Records what the head of an upstream's response, to a request sent at
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -207,6 +207,17 @@
       SecondsOf(context_.clock.Now() - attempt_started_));
 }
 
+void LiveRequest::RecordUsage() {
+  if (is_usage_recorded_ || context_.usage == nullptr ||
+      !spec_.account.has_value()) {
+    return;
+  }
+  is_usage_recorded_ = true;
+  // The time of sending is closer to the start of the run than the time of the
+  // response, which includes the work.
+  context_.usage->RecordStart(*spec_.account, attempt_started_);
+}
+
 void LiveRequest::UpdateServiceTime() {
   const KnownUpstream* upstream = context_.directory.Find(*upstream_);
   if (upstream == nullptr) return;
@@ -216,6 +227,7 @@
 
 void LiveRequest::OnFailure(const proxy::ExchangeFailure& failure) {
   EndAttempt();
+  if (failure.verdict == Verdict::kMayHaveRun) RecordUsage();
   if (failure.verdict == Verdict::kMayHaveRun && spec_.may_be_suspected) {
     context_.crash_guard.RecordBrokenExchange(*upstream_,
                                               FingerprintOf(spec_.request));
@@ -295,6 +307,7 @@
   if (exchange_ != nullptr) {
     exchange_->Cancel();
     EndAttempt();
+    RecordUsage();
     policy_.RecordVerdict(Verdict::kMayHaveRun);
   }
   if (error_response_.has_value()) {
@@ -340,6 +353,7 @@
   if (exchange_ != nullptr) {
     exchange_->Cancel();
     EndAttempt();
+    RecordUsage();
   }
   Finish();
 }
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -59,6 +59,8 @@
   /// earlier.
   TimePoint deadline{};
   StallDetectionSettings stall_detection;
+  /// The client account that the request counts for; nothing if there is none.
+  std::optional<accounts::AccountId> account;
   /// Whether the request may be one that crashes upstreams, and is refused once
   /// it is suspected of that.
   bool may_be_suspected = true;
@@ -116,6 +118,9 @@
   bool CanBeSent() const;
   std::string_view AttemptId() const;
   void RecordResponse(int status);
+  /// Records once, for the usage of the account, that the current attempt's
+  /// upstream began to run the request.
+  void RecordUsage();
   void EndAttempt();
   void HandleFailure(Verdict verdict, std::string_view reason);
   void StartStreaming();
@@ -171,6 +176,7 @@
   std::shared_ptr<RequestLimiter::Waiter> permit_waiter_;
   /// When the request stops waiting for a permit; unset before it waits.
   std::optional<TimePoint> permit_deadline_;
+  bool is_usage_recorded_ = false;
   proxy::Response response_;
   /// An upstream's error response, passed on if no retry succeeds.
   std::optional<proxy::Response> error_response_;
--- a/briarspread/forward/live_response.cc
+++ b/briarspread/forward/live_response.cc
@@ -32,6 +32,7 @@
 void LiveRequest::OnHead(const proxy::ResponseHead& head) {
   UpdateFromResponseHead(context_, *upstream_, head, attempt_started_);
   response_.head = head;
+  if (!IsNotRun(head)) RecordUsage();
   if (IsUnsigned(head)) {
     exchange_->Cancel();
     EndAttempt();
--- a/tests/platform/edge_fixture.h
+++ b/tests/platform/edge_fixture.h
@@ -177,12 +177,16 @@
 
   proxy::Response Call(const Endpoint& to, const std::string& method,
                        const std::string& target, const std::string& body = "",
-                       const std::string& id = "id-1") {
+                       const std::string& id = "id-1",
+                       const std::vector<proxy::Header>& more = {}) {
     proxy::RequestHead head;
     head.method = method;
     head.target = target;
     head.headers.Add("Host", "h");
     head.headers.Add("X-Attempt-Id", id);
+    for (const proxy::Header& line : more) {
+      head.headers.Add(line.name, line.value);
+    }
     proxy::ExchangeRequest request;
     request.to = to;
     request.bytes = proxy::Serialize(head, body);
