--- a/briarspread/batch/job_gateway.cc
+++ b/briarspread/batch/job_gateway.cc
@@ -168,7 +168,7 @@
 
 void JobGateway::CheckAccess(const JobId& id,
                              const std::optional<accounts::AccountId>& caller,
-                             Done<std::monostate> done) {
+                             const Done<std::monostate>& done) {
   if (!caller.has_value()) {
     done(OkStatus());
     return;
--- a/briarspread/batch/job_gateway.h
+++ b/briarspread/batch/job_gateway.h
@@ -68,7 +68,7 @@
   /// fails with `kNotFound` if not. Without an account, `done` gets no error.
   void CheckAccess(const JobId& id,
                    const std::optional<accounts::AccountId>& caller,
-                   Done<std::monostate> done);
+                   const Done<std::monostate>& done);
   /// Like `JobRunner::Read`, but for jobs of any owner. Fails with `kNotFound`
   /// only if the store has no such job.
   void Read(const JobId& id, std::uint64_t after, milliseconds wait,
