Soak: client accounts, and no key in a log or at a replica

Cause: the soak did not know client accounts.

Change: its configuration has three accounts; callers and trainers send their keys. A replica records a violation if a request carries a key or not the account of its id, and the script counts log lines with a key.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -62,6 +62,7 @@
 Bounds.GraceS=8
 Bounds.LeaseMs=3000
 Bounds.StatusS=120
+Contracts=base,tenants
 CONF
 done
 
@@ -86,4 +87,7 @@
 status=0
 wait "$soak" || status=$?
 cat "$out/soak.log"
+leaks="$(cat "$out"/edge-*.log | grep -c soakkey- || true)"
+echo "soak: $leaks log lines with a key"
+[ "$leaks" = 0 ] || status=1
 exit "$status"
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -27,6 +27,7 @@
   head.headers.Add("Host", "h");
   head.headers.Add("X-Attempt-Id", id);
   head.headers.Add("X-Deadline-Ms", kDeadlineMs);
+  head.headers.Add("Api-Key", SoakKeyOf(SoakAccountOf(id)));
   proxy::ExchangeRequest request;
   request.to = edges_.frontends[edge];
   request.bytes = proxy::Serialize(head, body);
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -31,7 +31,12 @@
   routes.push_back(RouteOf("/roll0/", "rollout", "llm", timeout_ms));
   routes.push_back(RouteOf("/roll1/", "rollout", "llm", timeout_ms));
   const Json models = {{{"Name", "m0"}}, {{"Name", "m1"}}};
+  Json accounts = Json::array();
+  for (const char* account : kSoakAccounts) {
+    accounts.push_back({{"Name", account}, {"ApiKeys", {SoakKeyOf(account)}}});
+  }
   return Json{{"Version", version},
+              {"Tenants", std::move(accounts)},
               {"Routes", std::move(routes)},
               {"Services",
                {{{"Name", "desk"}},
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -13,6 +13,20 @@
 
 namespace briarspread::soak {
 
+/// The client accounts of a run: of the live callers and of each trainer.
+inline constexpr const char* kSoakAccounts[] = {"live", "trainer0", "trainer1"};
+
+/// Returns the account that a request or item belongs to, by its id.
+inline std::string SoakAccountOf(const std::string& id) {
+  if (id.starts_with("t0")) return "trainer0";
+  return id.starts_with("t1") ? "trainer1" : "live";
+}
+
+/// Returns the API key of an account. soak.sh searches the logs for its prefix.
+inline std::string SoakKeyOf(const std::string& account) {
+  return "soakkey-" + account;
+}
+
 /// A result as returned by a read.
 struct ReadResult {
   std::string item;
--- a/tests/soak/soak_replica.cc
+++ b/tests/soak/soak_replica.cc
@@ -97,7 +97,10 @@
   const std::string path(proxy::SplitTarget(request.head.target).path);
   if (!expected.empty() && expected != settings_.name) {
     Refuse(*responder, 421);
-  } else if (path == "/briarspread/report") {
+    return;
+  }
+  CheckAccount(request);
+  if (path == "/briarspread/report") {
     responder->Send(proxy::MakeResponse(200, Report()));
   } else if (path == "/briarspread/order") {
     HandleOrder(request, *responder);
@@ -110,6 +113,19 @@
   }
 }
 
+void SoakReplica::CheckAccount(const proxy::Request& request) {
+  const std::string id = HeaderOf(request, "X-Attempt-Id");
+  if (!HeaderOf(request, "Api-Key").empty()) {
+    context_.record.Fail("UNASKED", "request " + id + " carries a key");
+  }
+  // Orders and reports have no id; score calls belong to no account.
+  if (id.empty() || id.starts_with("score-")) return;
+  if (HeaderOf(request, "X-Tenant") != SoakAccountOf(id)) {
+    context_.record.Fail("UNASKED", "request " + id + " runs for account '" +
+                                        HeaderOf(request, "X-Tenant") + "'");
+  }
+}
+
 void SoakReplica::Answer(const proxy::Request& request,
                          const ResponderPtr& responder) {
   const std::string id = HeaderOf(request, "X-Attempt-Id");
--- a/tests/soak/soak_replica.h
+++ b/tests/soak/soak_replica.h
@@ -56,6 +56,8 @@
 
   void Register();
   void Refuse(proxy::Responder& responder, int status);
+  /// Records a violation if a request carries a key or the wrong account.
+  void CheckAccount(const proxy::Request& request);
   void Answer(const proxy::Request& request, const ResponderPtr& responder);
   void StartStream(const proxy::Request& request,
                    const ResponderPtr& responder);
