Usage reports: keep the fleet's start in the store; absent keys of a conflict

A conflict may list an absent key with index zero, which was taken for a report. Change: the first holder writes the start window to the store; absent keys are skipped.

--- a/briarspread/duties/usage_reporter.cc
+++ b/briarspread/duties/usage_reporter.cc
@@ -122,22 +122,59 @@
 
 void UsageReporter::OnLoaded(const StoreListing& listing) {
   std::map<UsageWindow, std::string> reports;
+  std::optional<UsageWindow> start;
   for (const KeyValue& item : listing.items) {
     const auto window = WindowOf(item.key);
-    if (window.has_value() && ParseCounts(item.value).has_value()) {
+    const auto value = proxy::ParseNumber(item.value);
+    if (item.key == kStartKey && value.has_value()) {
+      start = UsageWindow(*value);
+    } else if (window.has_value() && ParseCounts(item.value).has_value()) {
       reports[*window] = item.value;
     } else {
       LOG(ERROR) << "event=usage_report_malformed key=" << item.key;
     }
   }
-  is_loaded_ = true;
-  next_ = counter_.FirstWindow();
-  if (!reports.empty()) {
-    next_ = UsageWindow(reports.rbegin()->first.value() + 1);
+  if (reports.empty() && !start.has_value()) {
+    WriteStart(counter_.FirstWindow());
+    return;
   }
+  UsageWindow next = start.value_or(counter_.FirstWindow());
   for (auto& [window, value] : reports) {
     unsent_.push_back({window, std::move(value)});
+    next = std::max(next, UsageWindow(window.value() + 1));
   }
+  BeginWith(next);
+}
+
+void UsageReporter::WriteStart(UsageWindow start) {
+  StoreTransaction transaction;
+  transaction.conditions = {
+      {kStartKey, StoreIndex(0)},
+      {InstanceRegistry::kOrderLeaseKey, StoreIndex(tenure_.value())}};
+  transaction.writes.push_back(
+      {kStartKey, std::to_string(start.value()), StoreLeaseId()});
+  is_store_call_in_flight_ = true;
+  store_.Commit(
+      std::move(transaction),
+      [this, start, tenure = tenure_](const Result<StoreOutcome>& outcome) {
+        if (tenure != tenure_) return;
+        is_store_call_in_flight_ = false;
+        if (IsOk(outcome) &&
+            std::holds_alternative<StoreCommitted>(ValueOf(outcome))) {
+          BeginWith(start);
+          return;
+        }
+        // Listed again, in case the write took effect.
+        store_blocked_until_ =
+            clock_.NowWithSuspension() + settings_.store_pause;
+        LOG(WARNING) << "event=usage_start_not_written window=" << start;
+        order_lease_.Reconfirm();
+      });
+}
+
+void UsageReporter::BeginWith(UsageWindow next) {
+  is_loaded_ = true;
+  next_ = next;
   SkipOld();
   counter_.CloseBefore(next_);
   LOG(INFO) << "event=usage_reports_loaded reports=" << unsent_.size()
@@ -204,7 +241,7 @@
   // The report exists if the answer to an earlier write of it was lost.
   const std::string key = KeyOf(next_);
   for (const KeyValue& item : conflict.current) {
-    if (item.key != key) continue;
+    if (item.key != key || item.index == StoreIndex(0)) continue;
     OnDecided(item.value);
     return;
   }
--- a/briarspread/duties/usage_reporter.h
+++ b/briarspread/duties/usage_reporter.h
@@ -52,6 +52,8 @@
   /// Prefix of the store keys of reports; the window follows, in digits of
   /// fixed width.
   static constexpr char kPrefix[] = "usage/";
+  /// Key that names the window in which the fleet started.
+  static constexpr char kStartKey[] = "usage/start";
 
   /// Precondition: references outlive this object and its calls in flight.
   UsageReporter(AsyncStore& store, OrderLease& order_lease,
@@ -81,6 +83,12 @@
   /// Reads the reports of earlier holders.
   void Load();
   void OnLoaded(const StoreListing& listing);
+  /// Writes the window in which the fleet started to the store, so that a later
+  /// holder begins with it even if none of the first instances is left.
+  void WriteStart(UsageWindow start);
+  /// Sets the first window to decide. The reports of earlier holders are known
+  /// now.
+  void BeginWith(UsageWindow next);
   /// Skips windows that are older than `max_backlog`.
   void SkipOld();
   /// Writes the report of window `next_` to the store.
--- a/tests/duties/duty_world.h
+++ b/tests/duties/duty_world.h
@@ -145,6 +145,8 @@
   std::map<UsageWindow, std::uint64_t> begun;
   /// Whether messages between instances are lost.
   bool is_network_down = false;
+  /// When a holder first wrote to the store.
+  std::optional<WallTime> acted_at;
 
   void Send(const InstanceRecord& peer, const std::string& message,
             UsagePublisher::OnAnswer done) {
@@ -178,6 +180,10 @@
     std::deque<std::function<void()>> answers;
     answers.swap(answers_);
     for (const auto& answer : answers) answer();
+    if (!acted_at.has_value() &&
+        store.items().contains(UsageReporter::kStartKey)) {
+      acted_at = clock.WallNow();
+    }
   }
 
   void Step(DutyInstance& it) {
