Count long requests before their response

Cause: a request was counted when its response began, so one whose work takes longer than the 2 s after a window's end was missing in the report. Change: an attempt without a response counts after 800 ms, at its time of sending.

--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -10,6 +10,11 @@
 namespace briarspread::forward {
 namespace {
 
+/// Time after which an upstream that has not answered counts as having begun to
+/// run a request. A window's counts are read about 2 s after its end, and some
+/// responses take longer.
+constexpr milliseconds kUsageRunTime{800};
+
 bool HasBackend(const Route& route, const ServiceName& service) {
   return std::any_of(
       route.backends.begin(), route.backends.end(),
@@ -27,6 +32,7 @@
               spec_.route.max_attempts),
       chooser_(context, spec_.route.is_idempotent(), spec_.deadline),
       timer_(context.loop),
+      usage_timer_(context.loop),
       events_("") {
   if (spec_.route.kind == RouteKind::kStream && spec_.route.is_resumable) {
     relay_.emplace(
@@ -185,6 +191,9 @@
   context_.limiter.RecordSend(chosen, RequestPurpose::kLive);
   exchange_ = context_.upstreams.Start({chosen, upstream->listed.start_id},
                                        std::move(request), *this);
+  if (CountsUsage()) {
+    usage_timer_.After(kUsageRunTime, [this] { RecordUsage(); });
+  }
 }
 
 void LiveRequest::RefuseUnplaced(const ServiceName& service) {
@@ -199,6 +208,7 @@
 }
 
 void LiveRequest::EndAttempt() {
+  usage_timer_.Cancel();
   exchange_.reset();
   if (counters_ == nullptr) return;
   counters_->in_flight.fetch_sub(1);
@@ -207,11 +217,13 @@
       SecondsOf(context_.clock.Now() - attempt_started_));
 }
 
+bool LiveRequest::CountsUsage() const {
+  return !is_usage_recorded_ && context_.usage != nullptr &&
+         spec_.account.has_value();
+}
+
 void LiveRequest::RecordUsage() {
-  if (is_usage_recorded_ || context_.usage == nullptr ||
-      !spec_.account.has_value()) {
-    return;
-  }
+  if (!CountsUsage()) return;
   is_usage_recorded_ = true;
   // The time of sending is closer to the start of the run than the time of the
   // response, which includes the work.
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -118,6 +118,8 @@
   bool CanBeSent() const;
   std::string_view AttemptId() const;
   void RecordResponse(int status);
+  /// Whether the start of the request is still to be recorded for its account.
+  bool CountsUsage() const;
   /// Records once, for the usage of the account, that the current attempt's
   /// upstream began to run the request.
   void RecordUsage();
@@ -163,6 +165,8 @@
   AttemptPolicy policy_;
   UpstreamChooser chooser_;
   LoopTimer timer_;
+  /// Set while an attempt runs whose usage is not recorded yet.
+  LoopTimer usage_timer_;
   /// Keeps the request alive; null once it has ended.
   std::shared_ptr<LiveRequest> self_;
   std::unique_ptr<proxy::Exchange> exchange_;
--- a/tests/forward/live_request_test.cc
+++ b/tests/forward/live_request_test.cc
@@ -45,9 +45,11 @@
   SentRequest(ForwardFixture& fixture, RouteKind kind,
               std::uint32_t max_attempts = 2, milliseconds time = seconds(20),
               bool is_resumable = false,
-              milliseconds min_stall_timeout = seconds(4))
+              milliseconds min_stall_timeout = seconds(4),
+              std::optional<accounts::AccountId> account = std::nullopt)
       : fixture(fixture) {
     LiveRequestSpec spec;
+    spec.account = std::move(account);
     spec.request.head.method = "POST";
     spec.request.head.target = "/x/1";
     spec.request.head.headers.Add("Host", "h");
@@ -241,6 +243,62 @@
   REQUIRE_FALSE(stalled.sink.has_ended);
 }
 
+struct CountingRecorder final : accounts::UsageRecorder {
+  void RecordStart(const accounts::AccountId& account,
+                   TimePoint began) override {
+    starts.emplace_back(account, began);
+  }
+  std::vector<std::pair<accounts::AccountId, TimePoint>> starts;
+};
+
+// Guards against a request whose work takes longer than a report waits, and
+// which is counted only once the response arrives.
+TEST_CASE("a long request is counted once, before its response") {
+  ForwardFixture fixture;
+  CountingRecorder recorder;
+  fixture.context.usage = &recorder;
+  ResponderPtr waiting;
+  FakeUpstream slow(fixture.loop,
+                    [&](const proxy::Request&, const ResponderPtr& responder) {
+                      waiting = responder;
+                    });
+  fixture.Add("slow", slow);
+  const TimePoint before = fixture.clock.Now();
+  SentRequest sent(fixture, RouteKind::kIdempotent, 1, seconds(20), false,
+                   seconds(20), accounts::AccountId("a"));
+  fixture.Await([&] { return !recorder.starts.empty(); });
+  REQUIRE_FALSE(sent.sink.answer.has_value());
+  REQUIRE(recorder.starts[0].first == accounts::AccountId("a"));
+  REQUIRE(recorder.starts[0].second >= before);
+  fixture.Await([&] { return waiting != nullptr; });
+  waiting->Send(SignedResponse(fixture.headers, 200, "x"));
+  REQUIRE(sent.Await().head.status == 200);
+  REQUIRE(recorder.starts.size() == 1);
+}
+
+// Guards against requests that are counted although no upstream ran them, and
+// attempts that are counted as further requests.
+TEST_CASE("a request is counted once over all attempts that ran") {
+  ForwardFixture fixture;
+  CountingRecorder recorder;
+  fixture.context.usage = &recorder;
+  FakeUpstream full(fixture.loop, RespondWith(NotRunResponse(fixture.headers)));
+  fixture.Add("full", full);
+  const auto send = [&] {
+    SentRequest sent(fixture, RouteKind::kIdempotent, 3, seconds(20), false,
+                     seconds(4), accounts::AccountId("a"));
+    return sent.Await().head.status;
+  };
+  REQUIRE(send() == 503);
+  REQUIRE(recorder.starts.empty());
+  FakeUpstream breaks(fixture.loop, BreakOff());
+  FakeUpstream also(fixture.loop, BreakOff());
+  fixture.Add("breaks", breaks);
+  fixture.Add("also", also);
+  REQUIRE(send() == 502);
+  REQUIRE(recorder.starts.size() == 1);
+}
+
 TEST_CASE("without an upstream a request is refused at once as not run") {
   ForwardFixture fixture;
   SentRequest sent(fixture, RouteKind::kOnce);
