--- a/briarspread/duties/usage_counter.h
+++ b/briarspread/duties/usage_counter.h
@@ -54,7 +54,7 @@
   void RecordStart(const accounts::AccountId& account,
                    TimePoint began) override;
   /// Counts recorded starts in their windows once true time is settled. To be
-  /// called about twice a second.
+  /// called about once a second, and before `Total`.
   void PlaceStarts();
   /// Returns the own counts that have changed since the last call.
   CountKeys TakeChanged();
--- a/briarspread/duties/usage_duty.h
+++ b/briarspread/duties/usage_duty.h
@@ -20,7 +20,7 @@
   UsagePublisherSettings publisher;
   UsageReporterSettings reporter;
   /// Time between two steps of the publisher, and of the reporter.
-  milliseconds publish_interval{500};
+  milliseconds publish_interval{900};
   milliseconds report_interval{200};
   /// Timeout of a message to a peer.
   milliseconds peer_timeout{1000};
--- a/briarspread/duties/usage_publisher.h
+++ b/briarspread/duties/usage_publisher.h
@@ -44,7 +44,7 @@
                  TrueTime& true_time, const Clock& clock, Send send,
                  const UsagePublisherSettings& settings);
 
-  /// Sends what has changed. To be called about twice a second.
+  /// Sends what has changed. To be called about once a second.
   void Step();
   /// Merges a peer's message and returns the answer; nothing if the message is
   /// malformed.
--- a/briarspread/duties/usage_reporter.cc
+++ b/briarspread/duties/usage_reporter.cc
@@ -24,8 +24,8 @@
 }
 
 std::optional<UsageWindow> WindowOf(const std::string& key) {
-  const auto n = proxy::ParseNumber(std::string_view(key).substr(
-      std::string_view(UsageReporter::kPrefix).size()));
+  const auto n = proxy::ParseNumber(std::string_view{key}.substr(
+      std::string_view{UsageReporter::kPrefix}.size()));
   if (!n.has_value()) return std::nullopt;
   return UsageWindow(*n);
 }
@@ -195,7 +195,10 @@
       clock_.NowWithSuspension() < store_blocked_until_) {
     return;
   }
-  if (!deciding_.has_value()) deciding_ = Encode(counter_.Total(next_));
+  if (!deciding_.has_value()) {
+    counter_.PlaceStarts();
+    deciding_ = Encode(counter_.Total(next_));
+  }
   StoreTransaction transaction;
   transaction.conditions = {
       {KeyOf(next_), StoreIndex(0)},
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -13,7 +13,7 @@
 /// Time after which an upstream that has not answered counts as having begun to
 /// run a request. A window's counts are read about 2 s after its end, and some
 /// responses take longer.
-constexpr milliseconds kUsageRunTime{800};
+constexpr milliseconds kUsageRunTime{600};
 
 bool HasBackend(const Route& route, const ServiceName& service) {
   return std::any_of(
