Ask a second delegate before the store, and hold back calls to a store that is down

Cause: followers whose delegate failed or answered 503 all watched the store themselves for 3 s, and while the store was down each instance called it for each of its three prefixes at each retry.

Change: followers ask the next instance in the rendezvous order before the store (ChooseWatchDelegates). A hub confirms that there are no changes only while its own watch is at the store, so that two followers of each other go to the store instead of waiting for each other. After a failed call to the store a follower sends it no list or watch for a random 450 to 900 ms; it still asks its delegates at each retry, so that with the backoff of at most 1 s it finds the store again within 1.9 s. Watches at a delegate are not restarted when this instance's own path to the store changes. New counter briarspread_watch_calls_total by prefix and by who was asked.

--- a/briarspread/fleet/delegated_store.cc
+++ b/briarspread/fleet/delegated_store.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <asio/post.hpp>
 #include <utility>
 
 #include "briarspread/fleet/watch_hub.h"
@@ -14,81 +15,161 @@
 
 }  // namespace
 
-DelegatedStore::DelegatedStore(AsyncStore& store, PeerClient& peers,
-                               const Clock& clock, FindDelegate find_delegate,
+DelegatedStore::DelegatedStore(asio::io_context& loop, AsyncStore& store,
+                               PeerClient& peers, const Clock& clock,
+                               RandomSource& random,
+                               FindDelegates find_delegates,
                                const DelegatedStoreSettings& settings)
-    : store_(store),
+    : loop_(loop),
+      store_(store),
       peers_(peers),
       clock_(clock),
-      find_delegate_(std::move(find_delegate)),
+      random_(random),
+      find_delegates_(std::move(find_delegates)),
       settings_(settings) {}
 
-std::optional<Endpoint> DelegatedStore::CurrentDelegate() const {
-  if (clock_.Now() < bypass_until_) return std::nullopt;
-  return find_delegate_();
+bool DelegatedStore::IsAtStore(const std::string& prefix) const {
+  const auto it = is_at_store_.find(prefix);
+  return it != is_at_store_.end() && it->second;
 }
 
-void DelegatedStore::BypassDelegate() {
-  LOG_EVERY_N(INFO, 10) << "event=delegate_failed";
-  bypass_until_ = clock_.Now() + settings_.bypass_time;
+bool DelegatedStore::DependsOnOwnPath(const std::string& prefix) const {
+  return IsAtStore(prefix) || find_delegates_().empty();
 }
 
-void DelegatedStore::List(const std::string& prefix, Done<StoreListing> done) {
-  const auto delegate = CurrentDelegate();
-  if (!delegate.has_value()) {
-    store_.List(prefix, std::move(done));
+void DelegatedStore::Count(const Query& query, std::string_view asked) {
+  ++counts_[query.prefix + " " + std::string(asked)];
+}
+
+void DelegatedStore::Bypass(const Endpoint& delegate, bool has_answered) {
+  LOG_EVERY_N(INFO, 10) << "event=delegate_failed delegate=" << delegate.host
+                        << ":" << delegate.port
+                        << " has_answered=" << has_answered;
+  bypassed_until_[delegate] =
+      clock_.Now() +
+      (has_answered ? settings_.refusal_pause : settings_.bypass_time);
+}
+
+void DelegatedStore::Begin(const QueryPtr& query) {
+  const TimePoint now = clock_.Now();
+  std::erase_if(bypassed_until_,
+                [now](const auto& entry) { return entry.second <= now; });
+  query->delegates = find_delegates_();
+  query->is_follower = !query->delegates.empty();
+  std::erase_if(query->delegates, [this](const Endpoint& delegate) {
+    return bypassed_until_.contains(delegate);
+  });
+  AskNext(query);
+}
+
+void DelegatedStore::AskNext(const QueryPtr& query) {
+  if (query->next == query->delegates.size()) {
+    AskStore(query);
     return;
   }
-  PeerCall call;
-  call.target = std::string(WatchHub::kListingPath) +
-                "?prefix=" + proxy::EncodeParameter(prefix);
-  call.timeout = settings_.slack;
-  peers_.Call(*delegate, std::move(call),
-              [this, prefix,
-               done = std::move(done)](const Result<proxy::Response>& answer) {
-                if (IsOk(answer) && ValueOf(answer).head.status == kOk) {
-                  auto listing = DecodeListing(ValueOf(answer).body);
-                  if (listing.has_value()) {
-                    done(std::move(*listing));
-                    return;
-                  }
+  is_at_store_[query->prefix] = false;
+  const Endpoint delegate = query->delegates[query->next];
+  const milliseconds wait =
+      query->next == 0 ? settings_.wait : settings_.failover_wait;
+  ++query->next;
+  peers_.Call(delegate, query->make_call(wait),
+              [this, query, delegate](const Result<proxy::Response>& answer) {
+                if (IsOk(answer) && query->take_answer(ValueOf(answer))) {
+                  Count(*query, "peer");
+                  return;
                 }
-                BypassDelegate();
-                store_.List(prefix, done);
+                Bypass(delegate, IsOk(answer));
+                AskNext(query);
               });
 }
 
-void DelegatedStore::Watch(const std::string& prefix, StoreIndex after,
-                           milliseconds wait, Done<StoreChanges> done) {
-  const auto delegate = CurrentDelegate();
-  if (!delegate.has_value()) {
-    store_.Watch(prefix, after, wait, std::move(done));
+void DelegatedStore::AskStore(const QueryPtr& query) {
+  if (query->is_follower && clock_.Now() < store_pause_until_) {
+    is_at_store_[query->prefix] = false;
+    Count(*query, "held_back");
+    asio::post(loop_, [query] {
+      query->fail(Error{ErrorCode::kUnavailable, Verdict::kNotRun,
+                        "delegates failed, and the store shortly before"});
+    });
     return;
   }
-  PeerCall call;
-  call.target = std::string(WatchHub::kChangesPath) +
-                "?prefix=" + proxy::EncodeParameter(prefix) +
-                "&after=" + std::to_string(after.value()) +
-                "&wait=" + std::to_string(settings_.wait.count());
-  call.timeout = settings_.wait + settings_.slack;
-  peers_.Call(*delegate, std::move(call),
-              [this, prefix, after, wait,
-               done = std::move(done)](const Result<proxy::Response>& answer) {
-                if (IsOk(answer) && ValueOf(answer).head.status == kOk) {
-                  auto changes = DecodeChanges(ValueOf(answer).body);
-                  if (changes.has_value()) {
-                    done(std::move(*changes));
-                    return;
-                  }
-                }
-                if (IsOk(answer) && ValueOf(answer).head.status == kGone) {
-                  done(Error{ErrorCode::kStale, Verdict::kNotRun,
-                             "delegate no longer holds the changes"});
-                  return;
-                }
-                BypassDelegate();
-                store_.Watch(prefix, after, wait, done);
-              });
+  is_at_store_[query->prefix] = true;
+  Count(*query, query->is_follower ? "store delegates_failed" : "store own");
+  query->ask_store(query->is_follower);
+}
+
+template <typename T>
+AsyncStore::Done<T> DelegatedStore::OnStoreAnswer(const std::string& prefix,
+                                                  bool is_follower,
+                                                  Done<T> done) {
+  return [this, prefix, is_follower, done = std::move(done)](Result<T> result) {
+    const bool has_failed =
+        !IsOk(result) && ErrorOf(result).code == ErrorCode::kUnavailable;
+    if (has_failed) is_at_store_[prefix] = false;
+    if (has_failed && is_follower) {
+      const double share = (1 + random_.Fraction()) / 2;
+      store_pause_until_ = clock_.Now() + std::chrono::duration_cast<Duration>(
+                                              settings_.store_pause * share);
+    }
+    done(std::move(result));
+  };
+}
+
+void DelegatedStore::List(const std::string& prefix, Done<StoreListing> done) {
+  auto query = std::make_shared<Query>();
+  query->prefix = prefix;
+  query->make_call = [this, prefix](milliseconds) {
+    PeerCall call;
+    call.target = std::string(WatchHub::kListingPath) +
+                  "?prefix=" + proxy::EncodeParameter(prefix);
+    call.timeout = settings_.slack;
+    return call;
+  };
+  query->take_answer = [done](const proxy::Response& answer) {
+    if (answer.head.status != kOk) return false;
+    auto listing = DecodeListing(answer.body);
+    if (!listing.has_value()) return false;
+    done(std::move(*listing));
+    return true;
+  };
+  query->ask_store = [this, prefix, done](bool is_follower) {
+    store_.List(prefix, OnStoreAnswer<StoreListing>(prefix, is_follower, done));
+  };
+  query->fail = [done](Error error) { done(std::move(error)); };
+  Begin(query);
+}
+
+void DelegatedStore::Watch(const std::string& prefix, StoreIndex after,
+                           milliseconds wait, Done<StoreChanges> done) {
+  auto query = std::make_shared<Query>();
+  query->prefix = prefix;
+  query->make_call = [this, prefix, after](milliseconds peer_wait) {
+    PeerCall call;
+    call.target = std::string(WatchHub::kChangesPath) +
+                  "?prefix=" + proxy::EncodeParameter(prefix) +
+                  "&after=" + std::to_string(after.value()) +
+                  "&wait=" + std::to_string(peer_wait.count());
+    call.timeout = peer_wait + settings_.slack;
+    return call;
+  };
+  query->take_answer = [done](const proxy::Response& answer) {
+    if (answer.head.status == kGone) {
+      done(Error{ErrorCode::kStale, Verdict::kNotRun,
+                 "delegate no longer holds the changes"});
+      return true;
+    }
+    if (answer.head.status != kOk) return false;
+    auto changes = DecodeChanges(answer.body);
+    if (!changes.has_value()) return false;
+    done(std::move(*changes));
+    return true;
+  };
+  query->ask_store = [this, prefix, after, wait, done](bool is_follower) {
+    store_.Watch(prefix, after, wait,
+                 OnStoreAnswer<StoreChanges>(prefix, is_follower, done));
+  };
+  query->fail = [done](Error error) { done(std::move(error)); };
+  Begin(query);
 }
 
 }  // namespace briarspread
--- a/briarspread/fleet/watch_hub.cc
+++ b/briarspread/fleet/watch_hub.cc
@@ -153,7 +153,13 @@
     SendStatus(*waiting.responder, kGone);
     return true;
   }
-  if (changes->changes.empty() && !is_expired) return false;
+  if (changes->changes.empty()) {
+    if (!is_expired) return false;
+    if (is_at_store_ && !is_at_store_(waiting.prefix)) {
+      SendStatus(*waiting.responder, kUnavailable);
+      return true;
+    }
+  }
   SendBytes(*waiting.responder, EncodeChanges(*changes));
   return true;
 }
--- a/briarspread/fleet/watch_hub.h
+++ b/briarspread/fleet/watch_hub.h
@@ -1,6 +1,7 @@
 #ifndef BRIARSPREAD_FLEET_WATCH_HUB_H_
 #define BRIARSPREAD_FLEET_WATCH_HUB_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,8 +26,9 @@
 
 /// Serves the results of this instance's watches to followers, which are other
 /// instances, so that one instance's watch of the store serves many. Answers
-/// followers with status 503 while this instance cannot reach the store. Loop's
-/// thread only.
+/// followers with status 503 while this instance cannot reach the store, and at
+/// the end of a call's wait if this instance is a follower itself: two
+/// followers of each other would never learn of a change. Loop's thread only.
 class WatchHub final {
  public:
   static constexpr char kListingPath[] = "/v1/listing";
@@ -45,6 +47,12 @@
   StoreWatchListener& WrapListener(const std::string& prefix,
                                    StoreWatchListener& next);
 
+  /// Sets the function that returns whether this instance's watch of a prefix
+  /// is at the store; by default all are.
+  void SetIsAtStore(
+      std::function<bool(const std::string& prefix)> is_at_store) {
+    is_at_store_ = std::move(is_at_store);
+  }
   /// Sets whether this instance can reach the store.
   void SetReachable(bool is_reachable);
 
@@ -76,6 +84,7 @@
   LoopTimer timer_;
   std::map<std::string, std::unique_ptr<PrefixLog>> prefixes_;
   std::vector<WaitingCall> waiting_;
+  std::function<bool(const std::string&)> is_at_store_;
   bool is_reachable_ = true;
 };
 
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -1,8 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "briarspread/fleet/delegated_store.h"
-#include "briarspread/fleet/store_watch.h"
-#include "briarspread/proxy/http_listener.h"
+#include "tests/fleet/hub_world.h"
 #include "tests/fleet/instance_world.h"
 
 namespace briarspread {
@@ -10,8 +8,11 @@
 
 using testing::AsyncMemoryStore;
 using testing::Await;
+using testing::HubServer;
 using testing::Instance;
 using testing::ManualClock;
+using testing::RecordingListener;
+using testing::SettingsWithoutDelays;
 using Fault = AsyncMemoryStore::Fault;
 
 /// Delivers the store's answers and runs the timers that are due, repeatedly.
@@ -23,33 +24,6 @@
   }
 }
 
-struct RecordingListener final : StoreWatchListener {
-  void OnListing(const StoreListing& listing) override {
-    ++listings;
-    values.clear();
-    for (const KeyValue& item : listing.items) values[item.key] = item.value;
-  }
-  void OnChanges(const StoreChanges& changes) override {
-    for (const StoreChange& change : changes.changes) {
-      if (change.value.has_value()) {
-        values[change.key] = *change.value;
-      } else {
-        values.erase(change.key);
-      }
-    }
-  }
-  int listings = 0;
-  std::map<std::string, std::string> values;
-};
-
-StoreWatchSettings SettingsWithoutDelays() {
-  StoreWatchSettings settings;
-  settings.pause = milliseconds(0);
-  settings.initial_backoff = milliseconds(0);
-  settings.max_backoff = milliseconds(0);
-  return settings;
-}
-
 TEST_CASE("a watch reports changes and lists again if the history is lost") {
   asio::io_context loop;
   AsyncMemoryStore store;
@@ -116,31 +90,15 @@
   REQUIRE(recorder.values.size() == 1);
 }
 
-/// An HTTP server that answers followers' calls from a hub.
-struct HubServer final : proxy::RequestHandler {
-  HubServer(asio::io_context& loop, WatchHub& hub)
-      : hub(hub), listener(loop, *this) {
-    REQUIRE(IsOk(listener.Start(Endpoint{"127.0.0.1", 0})));
-  }
-  void OnRequest(proxy::Request request,
-                 std::shared_ptr<proxy::Responder> responder) override {
-    ++calls;
-    REQUIRE(hub.TryAnswer(request, responder));
-  }
-  Endpoint endpoint() const { return Endpoint{"127.0.0.1", listener.port()}; }
-  WatchHub& hub;
-  proxy::HttpListener listener;
-  int calls = 0;
-};
-
 /// One instance that watches the store, and one that uses it as its delegate.
 struct FollowerWorld {
   FollowerWorld()
       : hub(loop, clock, {}),
         server(loop, hub),
         peers(loop),
-        delegated(store, peers, clock,
-                  [this] { return std::optional<Endpoint>(server.endpoint()); },
+        random(1),
+        delegated(loop, store, peers, clock, random,
+                  [this] { return std::vector<Endpoint>{server.endpoint()}; },
                   {}),
         delegate_watch(loop, store, "a/", SettingsWithoutDelays(),
                        hub.WrapListener("a/", delegate_listener)),
@@ -161,6 +119,7 @@
   WatchHub hub;
   HubServer server;
   PeerClient peers;
+  SeededRandom random;
   DelegatedStore delegated;
   RecordingListener delegate_listener;
   RecordingListener follower_listener;
