Keep the own registration when an older listing or change arrives after it

Cause: a listing, or the removal of the former process's entry, that the store answered before the own registration was written took the registration out of the registry; the next renewal then wrote it again.

Change: states of the own key with an index below that of the last confirmed registration are ignored.

The test failed before; fleet_test, platform_test and batch_test pass.

--- a/briarspread/fleet/instance_registry.cc
+++ b/briarspread/fleet/instance_registry.cc
@@ -69,6 +69,9 @@
   store_.Commit(std::move(put), [this](const Result<StoreOutcome>& outcome) {
     is_registering_ = false;
     if (IsOk(outcome)) {
+      if (const auto* ok = std::get_if<StoreCommitted>(&ValueOf(outcome))) {
+        registered_index_ = ok->index;
+      }
       instances_[self_.name] = self_;
       return;
     }
@@ -146,19 +149,26 @@
     return;
   }
   if (!std::string_view{item.key}.starts_with(kInstancePrefix)) return;
+  if (IsBeforeOwn(item.key, item.index)) return;
   const auto record = Parse(item.value);
   if (record.has_value()) instances_[record->name] = *record;
 }
 
-void InstanceRegistry::ApplyRemoval(const std::string& key) {
+void InstanceRegistry::ApplyRemoval(const std::string& key, StoreIndex index) {
   if (key == kOrderLeaseKey) order_lease_record_.reset();
   if (!std::string_view{key}.starts_with(kInstancePrefix)) return;
+  if (IsBeforeOwn(key, index)) return;
   instances_.erase(
       InstanceId(key.substr(std::string_view(kInstancePrefix).size())));
 }
 
 void InstanceRegistry::OnListing(const StoreListing& listing) {
+  // A listing from before the registration does not take it away: it would be
+  // written again.
+  const bool has_self = instances_.contains(self_.name) &&
+                        listing.store_index < registered_index_;
   instances_.clear();
+  if (has_self) instances_[self_.name] = self_;
   order_lease_record_.reset();
   for (const KeyValue& item : listing.items) ApplyItem(item);
   listener_.OnInstancesChanged();
@@ -169,7 +179,7 @@
     if (change.value.has_value()) {
       ApplyItem(KeyValue{change.key, *change.value, change.index});
     } else {
-      ApplyRemoval(change.key);
+      ApplyRemoval(change.key, change.index);
     }
     LOG(INFO) << "event=registration_changed key=" << change.key
               << " is_there=" << change.value.has_value()
--- a/briarspread/fleet/instance_registry.h
+++ b/briarspread/fleet/instance_registry.h
@@ -93,7 +93,12 @@
   void Register();
   void Renew();
   void ApplyItem(const KeyValue& item);
-  void ApplyRemoval(const std::string& key);
+  void ApplyRemoval(const std::string& key, StoreIndex index);
+  /// Whether a watched state of a key was replaced by this instance's own last
+  /// registration, of which the watch has not told yet.
+  bool IsBeforeOwn(const std::string& key, StoreIndex index) const {
+    return key == SelfKey() && index < registered_index_;
+  }
   std::string SelfKey() const { return kInstancePrefix + self_.name.value(); }
 
   AsyncStore& store_;
@@ -104,6 +109,8 @@
   LoopTimer renew_timer_;
   StoreLeaseId lease_;
   bool is_registering_ = false;
+  /// The store's index of the last confirmed registration; zero for none.
+  StoreIndex registered_index_;
   bool has_left_ = false;
   std::map<InstanceId, InstanceRecord> instances_;
   std::optional<KeyValue> order_lease_record_;
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -192,6 +192,34 @@
   Await(loop, store, [&] { return a.registry.Peers().size() == 1; });
 }
 
+// Guards against an instance that writes its registration again because a
+// listing or a change from before the registration arrived after it.
+TEST_CASE("an older listing does not take away the own registration") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  ManualClock clock;
+  const std::string key = "fleet/instances/a";
+  store.Write(key, nlohmann::json(testing::Record("a", 7)).dump());
+  const StoreIndex before = store.items().at(key).index;
+  Instance a(loop, store, clock, "a");
+  const auto is_registered = [&] {
+    const auto it = a.registry.instances().find(InstanceId("a"));
+    return it != a.registry.instances().end() &&
+           it->second == a.registry.self();
+  };
+  Await(loop, store, is_registered);
+  a.registry.OnListing({{}, before});
+  REQUIRE(is_registered());
+  a.registry.OnListing({{{key, store.items().at(key).value, before}}, before});
+  REQUIRE(is_registered());
+  a.registry.OnChanges({{{key, before, std::nullopt}}, before});
+  REQUIRE(is_registered());
+  // A later removal counts.
+  const StoreIndex after(store.items().at(key).index.value() + 1);
+  a.registry.OnChanges({{{key, after, std::nullopt}}, after});
+  REQUIRE_FALSE(is_registered());
+}
+
 TEST_CASE("a malformed registration is ignored") {
   asio::io_context loop;
   AsyncMemoryStore store;
