--- a/briarspread/fleet/watch_delegates.cc
+++ b/briarspread/fleet/watch_delegates.cc
@@ -7,12 +7,17 @@
 #include "briarspread/core/rendezvous.h"
 
 namespace briarspread {
+namespace {
+
+/// Further ones would lengthen the time until the store is asked.
+constexpr std::size_t kMaxDelegates = 2;
+
+}  // namespace
 
 std::vector<Endpoint> ChooseWatchDelegates(
     const std::map<InstanceId, InstanceRecord>& instances,
     const RegionId& region, const InstanceId& self) {
   constexpr char kWatchKey[] = "watch";
-  constexpr std::size_t kMaxDelegates = 2;
   std::vector<std::pair<std::uint64_t, const InstanceRecord*>> order;
   for (const auto& [name, record] : instances) {
     if (record.locality.region != region || record.is_leaving) continue;
@@ -31,4 +36,16 @@
   return delegates;
 }
 
+std::vector<Endpoint> ChooseStartPeers(std::vector<Endpoint> seeds,
+                                       const Endpoint& self,
+                                       RandomSource& random) {
+  std::erase(seeds, self);
+  const std::size_t n = std::min(kMaxDelegates, seeds.size());
+  for (std::size_t i = 0; i < n; ++i) {
+    std::swap(seeds[i], seeds[i + random.Below(seeds.size() - i)]);
+  }
+  seeds.resize(n);
+  return seeds;
+}
+
 }  // namespace briarspread
--- a/briarspread/fleet/watch_delegates.h
+++ b/briarspread/fleet/watch_delegates.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <vector>
 
+#include "briarspread/core/random_source.h"
 #include "briarspread/fleet/instance_record.h"
 
 namespace briarspread {
@@ -18,6 +19,14 @@
     const std::map<InstanceId, InstanceRecord>& instances,
     const RegionId& region, const InstanceId& self);
 
+/// Returns up to two of the configured seed peers without `self`, in random
+/// order: whom an instance that has just started asks for its lists, before it
+/// knows the delegates. Random, so that one seed does not serve all starts.
+/// Thread-safe if `random` is.
+std::vector<Endpoint> ChooseStartPeers(std::vector<Endpoint> seeds,
+                                       const Endpoint& self,
+                                       RandomSource& random);
+
 }  // namespace briarspread
 
 #endif  // BRIARSPREAD_FLEET_WATCH_DELEGATES_H_
--- a/tests/fleet/delegated_store_test.cc
+++ b/tests/fleet/delegated_store_test.cc
@@ -116,6 +116,23 @@
   REQUIRE(delegates_of(InstanceId("not registered yet"))[0] == all[1]);
 }
 
+// Guards against starts that all ask one peer, or that ask themselves.
+TEST_CASE("a starting instance asks two of its seeds, not itself") {
+  const auto at = [](std::uint16_t port) {
+    return Endpoint{"127.0.0.1", port};
+  };
+  SeededRandom random(1);
+  std::map<Endpoint, int> first;
+  for (int i = 0; i < 300; ++i) {
+    const auto peers = ChooseStartPeers({at(1), at(2), at(3)}, at(2), random);
+    REQUIRE(peers.size() == 2);
+    ++first[peers[0]];
+  }
+  REQUIRE(first.size() == 2);
+  REQUIRE_FALSE(first.contains(at(2)));
+  REQUIRE(ChooseStartPeers({at(2)}, at(2), random).empty());
+}
+
 // Guards against all followers of a delegate going to the store at once when it
 // dies or the store turns it away.
 TEST_CASE("followers of a failed delegate read from the second delegate") {
--- a/tests/platform/edge_node_test.cc
+++ b/tests/platform/edge_node_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "briarspread/fleet/watch_delegates.h"
 #include "platform/storage_node.h"
 #include "tests/platform/edge_fixture.h"
 
@@ -182,6 +183,37 @@
   REQUIRE(fixture.Call(at[0], "POST", "/once/y").head.status == 200);
 }
 
+// Guards against starts that each list all prefixes at the store.
+TEST_CASE("an instance that starts gets its lists from a seed peer") {
+  EdgeFixture fixture;
+  // The one that is the delegate of both starts first.
+  std::map<InstanceId, InstanceRecord> both;
+  for (const char* name : {"one", "two"}) {
+    both[InstanceId(name)].name = InstanceId(name);
+  }
+  std::string first = "one";
+  std::string second = "two";
+  if (ChooseWatchDelegates(both, RegionId(), InstanceId(second)).empty()) {
+    std::swap(first, second);
+  }
+  ReadyInstance delegate(fixture, fixture.Settings(first));
+  PlatformSettings settings = fixture.Settings(second);
+  settings.seeds = {*delegate.settings.peer};
+  ReadyInstance started(fixture, settings);
+  fixture.Await([&] {
+    return started.node.FormatMetrics().find("briarspread_instances 2") !=
+           std::string::npos;
+  });
+  const std::string metrics = started.node.FormatMetrics();
+  for (const std::string prefix : {"op/", "servers/", "fleet/"}) {
+    INFO(prefix);
+    REQUIRE(metrics.find("call=\"" + prefix + " peer\"") != std::string::npos);
+    REQUIRE(metrics.find("call=\"" + prefix + " store") == std::string::npos);
+  }
+  REQUIRE(fixture.Call(*settings.frontend, "POST", "/plain/x").head.status ==
+          200);
+}
+
 TEST_CASE("edge and storage roles work side by side on one machine") {
   EdgeFixture fixture;
   const PlatformSettings settings = fixture.Settings("both");
