Collect changes at the delegate only, for 0.4 s

Cause: a delegate waited 0.2 s after a change to an upstream (0.3 s to an instance), and each follower the same again, which saves no call to the store.

Change: changes from a peer are not followed by a pause; the delegate pauses 0.4 s for both prefixes, so that it makes at most 2.5 calls a second for upstreams instead of 5, and for instances instead of 3.3. The follower that learns last of a leaving upstream does so as fast as before (0.4 s), and of a failed instance faster (0.4 s instead of 0.6 s); the delegate itself learns up to 0.2 s and 0.1 s later.

--- a/briarspread/core/async_store.h
+++ b/briarspread/core/async_store.h
@@ -34,6 +34,9 @@
   std::vector<StoreChange> changes;
   /// Index from which the next watch continues.
   StoreIndex store_index;
+  /// Whether a peer answered instead of the store, so that no call was paid for
+  /// and the changes were collected at the peer already.
+  bool is_from_peer = false;
 };
 
 /// Conditional writes and removals that take effect atomically.
--- a/briarspread/fleet/delegated_store.cc
+++ b/briarspread/fleet/delegated_store.cc
@@ -161,6 +161,7 @@
     if (answer.head.status != kOk) return false;
     auto changes = DecodeChanges(answer.body);
     if (!changes.has_value()) return false;
+    changes->is_from_peer = true;
     done(std::move(*changes));
     return true;
   };
--- a/briarspread/fleet/store_watch.cc
+++ b/briarspread/fleet/store_watch.cc
@@ -53,26 +53,27 @@
 
 void StoreWatch::Watch() {
   const std::uint64_t call = ++latest_call_;
-  store_.Watch(prefix_, store_index_, settings_.wait,
-               [this, call](const Result<StoreChanges>& changes) {
-                 if (!IsCurrent(call)) return;
-                 if (!IsOk(changes)) {
-                   must_list_ =
-                       must_list_ || ErrorOf(changes).code == ErrorCode::kStale;
-                   ScheduleRetry(ErrorOf(changes));
-                   return;
-                 }
-                 const StoreChanges& got = ValueOf(changes);
-                 store_index_ = std::max(store_index_, got.store_index);
-                 next_backoff_ = settings_.initial_backoff;
-                 last_answer_ = std::chrono::steady_clock::now();
-                 if (got.changes.empty()) {
-                   Watch();
-                   return;
-                 }
-                 listener_.OnChanges(got);
-                 timer_.After(settings_.pause, [this] { Watch(); });
-               });
+  store_.Watch(
+      prefix_, store_index_, settings_.wait,
+      [this, call](const Result<StoreChanges>& changes) {
+        if (!IsCurrent(call)) return;
+        if (!IsOk(changes)) {
+          must_list_ = must_list_ || ErrorOf(changes).code == ErrorCode::kStale;
+          ScheduleRetry(ErrorOf(changes));
+          return;
+        }
+        const StoreChanges& got = ValueOf(changes);
+        store_index_ = std::max(store_index_, got.store_index);
+        next_backoff_ = settings_.initial_backoff;
+        last_answer_ = std::chrono::steady_clock::now();
+        if (got.changes.empty()) {
+          Watch();
+          return;
+        }
+        listener_.OnChanges(got);
+        timer_.After(got.is_from_peer ? milliseconds(0) : settings_.pause,
+                     [this] { Watch(); });
+      });
 }
 
 void StoreWatch::ScheduleRetry(const Error& error) {
--- a/briarspread/fleet/store_watch.h
+++ b/briarspread/fleet/store_watch.h
@@ -15,9 +15,10 @@
 struct StoreWatchSettings {
   /// The longest that one call waits at the store for a change.
   milliseconds wait{10000};
-  /// Delay before the next call after changes were received, so that several
-  /// changes are collected by one call.
-  milliseconds pause{300};
+  /// Delay before the next call after changes were received from the store, so
+  /// that several changes are collected by one call. Changes from a peer are
+  /// not delayed a second time.
+  milliseconds pause{400};
   /// Backoff after the first failure; doubles with each further failure.
   milliseconds initial_backoff{150};
   /// Upper limit of the backoff.
--- a/tests/fleet/delegated_store_test.cc
+++ b/tests/fleet/delegated_store_test.cc
@@ -21,7 +21,8 @@
 /// it to others.
 struct Node {
   Node(asio::io_context& loop, AsyncMemoryStore& store, const Clock& clock,
-       const DelegatedStoreSettings& settings = {})
+       const DelegatedStoreSettings& settings = {},
+       const StoreWatchSettings& watch_settings = SettingsWithoutDelays())
       : hub(loop, clock, {}),
         server(loop, hub),
         peers(loop),
@@ -29,7 +30,7 @@
         delegated(
             loop, store, peers, clock, random, [this] { return delegates; },
             settings),
-        watch(loop, delegated, "a/", SettingsWithoutDelays(),
+        watch(loop, delegated, "a/", watch_settings,
               hub.WrapListener("a/", listener)) {
     hub.SetIsAtStore(
         [this](const std::string& it) { return delegated.IsAtStore(it); });
@@ -192,6 +193,28 @@
   }
 }
 
+// Guards against changes that are delayed twice: at the delegate, where the
+// pause saves calls to the store, and at the follower, where it saves none.
+TEST_CASE("a follower does not pause after changes from its delegate") {
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  SystemClock clock;
+  StoreWatchSettings pausing = SettingsWithoutDelays();
+  pausing.pause = std::chrono::hours(1);
+  Node delegate(loop, store, clock);
+  Node follower(loop, store, clock, {}, pausing);
+  follower.delegates = {delegate.server.endpoint()};
+  for (Node* node : {&delegate, &follower}) {
+    node->watch.Start();
+    testing::Await(loop, store, [&] { return node->listener.listings == 1; });
+  }
+  for (std::size_t i = 1; i <= 3; ++i) {
+    store.Write("a/" + std::to_string(i), "y");
+    testing::Await(loop, store,
+                   [&] { return follower.listener.values.size() == i; });
+  }
+}
+
 // Guards against a fleet that calls a store that is down as often as each of
 // its watches repeats.
 TEST_CASE("a follower seldom calls a store that is down, and finds it again") {
