Watches: the failure of a replaced call says nothing about the new one

The store's return did not restart it, since the failure of an earlier call, which a restart had replaced, had marked the prefix as not waiting at the store.

Change: only the latest query of a prefix changes that mark, and a replaced query asks nobody further.

Result: the new case of fleet_test fails before and passes now.

--- a/briarspread/fleet/delegated_store.cc
+++ b/briarspread/fleet/delegated_store.cc
@@ -50,7 +50,18 @@
       (has_answered ? settings_.refusal_pause : settings_.bypass_time);
 }
 
+bool DelegatedStore::IsLatest(const QueryPtr& query) const {
+  const auto it = latest_.find(query->prefix);
+  return it != latest_.end() && it->second == query;
+}
+
+void DelegatedStore::SetAtStore(const QueryPtr& query, bool is_at_store) {
+  // The failure of a query that was replaced says nothing about the new one.
+  if (IsLatest(query)) is_at_store_[query->prefix] = is_at_store;
+}
+
 void DelegatedStore::Begin(const QueryPtr& query) {
+  latest_[query->prefix] = query;
   const TimePoint now = clock_.Now();
   std::erase_if(bypassed_until_,
                 [now](const auto& entry) { return entry.second <= now; });
@@ -63,11 +74,15 @@
 }
 
 void DelegatedStore::AskNext(const QueryPtr& query) {
+  if (!IsLatest(query)) {
+    Fail(query, "the query was replaced by a later one");
+    return;
+  }
   if (query->next == query->delegates.size()) {
     AskStore(query);
     return;
   }
-  is_at_store_[query->prefix] = false;
+  SetAtStore(query, false);
   const Endpoint delegate = query->delegates[query->next];
   const milliseconds wait =
       query->next == 0 ? settings_.wait : settings_.failover_wait;
@@ -85,28 +100,30 @@
 
 void DelegatedStore::AskStore(const QueryPtr& query) {
   if (query->is_follower && clock_.Now() < store_pause_until_) {
-    is_at_store_[query->prefix] = false;
+    SetAtStore(query, false);
     Count(*query, "held_back");
-    asio::post(loop_, [query] {
-      query->fail(Error{ErrorCode::kUnavailable, Verdict::kNotRun,
-                        "delegates failed, and the store shortly before"});
-    });
+    Fail(query, "delegates failed, and the store shortly before");
     return;
   }
-  is_at_store_[query->prefix] = true;
+  SetAtStore(query, true);
   Count(*query, query->is_follower ? "store delegates_failed" : "store own");
-  query->ask_store(query->is_follower);
+  query->ask_store(query);
+}
+
+void DelegatedStore::Fail(const QueryPtr& query, const std::string& reason) {
+  asio::post(loop_, [query, reason] {
+    query->fail(Error{ErrorCode::kUnavailable, Verdict::kNotRun, reason});
+  });
 }
 
 template <typename T>
-AsyncStore::Done<T> DelegatedStore::OnStoreAnswer(const std::string& prefix,
-                                                  bool is_follower,
+AsyncStore::Done<T> DelegatedStore::OnStoreAnswer(const QueryPtr& query,
                                                   Done<T> done) {
-  return [this, prefix, is_follower, done = std::move(done)](Result<T> result) {
+  return [this, query, done = std::move(done)](Result<T> result) {
     const bool has_failed =
         !IsOk(result) && ErrorOf(result).code == ErrorCode::kUnavailable;
-    if (has_failed) is_at_store_[prefix] = false;
-    if (has_failed && is_follower) {
+    if (has_failed) SetAtStore(query, false);
+    if (has_failed && query->is_follower) {
       const double share = (1 + random_.Fraction()) / 2;
       store_pause_until_ = clock_.Now() + std::chrono::duration_cast<Duration>(
                                               settings_.store_pause * share);
@@ -132,8 +149,8 @@
     done(std::move(*listing));
     return true;
   };
-  query->ask_store = [this, prefix, done](bool is_follower) {
-    store_.List(prefix, OnStoreAnswer<StoreListing>(prefix, is_follower, done));
+  query->ask_store = [this, done](const QueryPtr& asked) {
+    store_.List(asked->prefix, OnStoreAnswer<StoreListing>(asked, done));
   };
   query->fail = [done](Error error) { done(std::move(error)); };
   Begin(query);
@@ -165,9 +182,9 @@
     done(std::move(*changes));
     return true;
   };
-  query->ask_store = [this, prefix, after, wait, done](bool is_follower) {
-    store_.Watch(prefix, after, wait,
-                 OnStoreAnswer<StoreChanges>(prefix, is_follower, done));
+  query->ask_store = [this, after, wait, done](const QueryPtr& asked) {
+    store_.Watch(asked->prefix, after, wait,
+                 OnStoreAnswer<StoreChanges>(asked, done));
   };
   query->fail = [done](Error error) { done(std::move(error)); };
   Begin(query);
--- a/briarspread/fleet/delegated_store.h
+++ b/briarspread/fleet/delegated_store.h
@@ -104,7 +104,9 @@
     /// Completes the query by a delegate's answer; returns false if the answer
     /// is not usable.
     std::function<bool(const proxy::Response& answer)> take_answer;
-    std::function<void(bool is_follower)> ask_store;
+    /// Asks the store. Gets the query as an argument, since a copy in the
+    /// function would keep the query alive for good.
+    std::function<void(const std::shared_ptr<Query>& asked)> ask_store;
     std::function<void(Error error)> fail;
   };
   using QueryPtr = std::shared_ptr<Query>;
@@ -116,8 +118,13 @@
   /// Returns a callback of a call to the store that notes a failure and calls
   /// `done`.
   template <typename T>
-  Done<T> OnStoreAnswer(const std::string& prefix, bool is_follower,
-                        Done<T> done);
+  Done<T> OnStoreAnswer(const QueryPtr& query, Done<T> done);
+  /// Calls the query's `fail` from the loop.
+  void Fail(const QueryPtr& query, const std::string& reason);
+  /// Whether no later query of the same prefix has begun.
+  bool IsLatest(const QueryPtr& query) const;
+  /// Records whether the query is at the store, if it is the latest one.
+  void SetAtStore(const QueryPtr& query, bool is_at_store);
   /// Stops asking a delegate for a while. `has_answered` says whether it
   /// answered at all.
   void Bypass(const Endpoint& delegate, bool has_answered);
@@ -137,6 +144,9 @@
   /// By prefix, whether the latest call is at the store; absent before the
   /// first call.
   std::map<std::string, bool> is_at_store_;
+  /// The query of each prefix that began last. A watch that is restarted leaves
+  /// an earlier one behind.
+  std::map<std::string, QueryPtr> latest_;
   std::map<std::string, std::uint64_t> counts_;
 };
 
--- a/tests/fleet/delegated_store_test.cc
+++ b/tests/fleet/delegated_store_test.cc
@@ -238,5 +238,26 @@
   region.AwaitValues(follower, 2);
 }
 
+// Guards against a watch that is left waiting on a path to the store that no
+// longer works: the failure of the call that it replaced must not hide it from
+// the restart that follows the store's return.
+TEST_CASE(
+    "the failure of a replaced call does not hide the call at the store") {
+  ManualClock clock;
+  asio::io_context loop;
+  AsyncMemoryStore store;
+  Node node(loop, store, clock);
+  int failed = 0;
+  store.SetFault(Fault::kRefuse);
+  node.delegated.Watch("b/", StoreIndex(0), milliseconds(1000),
+                       [&](const auto& result) { failed += !IsOk(result); });
+  store.SetFault(Fault::kNone);
+  node.delegated.Watch("b/", StoreIndex(0), milliseconds(1000),
+                       [](const auto&) {});
+  testing::Await(loop, store, [&] { return failed == 1; });
+  REQUIRE(node.delegated.IsAtStore("b/"));
+  REQUIRE(node.delegated.DependsOnOwnPath("b/"));
+}
+
 }  // namespace
 }  // namespace briarspread
