Get the job records of a start from a peer's index

Change: an instance that starts asks two peers, by rendezvous hashing, for their index (/v1/job-index), and lists the store if neither has a complete one.

--- a/briarspread/batch/job_calls.h
+++ b/briarspread/batch/job_calls.h
@@ -8,6 +8,9 @@
 
 namespace briarspread::batch {
 
+/// Request target of an instance's job index in its peer interface.
+inline constexpr char kIndexPath[] = "/v1/job-index";
+
 /// Returns the request target of a job in the peer interface of another
 /// instance. Thread-safe.
 inline std::string JobTarget(const JobId& id) {
--- a/briarspread/batch/job_gateway.h
+++ b/briarspread/batch/job_gateway.h
@@ -94,6 +94,12 @@
   /// Returns the peer endpoints of the other registered instances that own open
   /// jobs, as far as the index knows them.
   std::vector<Endpoint> OtherOwnerEndpoints() const;
+  /// Returns the index, encoded for an instance that starts; nothing while this
+  /// instance has not completed its own index.
+  std::optional<std::string> EncodedIndex() const {
+    if (!has_refreshed_index_) return std::nullopt;
+    return EncodeRecords(index_.all());
+  }
   JobRunner& runner() { return *runner_; }
   /// Whether this instance accepts and takes over no more jobs.
   bool is_stopping() const { return is_stopping_; }
@@ -179,6 +185,10 @@
   void ProbeOwner(const StoredRecord& stored);
   void AdoptOrphan(const StoredRecord& stored);
   void RefreshIndex();
+  /// Completes the index by that of the last of `peers` that answers, or by
+  /// listing the store if there is none.
+  void GetFirstIndex(std::vector<InstanceRecord> peers);
+  void CompleteIndex(const std::vector<StoredRecord>& records);
   void HandOver(const JobId& id, std::vector<InstanceRecord> candidates,
                 const std::shared_ptr<int>& remaining,
                 const std::function<void()>& done);
--- a/briarspread/batch/job_index.h
+++ b/briarspread/batch/job_index.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "briarspread/batch/job_store.h"
@@ -31,6 +32,12 @@
   std::map<JobId, StoredRecord> jobs_;
 };
 
+/// Encode the records of an index for another instance, in CBOR. Decoding
+/// returns nothing for malformed input. Thread-safe.
+std::string EncodeRecords(const std::map<JobId, StoredRecord>& records);
+std::optional<std::vector<StoredRecord>> DecodeRecords(
+    const std::string& bytes);
+
 }  // namespace briarspread::batch
 
 #endif  // BRIARSPREAD_BATCH_JOB_INDEX_H_
--- a/briarspread/batch/job_peer_handler.cc
+++ b/briarspread/batch/job_peer_handler.cc
@@ -52,6 +52,14 @@
 bool JobPeerHandler::TryAnswer(const proxy::Request& request,
                                const ResponderPtr& responder) {
   const auto target = proxy::SplitTarget(request.head.target);
+  if (target.path == kIndexPath) {
+    if (auto index = gateway_.EncodedIndex()) {
+      SendBytes(*responder, std::move(*index));
+    } else {
+      SendStatus(*responder, 503);
+    }
+    return true;
+  }
   if (target.path == kNoticesPath) {
     HandleNotice(target.query, request.body, responder);
     return true;
--- a/briarspread/batch/job_takeover.cc
+++ b/briarspread/batch/job_takeover.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr int kOk = 200;
+/// Peers that an instance that starts asks for their index.
+constexpr std::size_t kMaxIndexPeers = 2;
 /// Consecutive unanswered probes after which an owner counts as unreachable.
 constexpr int kMaxUnansweredProbes = 2;
 
@@ -29,17 +31,51 @@
       PauseRetries(index_retry_);
       return;
     }
-    has_refreshed_index_ = true;
-    for (const StoredRecord& stored : ValueOf(records)) LearnRecord(stored);
+    CompleteIndex(ValueOf(records));
   });
 }
 
+void JobGateway::CompleteIndex(const std::vector<StoredRecord>& records) {
+  has_refreshed_index_ = true;
+  for (const StoredRecord& stored : records) LearnRecord(stored);
+}
+
+void JobGateway::GetFirstIndex(std::vector<InstanceRecord> peers) {
+  if (has_refreshed_index_) return;
+  if (peers.empty()) {
+    RefreshIndex();
+    return;
+  }
+  PeerCall call;
+  call.target = kIndexPath;
+  call.timeout = settings_.call_timeout;
+  const Endpoint peer = peers.back().peer_endpoint;
+  peers.pop_back();
+  peers_.Call(
+      peer, std::move(call),
+      [this, peers = std::move(peers)](const Result<proxy::Response>& answer) {
+        if (IsOk(answer) && ValueOf(answer).head.status == kOk) {
+          const auto records = DecodeRecords(ValueOf(answer).body);
+          if (records.has_value()) {
+            LOG(INFO) << "event=job_index_from_peer jobs=" << records->size();
+            CompleteIndex(*records);
+            return;
+          }
+        }
+        GetFirstIndex(peers);
+      });
+}
+
 void JobGateway::ReviewOwners() {
   if (is_stopping_ || !registry_.has_listed()) return;
   if (!has_refreshed_index_ && clock_.Now() >= index_retry_.until) {
     // Finds jobs that were accepted before this process started.
     PauseRetries(index_retry_);
-    RefreshIndex();
+    // By rendezvous hashing, so that one peer does not serve all starts.
+    auto peers = HomeOrder(registry_.self().name.value(),
+                           registry_.self().locality, registry_.Peers());
+    peers.resize(std::min(peers.size(), kMaxIndexPeers));
+    GetFirstIndex(std::move(peers));
   }
   CheckRegistration();
   ReadUnconfirmedRecords();
