Start no items of jobs that another instance has ended

Cause: an owner learned that its job was ended elsewhere only from a lost race of its next write, which may never come, or from a notice, which went to registered peers only. A new owner started items from a record that it had read seconds earlier, before it read the specification and results. Paths: items that wait for an engine, items whose run stalled, a job that is ended while it is loaded, an owner that is not registered any more, a connection that is established after a pause of the process, and a relayed request that no peer took.

Change: an owner starts items only if the store confirmed its record within 1.5 s, by a write or by a read that is sent when an item could start. While the store fails, items start without it. The instance that ends a job in the store, or takes it over, notifies the former owner and all peers. A connection that took longer than the time to connect carries no request, and a relayed request is not sent directly after 1 s.

--- a/briarspread/batch/job_gateway.cc
+++ b/briarspread/batch/job_gateway.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "briarspread/batch/job_calls.h"
@@ -140,17 +141,30 @@
 void JobGateway::OnJobRecord(const StoredRecord& stored) {
   const StoredRecord* known = index_.Find(stored.id);
   const bool is_news = known == nullptr || known->index < stored.index;
+  const Endpoint former_owner =
+      known == nullptr ? Endpoint{} : known->record.owner_endpoint;
   index_.Put(stored);
   if (!IsOrphan(stored)) orphans_.erase(stored.id);
   if (!is_news || !runner_->IsOwn(stored.record)) return;
+  AnnounceRecord(stored, former_owner);
+}
+
+void JobGateway::AnnounceRecord(const StoredRecord& stored,
+                                const Endpoint& former_owner) {
+  std::set<Endpoint> receivers;
   for (const InstanceRecord& peer : registry_.Peers()) {
+    receivers.insert(peer.peer_endpoint);
+  }
+  if (former_owner.port != 0) receivers.insert(former_owner);
+  receivers.erase(registry_.self().peer_endpoint);
+  for (const Endpoint& receiver : receivers) {
     PeerCall notice;
     notice.method = "POST";
     notice.target =
         "/v1/job-notices?id=" + proxy::EncodeParameter(stored.id.value()) +
         "&index=" + std::to_string(stored.index.value());
     notice.body = Encode(stored.record);
-    peers_.Call(peer.peer_endpoint, std::move(notice),
+    peers_.Call(receiver, std::move(notice),
                 [](const Result<proxy::Response>&) {
                   // A peer that misses the notice reads the store.
                 });
@@ -389,6 +403,8 @@
         StoredRecord stored = ValueOf(read);
         LearnRecord(stored);
         if (stored.record.is_ended) {
+          // The answer to an earlier write of the end may have been lost.
+          AnnounceRecord(stored, stored.record.owner_endpoint);
           done(OkStatus());
           return;
         }
@@ -411,8 +427,12 @@
                 done(UnavailableError("the job has a new owner"));
                 return;
               }
-              index_.Put(StoredRecord{stored.id, stored.record, ok->index});
+              const StoredRecord ended{stored.id, stored.record, ok->index};
+              index_.Put(ended);
               orphans_.erase(stored.id);
+              // The owner may still run, although it is not registered, or may
+              // be loading the job.
+              AnnounceRecord(ended, ended.record.owner_endpoint);
               done(OkStatus());
             });
       });
--- a/briarspread/batch/job_gateway.h
+++ b/briarspread/batch/job_gateway.h
@@ -154,6 +154,9 @@
                      Done<ResultPage> done);
   void ReadBodyFromStore(const StoredRecord& stored, const ItemId& item,
                          Done<std::string> done);
+  /// Sends a record to all peers and to an owner that may be registered no
+  /// longer; an endpoint without a port for none.
+  void AnnounceRecord(const StoredRecord& stored, const Endpoint& former_owner);
   void EndInStore(const JobId& id, Done<std::monostate> done);
   /// Loads a job that the store says this instance owns, unless it is held or
   /// being loaded.
--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -263,7 +263,7 @@
   }
   const std::uint64_t draw = StableHash(job.ledger.spec().items[i].id.value());
   const auto chosen = ChooseEngine(job, i, ChooseBackend(*route, draw));
-  if (!chosen.has_value()) return false;
+  if (!chosen.has_value() || !IsRecordConfirmed(id, job)) return false;
   const UpstreamId& engine = *chosen;
   const forward::KnownUpstream* known = context_.directory.Find(engine);
   if (known == nullptr || !known->breaker->Admit(context_.clock.Now())) {
--- a/briarspread/batch/job_listing.cc
+++ b/briarspread/batch/job_listing.cc
@@ -107,6 +107,7 @@
     const Result<RecordOutcome>& outcome) {
   OwnedJob& job = jobs_.at(id);
   job.is_writing = false;
+  job.is_store_failing = !IsOk(outcome);
   if (IsOk(outcome)) return &job;
   LOG(WARNING) << "event=" << what << "_delayed job=" << id << " reason=\""
                << ErrorOf(outcome).message << "\"";
@@ -178,6 +179,8 @@
     HandleOwnershipLoss(id, *changed);
     return;
   }
+  job.record_confirmed = job.last_write;
+  SchedulePlacement();
   ++metrics_.chunks_written;
   for (const ItemResult& result : job.chunk.results) {
     const auto i = job.ledger.FindItem(result.id);
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -105,6 +105,7 @@
 void JobRunner::TryAccept(const JobId& id) {
   const auto it = pending_accepts_.find(id);
   if (it == pending_accepts_.end()) return;
+  it->second.sent = context_.clock.Now();
   store_.Accept(
       it->second.spec, it->second.record,
       [this, id](const Result<RecordOutcome>& outcome) {
@@ -118,7 +119,7 @@
         StoredRecord stored{id, acceptance.record, StoreIndex()};
         if (const auto* ok = std::get_if<RecordWritten>(&ValueOf(outcome))) {
           stored.index = ok->index;
-          AddJob(stored, acceptance.spec);
+          AddJob(stored, acceptance.spec, acceptance.sent);
           ++metrics_.jobs_accepted;
           LOG(INFO) << "event=job_accepted job=" << id
                     << " items=" << stored.record.total;
@@ -174,7 +175,8 @@
 }
 
 JobRunner::OwnedJob& JobRunner::AddJob(const StoredRecord& stored,
-                                       const JobSpec& spec) {
+                                       const JobSpec& spec,
+                                       TimePoint confirmed) {
   const TimePoint now = context_.clock.Now();
   const JobLimits limits = LimitsOf(spec, stored.record);
   const auto [it, is_new] =
@@ -185,6 +187,7 @@
   job.record = stored.record;
   job.index = stored.index;
   job.owned_since = now;
+  job.record_confirmed = confirmed;
   job.delete_after = now + kUnendedJobRetentionFactor * settings_.status_time;
   const auto& items = job.ledger.spec().items;
   for (std::size_t i = 0; i < items.size(); ++i) {
@@ -237,36 +240,38 @@
 void JobRunner::Load(const StoredRecord& stored, const JobHandover& handover,
                      const Done<std::monostate>& done) {
   loading_.insert(stored.id);
-  store_.ReadJob(
-      stored, [this, stored, handover, done](const Result<StoredJob>& read) {
-        loading_.erase(loading_.find(stored.id));
-        if (!IsOk(read)) {
-          // The record names this instance as the owner. The listener learns it
-          // and loads the job again.
-          LOG(WARNING) << "event=job_not_loaded job=" << stored.id
-                       << " reason=\"" << ErrorOf(read).message << "\"";
-          listener_.OnJobRecord(stored);
-          done(ErrorOf(read));
-          return;
-        }
-        if (Owns(stored.id)) {
-          done(OkStatus());
-          return;
-        }
-        const StoredJob& loaded = ValueOf(read);
-        OwnedJob& job = AddJob(stored, loaded.spec);
-        job.ledger.RestoreListed(loaded.listed);
-        RestoreWaitingItems(job.ledger, loaded.progress);
-        RestoreWaitingItems(job.ledger, handover.progress);
-        ++metrics_.jobs_adopted;
-        LOG(INFO) << "event=job_adopted job=" << stored.id
-                  << " listed=" << loaded.listed.size()
-                  << " carried=" << handover.progress.size()
-                  << " kept=" << loaded.progress.size();
-        listener_.OnJobRecord(stored);
-        done(OkStatus());
-        SchedulePlacement();
-      });
+  // Another instance may end the job while it is being loaded.
+  const TimePoint confirmed = context_.clock.Now();
+  store_.ReadJob(stored, [this, stored, handover, confirmed,
+                          done](const Result<StoredJob>& read) {
+    loading_.erase(loading_.find(stored.id));
+    if (!IsOk(read)) {
+      // The record names this instance as the owner. The listener learns it
+      // and loads the job again.
+      LOG(WARNING) << "event=job_not_loaded job=" << stored.id << " reason=\""
+                   << ErrorOf(read).message << "\"";
+      listener_.OnJobRecord(stored);
+      done(ErrorOf(read));
+      return;
+    }
+    if (Owns(stored.id)) {
+      done(OkStatus());
+      return;
+    }
+    const StoredJob& loaded = ValueOf(read);
+    OwnedJob& job = AddJob(stored, loaded.spec, confirmed);
+    job.ledger.RestoreListed(loaded.listed);
+    RestoreWaitingItems(job.ledger, loaded.progress);
+    RestoreWaitingItems(job.ledger, handover.progress);
+    ++metrics_.jobs_adopted;
+    LOG(INFO) << "event=job_adopted job=" << stored.id
+              << " listed=" << loaded.listed.size()
+              << " carried=" << handover.progress.size()
+              << " kept=" << loaded.progress.size();
+    listener_.OnJobRecord(stored);
+    done(OkStatus());
+    SchedulePlacement();
+  });
 }
 
 std::vector<JobId> JobRunner::OpenJobs() const {
@@ -325,8 +330,8 @@
   if (it == jobs_.end()) return;
   store_.ReplaceRecord(
       id, it->second.record, it->second.index,
-      [this, id,
-       epoch = it->second.epoch](const Result<RecordOutcome>& outcome) {
+      [this, id, epoch = it->second.epoch,
+       sent = context_.clock.Now()](const Result<RecordOutcome>& outcome) {
         if (!IsCurrent(id, epoch)) return;
         const auto found = jobs_.find(id);
         if (!IsOk(outcome)) {
@@ -336,6 +341,7 @@
         }
         if (const auto* ok = std::get_if<RecordWritten>(&ValueOf(outcome))) {
           found->second.index = ok->index;
+          found->second.record_confirmed = sent;
           Resume(id);
           return;
         }
@@ -387,6 +393,49 @@
   HandleOwnershipLoss(stored.id, RecordChanged{stored});
 }
 
+bool JobRunner::IsRecordConfirmed(const JobId& id, OwnedJob& job) {
+  const TimePoint now = context_.clock.Now();
+  if (now - job.record_confirmed <= settings_.max_record_age) return true;
+  const bool is_due = now - job.confirmation_sent > settings_.max_record_age ||
+                      !job.is_store_failing;
+  // The outcome of a write confirms the record as well.
+  if (is_due && !job.is_confirming && !job.is_writing) ReadOwnRecord(id, job);
+  return job.is_store_failing;
+}
+
+void JobRunner::ReadOwnRecord(const JobId& id, OwnedJob& job) {
+  job.is_confirming = true;
+  job.confirmation_sent = context_.clock.Now();
+  store_.ReadRecord(
+      id, [this, id, epoch = job.epoch](const Result<StoredRecord>& read) {
+        if (IsCurrent(id, epoch)) OnOwnRecordRead(id, read);
+      });
+}
+
+void JobRunner::OnOwnRecordRead(const JobId& id,
+                                const Result<StoredRecord>& read) {
+  OwnedJob& job = jobs_.at(id);
+  job.is_confirming = false;
+  job.is_store_failing = !IsOk(read);
+  if (!IsOk(read) && ErrorOf(read).code == ErrorCode::kNotFound) {
+    HandleOwnershipLoss(id, RecordChanged{});
+    return;
+  }
+  if (!IsOk(read)) {
+    LOG(WARNING) << "event=record_not_confirmed job=" << id << " reason=\""
+                 << ErrorOf(read).message << "\"";
+  } else {
+    const std::uint64_t epoch = job.epoch;
+    OnRecordSeen(ValueOf(read));
+    if (!IsCurrent(id, epoch)) return;
+    // Items start after each confirmation, however slow the store is.
+    job.record_confirmed =
+        std::max(job.confirmation_sent,
+                 context_.clock.Now() - settings_.max_record_age / 2);
+  }
+  SchedulePlacement();
+}
+
 void JobRunner::HandleOwnershipLoss(const JobId& id,
                                     const RecordChanged& changed) {
   ++metrics_.jobs_lost;
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -74,6 +74,10 @@
   milliseconds resume_wait_per_event{20};
   milliseconds min_resume_wait{1000};
   milliseconds max_resume_wait{3000};
+  /// Age of the last confirmation of a job's record after which the record is
+  /// read again before items of the job start. With the time that a run takes
+  /// to connect, no item starts 3 s after another instance ended the job.
+  milliseconds max_record_age{1500};
   EnginePlacementSettings placement;
 };
 
@@ -216,6 +220,15 @@
     /// Whether the job is being handed over; none of its items run then.
     bool is_paused = false;
     TimePoint delete_after{};
+    /// When the store last showed that this instance owns the open job: the
+    /// time at which the confirming call was sent.
+    TimePoint record_confirmed{};
+    /// When the record was last read to confirm it.
+    TimePoint confirmation_sent{};
+    bool is_confirming = false;
+    /// Whether the last call about the job failed. Items start without a
+    /// confirmation then, since an outage of the store must not stop them.
+    bool is_store_failing = false;
     /// When this instance became the owner.
     TimePoint owned_since{};
     /// Whether the number of groups that the trainer waits for is listed.
@@ -238,6 +251,8 @@
 
     JobSpec spec;
     JobRecord record;
+    /// When the last attempt was sent.
+    TimePoint sent{};
     TimePoint retry_deadline{};
     /// Whether an attempt may have taken effect, or may still do so.
     bool may_have_run = false;
@@ -253,7 +268,9 @@
   /// ends the accept.
   void OnAcceptFailed(const JobId& id, PendingAccept& acceptance, Error error);
   void FinishAccept(const JobId& id, const Result<std::monostate>& result);
-  OwnedJob& AddJob(const StoredRecord& stored, const JobSpec& spec);
+  /// `confirmed` is the time at which the call was sent that gave the record.
+  OwnedJob& AddJob(const StoredRecord& stored, const JobSpec& spec,
+                   TimePoint confirmed);
   JobLimits LimitsOf(const JobSpec& spec, const JobRecord& record) const;
 
   void SchedulePlacement();
@@ -293,6 +310,12 @@
   ItemRunSpec MakeRunSpec(const OwnedJob& job, std::size_t i,
                           const UpstreamId& engine) const;
 
+  /// Returns whether items of the job may start: the record was confirmed
+  /// recently, or the store fails. Otherwise reads the record.
+  bool IsRecordConfirmed(const JobId& id, OwnedJob& job);
+  void ReadOwnRecord(const JobId& id, OwnedJob& job);
+  void OnOwnRecordRead(const JobId& id, const Result<StoredRecord>& read);
+
   void Resume(const JobId& id);
   void ExpireItems(const JobId& id, OwnedJob& job, TimePoint now);
 
--- a/briarspread/forward/relayed_exchange.cc
+++ b/briarspread/forward/relayed_exchange.cc
@@ -8,6 +8,9 @@
 /// Time after which no further peer is tried, since the deadline that the
 /// request names would be too late then.
 constexpr milliseconds kMaxTimeOfTries{250};
+/// Time after which the request is not sent directly either: after a pause of
+/// the process, the sender may no longer want it.
+constexpr milliseconds kMaxTimeToDirect{1000};
 
 }  // namespace
 
@@ -64,8 +67,16 @@
 }
 
 void RelayedExchange::StartAtNextPeer() {
-  const bool is_in_time = clock_.Now() - started_ < kMaxTimeOfTries;
-  const auto peer = is_in_time ? peers_.Choose(tried_) : std::nullopt;
+  const Duration age = clock_.Now() - started_;
+  if (age > kMaxTimeToDirect) {
+    proxy::ExchangeFailure late{proxy::ExchangeFault::kNotConnected,
+                                Verdict::kNotRun};
+    late.was_relayed = true;
+    listener_.OnFailure(late);
+    return;
+  }
+  const auto peer =
+      age < kMaxTimeOfTries ? peers_.Choose(tried_) : std::nullopt;
   if (!peer.has_value()) {
     exchange_ = spec_.start_direct(std::move(spec_.request), listener_);
     return;
--- a/briarspread/proxy/upstream_connection.cc
+++ b/briarspread/proxy/upstream_connection.cc
@@ -108,9 +108,13 @@
   SetTimer(limit, ExchangeFault::kNotConnected, Verdict::kNotRun);
   socket_.async_connect(
       asio::ip::tcp::endpoint(address, to_.port),
-      [self = shared_from_this()](asio::error_code error) {
+      [self = shared_from_this(), limit](asio::error_code error) {
         if (self->is_closed_) return;
-        if (error) {
+        // After a pause of the process, this may run before the timer does. The
+        // request may have become obsolete meanwhile.
+        const bool is_late =
+            std::chrono::steady_clock::now() - self->started_ > limit;
+        if (error || (is_late && self->listener_ != nullptr)) {
           self->Fail(ExchangeFault::kNotConnected, Verdict::kNotRun);
           return;
         }
--- a/tests/forward/relayed_exchange_test.cc
+++ b/tests/forward/relayed_exchange_test.cc
@@ -270,6 +270,29 @@
   REQUIRE(site.listener.body == "whole");
 }
 
+// Guards against a request that is sent directly long after its start because
+// the process was paused while its peers refused it.
+TEST_CASE("a request that no peer relays is not sent directly late") {
+  Site site(RespondWith(200, "whole"));
+  for (Peer& peer : site.peers) peer.knows_path = false;
+  briarspread::testing::ManualClock clock;
+  int direct = 0;
+  RelayedExchange::Spec spec;
+  spec.request.to = site.upstream.endpoint();
+  spec.start_direct = [&](const auto&, auto&) {
+    ++direct;
+    return nullptr;
+  };
+  spec.on_reached = [] {};
+  RelayedExchange exchange(site.client, site.relays, clock, std::move(spec),
+                           site.listener);
+  exchange.Start();
+  clock.Advance(seconds(3));
+  site.AwaitEnd();
+  REQUIRE(direct == 0);
+  REQUIRE(site.listener.failure->verdict == Verdict::kNotRun);
+}
+
 TEST_CASE("near peers relay first, and those that failed pause longer") {
   briarspread::testing::ManualClock clock;
   SeededRandom random(1);
--- a/tests/proxy/connection_test.cc
+++ b/tests/proxy/connection_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <deque>
 #include <stdexcept>
+#include <thread>
 
 #include "briarspread/proxy/connection_pool.h"
 #include "briarspread/proxy/guarded_run.h"
@@ -402,5 +403,28 @@
   REQUIRE(server.handler.requests.empty());
 }
 
+// Guards against a request that is sent long after its start because the
+// process was paused while it connected; a batch item may be obsolete by then.
+TEST_CASE("a request is not sent after the time to connect has passed") {
+  asio::io_context loop;
+  RawUpstream upstream(loop, {});
+  UpstreamConnectionSettings settings;
+  settings.connect_timeout = milliseconds(10);
+  ConnectionPool pool(loop, settings);
+  std::optional<CallResult> result;
+  ExchangeRequest request;
+  request.to = upstream.endpoint();
+  request.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  StartCall(pool, std::move(request),
+            [&result](CallResult got) { result = std::move(got); });
+  std::this_thread::sleep_for(5 * settings.connect_timeout);
+  REQUIRE(RunUntil(loop, [&] { return result.has_value(); }));
+  REQUIRE(std::get<ExchangeFailure>(*result).verdict == Verdict::kNotRun);
+  // The upstream reads whatever was sent.
+  loop.restart();
+  loop.run_for(5 * settings.connect_timeout);
+  REQUIRE(upstream.requests() == 0);
+}
+
 }  // namespace
 }  // namespace briarspread::proxy
