Load versions on as many engines as the steps of the model need

Cause: each version went to an equal share of all engines, however few of them the steps used; each load has a price.

Change: the planner limits the share to engines with twice the slots of the items that run at once, and two spare ones. The items come from the job records, which now name the model; without them the share is unchanged, as it is where engines are scarce. Engines with an open circuit breaker do not count towards the limit, so that lost ones are replaced.

Tests: 300 engines and steps of 64 items load 18 engines a version instead of 100; half of them lost are replaced; nine engines get the same orders as before.

--- a/briarspread/batch/job.cc
+++ b/briarspread/batch/job.cc
@@ -191,6 +191,7 @@
                {"home_key", record.home_key},
                {"ended", record.is_ended}};
   SetAccount(record.account, json);
+  if (!record.model.value().empty()) json["model"] = record.model.value();
   return ToBytes(json);
 }
 
@@ -209,6 +210,7 @@
     record.home_key = json.at("home_key").get<std::string>();
     record.is_ended = json.at("ended").get<bool>();
     record.account = AccountFrom(json);
+    record.model = ModelName(json.value("model", ""));
     return record;
   });
 }
--- a/briarspread/batch/job.h
+++ b/briarspread/batch/job.h
@@ -103,6 +103,8 @@
   /// Key that selects the home of the job; see `HomeOrder`.
   std::string home_key;
   bool is_ended = false;
+  /// The model of the job's items; empty in records of earlier builds.
+  ModelName model;
   /// The client account that the job belongs to; empty without accounts.
   accounts::AccountId account;
 };
--- a/briarspread/batch/job_gateway.h
+++ b/briarspread/batch/job_gateway.h
@@ -94,6 +94,10 @@
   /// Returns the peer endpoints of the other registered instances that own open
   /// jobs, as far as the index knows them.
   std::vector<Endpoint> OtherOwnerEndpoints() const;
+  /// Returns `JobIndex::ItemsAtOnce` of the jobs that this instance knows.
+  std::optional<std::uint64_t> ItemsAtOnce(const ModelName& model) const {
+    return index_.ItemsAtOnce(model);
+  }
   JobRunner& runner() { return *runner_; }
   /// Whether this instance accepts and takes over no more jobs.
   bool is_stopping() const { return is_stopping_; }
--- a/briarspread/batch/job_index.cc
+++ b/briarspread/batch/job_index.cc
@@ -20,4 +20,19 @@
   return it == jobs_.end() ? nullptr : &it->second;
 }
 
+std::optional<std::uint64_t> JobIndex::ItemsAtOnce(
+    const ModelName& model) const {
+  std::uint64_t open = 0;
+  std::uint64_t largest = 0;
+  for (const auto& [id, stored] : jobs_) {
+    const JobRecord& record = stored.record;
+    if (!record.is_ended && record.model.value().empty()) return std::nullopt;
+    if (record.model != model) continue;
+    largest = std::max(largest, record.total);
+    if (!record.is_ended) open += record.total;
+  }
+  if (largest == 0) return std::nullopt;
+  return std::max(open, largest);
+}
+
 }  // namespace briarspread::batch
--- a/briarspread/batch/job_index.h
+++ b/briarspread/batch/job_index.h
@@ -1,6 +1,7 @@
 #ifndef BRIARSPREAD_BATCH_JOB_INDEX_H_
 #define BRIARSPREAD_BATCH_JOB_INDEX_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -24,6 +25,10 @@
   /// Returns the latest known record; null if there is none. Valid until the
   /// next change of the index.
   const StoredRecord* Find(const JobId& id) const;
+  /// Returns the number of items of a model that run at once at most: those of
+  /// all open jobs, or of its largest known job. Nothing if no job of the model
+  /// is known, or the model of an open job is not.
+  std::optional<std::uint64_t> ItemsAtOnce(const ModelName& model) const;
   const std::map<JobId, StoredRecord>& all() const { return jobs_; }
 
  private:
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -96,6 +96,7 @@
   acceptance.record.total = spec.items.size();
   acceptance.record.home_key = home_key;
   acceptance.record.account = spec.account;
+  acceptance.record.model = spec.model;
   acceptance.spec = std::move(spec);
   acceptance.retry_deadline =
       context_.clock.Now() + settings_.accept_retry_timeout;
--- a/briarspread/versions/version_driver.cc
+++ b/briarspread/versions/version_driver.cc
@@ -88,8 +88,10 @@
     std::vector<ModelTarget> targets;
     for (const ModelName& model : service.models) {
       const auto it = targets_.find(model);
-      targets.push_back(
-          {model, it == targets_.end() ? WeightVersion(1) : it->second});
+      ModelTarget target{model,
+                         it == targets_.end() ? WeightVersion(1) : it->second};
+      if (items_at_once_) target.items = items_at_once_(model);
+      targets.push_back(std::move(target));
     }
     if (!targets.empty()) {
       PlanService(service.name, targets, LoadModeOf(service.name));
@@ -115,6 +117,8 @@
                        now < orders.blocked_until;
     if (orders.awaited.has_value()) state.loading = orders.awaited->model;
     state.is_open = !engine.listed.is_leaving;
+    state.slots = engine.listed.slots;
+    state.is_failing = !engine.breaker->Allows(now);
     engines.push_back(std::move(state));
   }
   const auto next = planner_.Next(targets, engines);
--- a/briarspread/versions/version_driver.h
+++ b/briarspread/versions/version_driver.h
@@ -1,9 +1,12 @@
 #ifndef BRIARSPREAD_VERSIONS_VERSION_DRIVER_H_
 #define BRIARSPREAD_VERSIONS_VERSION_DRIVER_H_
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "briarspread/fleet/loop_timer.h"
@@ -38,7 +41,17 @@
                 const forward::ConfigurationHolder& configuration,
                 EngineControl& control, const VersionDriverSettings& settings);
 
+  /// Returns the number of items of a model that run at once; nothing if
+  /// unknown.
+  using ItemsAtOnce =
+      std::function<std::optional<std::uint64_t>(const ModelName&)>;
+
   void Start();
+  /// Sets the source of the numbers that limit on how many engines a version is
+  /// loaded. Without one, each version gets an equal share of the engines.
+  void SetItemsAtOnce(ItemsAtOnce source) {
+    items_at_once_ = std::move(source);
+  }
   /// Sets the version that a trainer has named. Has no effect unless the
   /// version is higher than the current target.
   void SetTarget(const ModelName& model, WeightVersion version);
@@ -89,6 +102,7 @@
   EngineControl& control_;
   const VersionDriverSettings settings_;
   const VersionPlanner planner_;
+  ItemsAtOnce items_at_once_;
   LoopTimer timer_;
   std::map<ModelName, WeightVersion> targets_;
   std::map<UpstreamId, EngineOrders> engines_;
--- a/briarspread/versions/version_planner.h
+++ b/briarspread/versions/version_planner.h
@@ -1,6 +1,9 @@
 #ifndef BRIARSPREAD_VERSIONS_VERSION_PLANNER_H_
 #define BRIARSPREAD_VERSIONS_VERSION_PLANNER_H_
 
+#include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "briarspread/core/clock.h"
@@ -13,6 +16,9 @@
 struct ModelTarget {
   ModelName model;
   WeightVersion version;
+  /// Number of items of the model that run at once in its steps; nothing if
+  /// unknown.
+  std::optional<std::uint64_t> items{};
 };
 
 /// The planner's view of an engine.
@@ -28,6 +34,11 @@
   bool is_slow = false;
   /// Whether the engine may get orders; false if it is leaving or failing.
   bool is_open = true;
+  /// Number of items that the engine runs at once.
+  std::uint32_t slots = 1;
+  /// Whether the engine's circuit breaker is open. Its versions then serve no
+  /// step.
+  bool is_failing = false;
 };
 
 /// An order to an engine to load a version of a model.
@@ -44,6 +55,13 @@
   /// Largest fraction of the engines that load at the same time, over all
   /// models; more concurrent loads slow each other down.
   double loading_fraction = 0.2;
+  /// Slots of the engines that load a version, as a multiple of the items that
+  /// run at once: the rest is for engines that fail, that are slow, or that
+  /// other work occupies.
+  double slots_per_item = 2.0;
+  /// Engines that load a version in addition, so that small steps survive the
+  /// loss of an engine.
+  std::size_t spare_engines = 2;
 };
 
 /// Decides which engines load which versions next. Designed for several
@@ -52,7 +70,9 @@
 /// every engine would take longer than the time between two versions. Each
 /// version therefore goes to an equal share of the engines only: to those that
 /// are furthest behind, and among these to those that are current for the
-/// fewest other models. Meanwhile, engines with the previous version continue
+/// fewest other models. Where the items of a model's steps need fewer engines
+/// than that, only as many load it, since each load costs; engines that are
+/// lost are replaced. Meanwhile, engines with the previous version continue
 /// undisturbed with the step that still allows it, and the steps of two models
 /// begin on different engines. Stateless, so a new holder of the order lease
 /// decides like the previous one. Thread-safe.
--- a/tests/batch/decisions_test.cc
+++ b/tests/batch/decisions_test.cc
@@ -176,6 +176,30 @@
   REQUIRE(index.all().size() == 2);
 }
 
+// Guards against weights that are loaded on too few engines because the jobs
+// that need them are not known.
+TEST_CASE("the index knows the items at once of a model, or that it does not") {
+  JobIndex index(8);
+  const auto put = [&](const std::string& id, const std::string& model,
+                       std::uint64_t items, bool is_ended) {
+    StoredRecord stored{JobId(id), {}, StoreIndex(5)};
+    stored.record.model = ModelName(model);
+    stored.record.total = items;
+    stored.record.is_ended = is_ended;
+    index.Put(
+        {stored.id, *DecodeJobRecord(Encode(stored.record)), stored.index});
+  };
+  REQUIRE_FALSE(index.ItemsAtOnce(ModelName("m")));
+  put("x", "m", 64, true);
+  put("y", "m", 16, false);
+  put("other", "n", 500, false);
+  REQUIRE(index.ItemsAtOnce(ModelName("m")) == 64);
+  put("z", "m", 60, false);
+  REQUIRE(index.ItemsAtOnce(ModelName("m")) == 76);
+  put("from an earlier build", "", 1, false);
+  REQUIRE_FALSE(index.ItemsAtOnce(ModelName("m")));
+}
+
 TEST_CASE("load reports of peers add up, are replaced and expire") {
   ManualClock clock;
   PeerEngineLoads board(seconds(2), clock);
--- a/tests/versions/version_planner_test.cc
+++ b/tests/versions/version_planner_test.cc
@@ -1,7 +1,9 @@
 #include "briarspread/versions/version_planner.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace briarspread::versions {
@@ -140,5 +142,75 @@
   REQUIRE(planner.Next({}, engines).empty());
 }
 
+std::vector<ModelTarget> Targets(std::uint64_t version,
+                                 std::optional<std::uint64_t> items) {
+  const WeightVersion v(version);
+  return {{kA, v, items}, {kB, v, items}, {kC, v, items}};
+}
+
+// Guards against loads on an equal share of all engines, of which the steps
+// use a few: each load costs.
+TEST_CASE("plentiful engines load only as many versions as the steps need") {
+  const VersionPlanner planner{VersionPlannerSettings{}};
+  auto engines = Engines(300, {kA, kB, kC});
+  for (EngineState& engine : engines) engine.slots = 8;
+  std::map<ModelName, std::set<UpstreamId>> before;
+  for (std::uint64_t v = 2; v < 6; ++v) {
+    // 64 items in twice the slots, and two spare engines.
+    const auto loaded = ExecuteAllOrders(planner, Targets(v, 64), engines);
+    for (const ModelName& model : {kA, kB, kC}) {
+      REQUIRE(loaded.at(model).size() == 18);
+      for (const UpstreamId& id : before[model]) {
+        REQUIRE_FALSE(loaded.at(model).contains(id));
+      }
+    }
+    before = loaded;
+  }
+}
+
+// Guards against jobs that wait because the engines with their version are
+// lost and no others get it.
+TEST_CASE("engines that are lost after they loaded a version are replaced") {
+  const VersionPlanner planner{VersionPlannerSettings{}};
+  auto engines = Engines(300, {kA, kB, kC});
+  for (EngineState& engine : engines) engine.slots = 8;
+  const auto targets = Targets(2, 64);
+  ExecuteAllOrders(planner, targets, engines);
+  std::map<ModelName, std::size_t> lost;
+  int n = 0;
+  for (EngineState& engine : engines) {
+    for (const ModelTarget& target : targets) {
+      if (VersionOf(engine.loaded, target.model) != target.version) continue;
+      if (++n % 2 == 0) continue;
+      // Some leave, others do not answer.
+      (n % 4 == 1 ? engine.is_open : engine.is_failing) = n % 4 != 1;
+      ++lost[target.model];
+    }
+  }
+  const auto loaded = ExecuteAllOrders(planner, targets, engines);
+  for (const ModelTarget& target : targets) {
+    REQUIRE(lost[target.model] >= 8);
+    REQUIRE(loaded.at(target.model).size() == lost[target.model]);
+    for (const UpstreamId& id : loaded.at(target.model)) {
+      const auto it =
+          std::find_if(engines.begin(), engines.end(),
+                       [&](const EngineState& e) { return e.id == id; });
+      REQUIRE((it->is_open && !it->is_failing));
+    }
+  }
+}
+
+TEST_CASE("scarce engines get the same orders whatever the steps need") {
+  const VersionPlanner planner{VersionPlannerSettings{}};
+  auto engines = Engines(9, {kA, kB, kC});
+  engines[4].is_failing = true;
+  for (std::uint64_t v = 2; v < 6; ++v) {
+    const auto orders = planner.Next(Targets(v, 64), engines);
+    REQUIRE_FALSE(orders.empty());
+    REQUIRE(orders == planner.Next(Targets(v, std::nullopt), engines));
+    ExecuteAllOrders(planner, Targets(v, 64), engines);
+  }
+}
+
 }  // namespace
 }  // namespace briarspread::versions
