--- a/briarspread/batch/job_gateway.h
+++ b/briarspread/batch/job_gateway.h
@@ -100,6 +100,10 @@
     if (!has_refreshed_index_) return std::nullopt;
     return EncodeRecords(index_.all());
   }
+  /// Returns `JobIndex::ItemsAtOnce` of the jobs that this instance knows.
+  std::optional<std::uint64_t> ItemsAtOnce(const ModelName& model) const {
+    return index_.ItemsAtOnce(model);
+  }
   JobRunner& runner() { return *runner_; }
   /// Whether this instance accepts and takes over no more jobs.
   bool is_stopping() const { return is_stopping_; }
@@ -160,6 +164,9 @@
                      Done<ResultPage> done);
   void ReadBodyFromStore(const StoredRecord& stored, const ItemId& item,
                          Done<std::string> done);
+  /// Sends a record to all peers and to an owner that may be registered no
+  /// longer; an endpoint without a port for none.
+  void AnnounceRecord(const StoredRecord& stored, const Endpoint& former_owner);
   void EndInStore(const JobId& id, Done<std::monostate> done);
   /// Loads a job that the store says this instance owns, unless it is held or
   /// being loaded.
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -13,6 +13,7 @@
 
 #include "briarspread/batch/batch_metrics.h"
 #include "briarspread/batch/engine_placement.h"
+#include "briarspread/batch/engine_view_cache.h"
 #include "briarspread/batch/item_progress_cache.h"
 #include "briarspread/batch/item_run.h"
 #include "briarspread/batch/job_checkpoint.h"
@@ -74,6 +75,10 @@
   milliseconds resume_wait_per_event{20};
   milliseconds min_resume_wait{1000};
   milliseconds max_resume_wait{3000};
+  /// Age of the last confirmation of a job's record after which the record is
+  /// read again before items of the job start. With the time that a run takes
+  /// to connect, no item starts 3 s after another instance ended the job.
+  milliseconds max_record_age{1500};
   EnginePlacementSettings placement;
 };
 
@@ -216,6 +221,15 @@
     /// Whether the job is being handed over; none of its items run then.
     bool is_paused = false;
     TimePoint delete_after{};
+    /// When the store last showed that this instance owns the open job: the
+    /// time at which the confirming call was sent.
+    TimePoint record_confirmed{};
+    /// When the record was last read to confirm it.
+    TimePoint confirmation_sent{};
+    bool is_confirming = false;
+    /// Whether the last call about the job failed. Items start without a
+    /// confirmation then, since an outage of the store must not stop them.
+    bool is_store_failing = false;
     /// When this instance became the owner.
     TimePoint owned_since{};
     /// Whether the number of groups that the trainer waits for is listed.
@@ -238,6 +252,8 @@
 
     JobSpec spec;
     JobRecord record;
+    /// When the last attempt was sent.
+    TimePoint sent{};
     TimePoint retry_deadline{};
     /// Whether an attempt may have taken effect, or may still do so.
     bool may_have_run = false;
@@ -246,30 +262,32 @@
   };
 
   /// State of the engines of one service with respect to one model.
-  using EngineViews = std::vector<EngineView>;
+  using EngineViews = EngineViewCache::EngineViews;
 
   void TryAccept(const JobId& id);
   /// Retries an attempt while an earlier one may have taken effect; otherwise
   /// ends the accept.
   void OnAcceptFailed(const JobId& id, PendingAccept& acceptance, Error error);
   void FinishAccept(const JobId& id, const Result<std::monostate>& result);
-  OwnedJob& AddJob(const StoredRecord& stored, const JobSpec& spec);
+  /// `confirmed` is the time at which the call was sent that gave the record.
+  OwnedJob& AddJob(const StoredRecord& stored, const JobSpec& spec,
+                   TimePoint confirmed);
   JobLimits LimitsOf(const JobSpec& spec, const JobRecord& record) const;
 
   void SchedulePlacement();
   void PlaceWaitingItems();
   /// Starts a run of the item. Returns false if none was started: the item does
-  /// not wait, or no engine has room.
+  /// not wait, no engine has room, or the job's record is to be confirmed.
+  /// Precondition: `engine_views_` was started in this call of the loop.
   bool PlaceItem(OwnedJob& job, std::size_t i);
   /// Returns the engine that an item is to run on; nothing if it must wait. May
   /// discard the item's text.
   std::optional<UpstreamId> ChooseEngine(OwnedJob& job, std::size_t i,
                                          const ServiceName& service);
-  EngineViews GetEngineViews(const ServiceName& service,
-                             const ModelName& model) const;
   /// Returns an estimate of the memory, in tokens, that own items use on each
   /// engine.
-  std::map<UpstreamId, std::int64_t> EstimateOwnTokens() const;
+  EngineViewCache::EngineTokens EstimateOwnTokens() const;
+  static std::int64_t TokensOf(const OwnedJob& job, std::size_t i);
   /// Returns whether an item has text and has waited long enough for an engine
   /// on which the text may go on.
   bool HasWaitedToResume(const ItemState& item) const;
@@ -293,6 +311,12 @@
   ItemRunSpec MakeRunSpec(const OwnedJob& job, std::size_t i,
                           const UpstreamId& engine) const;
 
+  /// Returns whether items of the job may start: the record was confirmed
+  /// recently, or the store fails. Otherwise reads the record.
+  bool IsRecordConfirmed(const JobId& id, OwnedJob& job);
+  void ReadOwnRecord(const JobId& id, OwnedJob& job);
+  void OnOwnRecordRead(const JobId& id, const Result<StoredRecord>& read);
+
   void Resume(const JobId& id);
   void ExpireItems(const JobId& id, OwnedJob& job, TimePoint now);
 
@@ -335,7 +359,7 @@
   void MoveRun(const ItemKey& key);
   void ReviewJob(const JobId& id, OwnedJob& job, TimePoint now);
   bool IsStalled(const ItemRun& run, TimePoint now) const;
-  bool ShouldMove(const ItemRun& run, TimePoint now) const;
+  bool ShouldMove(const ItemRun& run, TimePoint now);
 
   forward::ForwardContext& context_;
   JobStore& store_;
@@ -347,6 +371,8 @@
   LoopTimer placement_timer_;
   ItemProgressCache progress_cache_;
   PeerEngineLoads peer_loads_;
+  /// Started anew by each round of placements and each review of the runs.
+  EngineViewCache engine_views_;
   std::map<JobId, OwnedJob> jobs_;
   /// Jobs that are being loaded, once for each load.
   std::multiset<JobId> loading_;
