--- a/tests/fleet/delegated_store_test.cc
+++ b/tests/fleet/delegated_store_test.cc
@@ -138,7 +138,7 @@
 // dies or the store turns it away.
 TEST_CASE("followers of a failed delegate read from the second delegate") {
   constexpr std::size_t kFollowers = 8;
-  constexpr int kChanges = 20;
+  constexpr std::size_t kChanges = 20;
   SystemClock clock;
   Region region(clock, kFollowers);
   const bool is_dead = GENERATE(false, true);
@@ -149,9 +149,9 @@
   } else {
     region.nodes[0].hub.SetReachable(false);
   }
-  for (int i = 0; i < kChanges; ++i) {
+  for (std::size_t i = 0; i < kChanges; ++i) {
     region.store.Write("a/" + std::to_string(2 + i), "y");
-    region.AwaitValuesEverywhere(static_cast<std::size_t>(2 + i));
+    region.AwaitValuesEverywhere(2 + i);
   }
   // The two delegates' calls, and one of each follower that was faster than the
   // second delegate at most.
