Items prefer engines with an idle connection where there are many

Cause: an instance chose among all engines of the service, and an engine that it had not measured was preferred to nearly all that it had, so most items opened a connection.

Change: with 64 engines or more, an idle connection counts as a little less load, an engine that was not measured counts as 25% slower, and ties go to the highest rendezvous weight for the instance.

--- a/briarspread/batch/engine_placement.cc
+++ b/briarspread/batch/engine_placement.cc
@@ -53,17 +53,27 @@
              settings_.slow_ratio * static_cast<double>(fastest.count());
 }
 
+double EnginePlacement::ExcessOf(const EngineView& engine,
+                                 Duration fastest) const {
+  if (fastest.count() == 0) return 0;
+  if (engine.is_one_of_many && engine.event_interval.count() == 0) {
+    return settings_.assumed_excess;
+  }
+  if (engine.event_interval <= fastest) return 0;
+  return static_cast<double>(engine.event_interval.count()) /
+             static_cast<double>(fastest.count()) -
+         1;
+}
+
 double EnginePlacement::CostOf(const EngineRequirements& need,
                                const EngineView& engine,
                                Duration fastest) const {
   double cost = static_cast<double>(EstimatedLoad(engine)) /
                 static_cast<double>(engine.slots);
-  if (fastest.count() > 0 && engine.event_interval > fastest) {
-    const double excess = static_cast<double>(engine.event_interval.count()) /
-                              static_cast<double>(fastest.count()) -
-                          1;
-    cost += settings_.slowness_penalty * excess *
-            std::min(need.relative_length, settings_.max_relative_length);
+  cost += settings_.slowness_penalty * ExcessOf(engine, fastest) *
+          std::min(need.relative_length, settings_.max_relative_length);
+  if (engine.is_one_of_many && engine.has_idle_connection) {
+    cost -= settings_.idle_connection_bonus;
   }
   if (!engine.is_same_region) cost += settings_.other_region_penalty;
   if (engine.id == need.preferred_engine) cost -= settings_.cached_prompt_bonus;
@@ -90,7 +100,10 @@
       if (!is_trial) continue;
       cost += 1;
     }
-    if (!best.has_value() || cost < best_cost) {
+    const bool is_nearer = best.has_value() && cost == best_cost &&
+                           engine.is_one_of_many &&
+                           engine.affinity > engines[*best].affinity;
+    if (!best.has_value() || cost < best_cost || is_nearer) {
       best = i;
       best_cost = cost;
     }
--- a/briarspread/batch/engine_placement.h
+++ b/briarspread/batch/engine_placement.h
@@ -42,6 +42,15 @@
   Duration event_interval{0};
   /// Whether `event_interval` was measured recently.
   bool is_interval_fresh = false;
+  /// Whether the service has so many engines that this instance is to use a
+  /// part of them only, so that it opens few connections. The two values below
+  /// are used only then.
+  bool is_one_of_many = false;
+  /// Whether this instance has an idle connection to the engine.
+  bool has_idle_connection = false;
+  /// Rendezvous weight of the engine for this instance: instances that see the
+  /// same engines idle begin with different ones.
+  std::uint64_t affinity = 0;
 };
 
 /// What an item requires of its engine.
@@ -78,6 +87,13 @@
   /// An engine counts as slow if its event interval is more than this many
   /// times that of the fastest engine.
   double slow_ratio = 2.0;
+  /// Load subtracted from an engine that has an idle connection, where there
+  /// are many engines. Less than one item of an engine with eight slots.
+  double idle_connection_bonus = 0.1;
+  /// Excess of the event interval that is assumed for an engine of many that
+  /// was not measured yet. Otherwise such engines would be preferred to nearly
+  /// all that were, and each would need a new connection.
+  double assumed_excess = 0.25;
 };
 
 /// Chooses the engine that runs an item. Designed for the case that all
@@ -107,6 +123,9 @@
  private:
   bool HasRoom(const EngineRequirements& need, const EngineView& engine) const;
   bool IsSlow(const EngineView& engine, Duration fastest) const;
+  /// Returns by how much an engine's event interval is longer than that of the
+  /// fastest, as a fraction.
+  double ExcessOf(const EngineView& engine, Duration fastest) const;
   double CostOf(const EngineRequirements& need, const EngineView& engine,
                 Duration fastest) const;
 
--- a/briarspread/batch/engine_view_cache.cc
+++ b/briarspread/batch/engine_view_cache.cc
@@ -2,7 +2,16 @@
 
 #include <algorithm>
 
+#include "briarspread/core/rendezvous.h"
+
 namespace briarspread::batch {
+namespace {
+
+/// Number of engines of a service from which an instance prefers those that it
+/// is connected to. It can keep connections to all of fewer.
+constexpr std::size_t kManyEngines = 64;
+
+}  // namespace
 
 void EngineViewCache::Start(EngineTokens own_tokens) {
   now_ = context_.clock.Now();
@@ -20,6 +29,11 @@
     if (engine.listed.service != service) continue;
     it->second.push_back(MakeView(engine, model, known));
   }
+  if (it->second.size() >= kManyEngines) {
+    for (EngineView& view : it->second) {
+      SetConnection(*context_.directory.Find(view.id), view);
+    }
+  }
   return it->second;
 }
 
@@ -37,9 +51,18 @@
     if (it == views.end() || it->id != engine) continue;
     *it = MakeView(*known, key.second,
                    context_.configuration.current()->FindService(key.first));
+    if (views.size() >= kManyEngines) SetConnection(*known, *it);
   }
 }
 
+void EngineViewCache::SetConnection(const forward::KnownUpstream& engine,
+                                    EngineView& view) const {
+  view.is_one_of_many = true;
+  view.has_idle_connection =
+      context_.upstreams.pool().HasIdle(engine.listed.endpoint);
+  view.affinity = StableHash(view.id.value(), StableHash(self_.name.value()));
+}
+
 EngineView EngineViewCache::MakeView(const forward::KnownUpstream& engine,
                                      const ModelName& model,
                                      const forward::Service* service) const {
@@ -70,7 +93,7 @@
                    engine.breaker->Allows(now_);
   view.has_permit =
       context_.limiter.HasPermit(id, forward::RequestPurpose::kItem);
-  view.is_same_region = engine.listed.locality.region == self_.region;
+  view.is_same_region = engine.listed.locality.region == self_.locality.region;
   view.event_interval = engine.event_interval;
   view.is_interval_fresh = now_ - engine.interval_measured < kMaxIntervalAge;
   return view;
--- a/briarspread/batch/engine_view_cache.h
+++ b/briarspread/batch/engine_view_cache.h
@@ -8,6 +8,7 @@
 
 #include "briarspread/batch/engine_placement.h"
 #include "briarspread/batch/peer_engine_loads.h"
+#include "briarspread/fleet/instance_record.h"
 #include "briarspread/forward/forward_context.h"
 
 namespace briarspread::batch {
@@ -25,7 +26,7 @@
 
   /// Precondition: references outlive this object.
   EngineViewCache(forward::ForwardContext& context,
-                  const PeerEngineLoads& peer_loads, const Locality& self)
+                  const PeerEngineLoads& peer_loads, const InstanceRecord& self)
       : context_(context), peer_loads_(peer_loads), self_(self) {}
 
   /// Starts a round: drops all views.
@@ -41,13 +42,16 @@
  private:
   using Key = std::pair<ServiceName, ModelName>;
 
+  /// Sets what is used only where there are many engines.
+  void SetConnection(const forward::KnownUpstream& engine,
+                     EngineView& view) const;
   EngineView MakeView(const forward::KnownUpstream& engine,
                       const ModelName& model,
                       const forward::Service* service) const;
 
   forward::ForwardContext& context_;
   const PeerEngineLoads& peer_loads_;
-  const Locality& self_;
+  const InstanceRecord& self_;
   TimePoint now_{};
   EngineTokens own_tokens_;
   std::map<Key, EngineViews> views_;
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -38,7 +38,7 @@
       placement_timer_(context.loop),
       progress_cache_(settings.progress_cache_bytes),
       peer_loads_(settings.load_time_to_live, context.clock),
-      engine_views_(context, peer_loads_, self.locality) {}
+      engine_views_(context, peer_loads_, self) {}
 
 JobRunner::~JobRunner() = default;
 
--- a/tests/batch/engine_view_cache_test.cc
+++ b/tests/batch/engine_view_cache_test.cc
@@ -3,7 +3,10 @@
 #include <rapidcheck/catch.h>
 
 #include <catch2/catch.hpp>
+#include <deque>
+#include <set>
 
+#include "briarspread/core/rendezvous.h"
 #include "tests/forward/forward_fixture.h"
 
 namespace briarspread::batch {
@@ -14,7 +17,7 @@
 
 /// Engines on which items of two models are placed, without a network.
 struct World : forward::ForwardFixture {
-  World() : peers(seconds(2), clock), cache(context, peers, here) {
+  World() : peers(seconds(2), clock), cache(context, peers, self) {
     auto made = std::make_shared<forward::Configuration>();
     made->version = forward::ConfigurationVersion(1);
     forward::Service service;
@@ -43,7 +46,7 @@
     own_tokens[id] += by * tokens;
   }
 
-  const Locality here;
+  const InstanceRecord self;
   PeerEngineLoads peers;
   EngineViewCache cache;
   EngineViewCache::EngineTokens own_tokens;
@@ -59,7 +62,7 @@
       world.AddEngine(i, *rc::gen::inRange<std::uint32_t>(1, 5),
                       *rc::gen::arbitrary<bool>());
     }
-    EngineViewCache rebuilt(world.context, world.peers, world.here);
+    EngineViewCache rebuilt(world.context, world.peers, world.self);
     const EnginePlacement placement{EnginePlacementSettings{}};
     world.cache.Start({});
     std::vector<std::pair<UpstreamId, std::int64_t>> running;
@@ -87,5 +90,62 @@
   });
 }
 
+/// The engines as one instance sees them that counts its own items.
+struct Placer {
+  Placer(std::uint64_t seed, std::size_t n) : engines(n) {
+    for (std::size_t i = 0; i < n; ++i) {
+      engines[i].id = UpstreamId("e" + std::to_string(i));
+      engines[i].slots = 8;
+      engines[i].is_one_of_many = true;
+      engines[i].affinity =
+          StableHash(engines[i].id.value(), StableHash("i", seed));
+    }
+  }
+
+  /// Starts an item; returns its engine. Engines differ by 30% in speed.
+  std::size_t Place() {
+    const auto chosen = EnginePlacement({}).Choose({}, engines);
+    REQUIRE(chosen.has_value());
+    EngineView& engine = engines[*chosen];
+    opened += engine.has_idle_connection ? 0 : 1;
+    engine.has_idle_connection = false;
+    ++engine.own_in_flight;
+    engine.event_interval = milliseconds(20 + engine.affinity % 7);
+    engine.is_interval_fresh = true;
+    return *chosen;
+  }
+  void Finish(std::size_t i) {
+    --engines[i].own_in_flight;
+    engines[i].has_idle_connection = true;
+  }
+
+  std::vector<EngineView> engines;
+  int opened = 0;
+};
+
+// Guards against a new connection for nearly each item where an instance
+// chooses among all engines of a large fleet. Each of 410 instances has 12,000
+// engines; a sample of six runs.
+TEST_CASE("an instance of a large fleet opens one connection for ten items") {
+  constexpr int kItems = 200;
+  constexpr std::size_t kAtOnce = 8;
+  std::set<std::size_t> first;
+  for (std::uint64_t seed = 0; seed < 410; seed += 70) {
+    Placer placer(seed, 12'000);
+    std::deque<std::size_t> running;
+    for (int i = 0; i < kItems; ++i) {
+      if (running.size() == kAtOnce) {
+        placer.Finish(running.front());
+        running.pop_front();
+      }
+      running.push_back(placer.Place());
+      if (i == 0) first.insert(running.back());
+    }
+    REQUIRE(placer.opened * 10 <= kItems);
+  }
+  // They do not all begin with the same engine.
+  REQUIRE(first.size() == 6);
+}
+
 }  // namespace
 }  // namespace briarspread::batch
