Routing: use the slowness that upstreams report

Cause: the directory accepted load headers of three figures only, so an upstream that sends a fourth one (how long work takes on its machine) had its whole load report ignored.

Change: UpdateLoad accepts the fourth figure. SlownessEstimate averages the readings by age and fades to normal. LoadEstimate::ExpectedWait scales with it, and two choices compares the expected completion where the speeds differ. Service times are kept at the usual speed. EnginePlacement sees the measured event interval scaled by the change of the slowness since the measurement. Upstreams that send three figures are served as before.

--- a/briarspread/batch/engine_placement.h
+++ b/briarspread/batch/engine_placement.h
@@ -38,7 +38,8 @@
   /// Whether the engine has no limit or an item may be sent within it now.
   bool has_permit = true;
   bool is_same_region = true;
-  /// Measured time between two events of the engine's streams; zero if unknown.
+  /// Expected time between two events of the engine's streams, from measured
+  /// events and the reported slowness of the machine; zero if unknown.
   Duration event_interval{0};
   /// Whether `event_interval` was measured recently.
   bool is_interval_fresh = false;
--- a/briarspread/batch/item_run.cc
+++ b/briarspread/batch/item_run.cc
@@ -12,9 +12,6 @@
 constexpr std::string_view kEventStreamType = "text/event-stream";
 /// Time for which an engine gets no items after it refused a request.
 constexpr milliseconds kRefusalBackoff{150};
-/// Weight of the newest interval in the moving average, as a fraction: one in
-/// this many parts.
-constexpr std::int64_t kAverageParts = 8;
 /// A run is ended before the end of the body if the body of a refusal or
 /// failure is longer than this.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{64} * 1024;
@@ -124,11 +121,7 @@
 void ItemRun::UpdateEventInterval(TimePoint now) {
   forward::KnownUpstream* engine = context_.directory.Find(spec_.engine);
   if (engine == nullptr) return;
-  const Duration taken = now - last_event_;
-  const Duration old = engine->event_interval;
-  engine->event_interval =
-      old.count() == 0 ? taken : old + (taken - old) / kAverageParts;
-  engine->interval_measured = now;
+  engine->RecordEventInterval(now - last_event_, now);
 }
 
 void ItemRun::OnBody(std::string_view data) {
--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -132,7 +132,7 @@
         context_.limiter.HasPermit(id, forward::RequestPurpose::kItem);
     view.is_same_region =
         engine.listed.locality.region == self_.locality.region;
-    view.event_interval = engine.event_interval;
+    view.event_interval = engine.ExpectedEventInterval(now);
     view.is_interval_fresh = now - engine.interval_measured < kMaxIntervalAge;
     views.push_back(view);
   }
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -221,8 +221,9 @@
 void LiveRequest::UpdateServiceTime() {
   const KnownUpstream* upstream = context_.directory.Find(*upstream_);
   if (upstream == nullptr) return;
-  RecordServiceTime(*upstream->counters,
-                    context_.clock.Now() - attempt_started_);
+  const TimePoint now = context_.clock.Now();
+  RecordServiceTime(*upstream->counters, now - attempt_started_,
+                    upstream->load.slowness.At(now));
 }
 
 void LiveRequest::OnFailure(const proxy::ExchangeFailure& failure) {
--- a/briarspread/forward/retry_after_planner.cc
+++ b/briarspread/forward/retry_after_planner.cc
@@ -35,7 +35,7 @@
         (upstream.breaker == nullptr || upstream.breaker->Allows(now));
     if (!accepts_requests) continue;
     const LoadEstimate load(upstream);
-    const Duration wait = load.ExpectedWait();
+    const Duration wait = load.ExpectedWait(now);
     availability.wait = has_upstream ? std::min(availability.wait, wait) : wait;
     has_upstream = true;
     slots_per_ns += static_cast<double>(load.Slots()) /
--- a/briarspread/forward/upstream_chooser.cc
+++ b/briarspread/forward/upstream_chooser.cc
@@ -38,7 +38,8 @@
   }
   if (!index.has_value()) return std::nullopt;
   const UpstreamView& view = table.upstreams[*index];
-  if (LoadEstimate(view).ExpectedWait() > deadline_ - context_.clock.Now()) {
+  const TimePoint now = context_.clock.Now();
+  if (LoadEstimate(view).ExpectedWait(now) > deadline_ - now) {
     return std::nullopt;
   }
   return UpstreamId(view.listed.name);
--- a/briarspread/forward/upstream_directory.cc
+++ b/briarspread/forward/upstream_directory.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -12,19 +13,30 @@
 namespace briarspread::forward {
 namespace {
 
-std::optional<std::array<std::uint32_t, 3>> ParseTriple(std::string_view text) {
-  std::array<std::uint32_t, 3> parts{};
-  for (std::size_t i = 0; i < parts.size(); ++i) {
+/// The figures of a load header.
+struct LoadFigures {
+  std::uint32_t running = 0;
+  std::uint32_t queued = 0;
+  std::uint32_t slots = 0;
+  /// How long work takes in percent of the usual time; zero if not sent.
+  std::uint32_t slowness_percent = 0;
+};
+
+/// Parses three or four numbers that are separated by commas.
+std::optional<LoadFigures> ParseLoad(std::string_view text) {
+  std::array<std::uint32_t, 4> parts{};
+  std::size_t count = 0;
+  while (true) {
     const std::size_t comma = text.find(',');
     const auto n = proxy::ParseNumber(text.substr(0, comma));
-    const bool is_last = i + 1 == parts.size();
-    if (!n.has_value() || is_last != (comma == std::string_view::npos)) {
-      return std::nullopt;
-    }
-    parts[i] = static_cast<std::uint32_t>(*n);
-    if (!is_last) text.remove_prefix(comma + 1);
+    if (!n.has_value() || count == parts.size()) return std::nullopt;
+    parts[count++] = static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(*n, std::numeric_limits<std::uint32_t>::max()));
+    if (comma == std::string_view::npos) break;
+    text.remove_prefix(comma + 1);
   }
-  return parts;
+  if (count < 3) return std::nullopt;
+  return LoadFigures{parts[0], parts[1], parts[2], parts[3]};
 }
 
 }  // namespace
@@ -36,6 +48,30 @@
   return WeightVersion(0);
 }
 
+void KnownUpstream::RecordEventInterval(Duration taken, TimePoint now) {
+  /// The newest interval has a weight of 1 / `kAverageParts`.
+  constexpr int kAverageParts = 8;
+  const bool is_first = event_interval.count() == 0;
+  const double slowness = load.slowness.At(now);
+  event_interval =
+      is_first ? taken
+               : event_interval + (taken - event_interval) / kAverageParts;
+  slowness_at_measurement =
+      is_first ? slowness
+               : slowness_at_measurement +
+                     (slowness - slowness_at_measurement) / kAverageParts;
+  interval_measured = now;
+}
+
+Duration KnownUpstream::ExpectedEventInterval(TimePoint now) const {
+  // Without recent readings, the slowness is assumed to be that of the
+  // measurement.
+  const double change =
+      load.slowness.At(now, slowness_at_measurement) / slowness_at_measurement;
+  return std::chrono::duration_cast<Duration>(
+      change * std::chrono::duration<double, std::nano>(event_interval));
+}
+
 UpstreamDirectory::UpstreamDirectory(const UpstreamDirectorySettings& settings,
                                      const Locality& self, const Clock& clock)
     : settings_(settings),
@@ -233,12 +269,13 @@
 void UpstreamDirectory::UpdateLoad(const UpstreamId& id,
                                    const std::string& text) {
   KnownUpstream* upstream = Find(id);
-  const auto parts = ParseTriple(text);
-  if (upstream == nullptr || !parts.has_value()) return;
+  const auto figures = ParseLoad(text);
+  if (upstream == nullptr || !figures.has_value()) return;
   LoadReport& load = upstream->load;
-  load.running = (*parts)[0];
-  load.queued = (*parts)[1];
-  if ((*parts)[2] > 0) load.slots = (*parts)[2];
+  load.running = figures->running;
+  load.queued = figures->queued;
+  if (figures->slots > 0) load.slots = figures->slots;
+  load.slowness.Record(figures->slowness_percent, clock_.Now());
   load.received = clock_.Now();
   load.own_in_flight = upstream->counters->in_flight.load();
   const auto it = table_index_.find(id);
--- a/briarspread/forward/upstream_directory.h
+++ b/briarspread/forward/upstream_directory.h
@@ -58,12 +58,22 @@
   Duration event_interval{0};
   /// When `event_interval` was last updated.
   TimePoint interval_measured{};
+  /// Estimated slowness of the machine while `event_interval` was measured,
+  /// averaged like the interval itself.
+  double slowness_at_measurement = 1.0;
   /// When the upstream is removed unless it registers again; unset while it is
   /// registered.
   std::optional<TimePoint> expires;
 
   /// Returns the loaded version of a model; zero where the model is not loaded.
   WeightVersion VersionOf(const ModelName& model) const;
+  /// Updates `event_interval` with the time between two events that ended at
+  /// `now`.
+  void RecordEventInterval(Duration taken, TimePoint now);
+  /// Returns the expected time between two events of a stream at `now`: the
+  /// measured one, scaled by the change of the reported slowness since then;
+  /// zero before the first measurement.
+  Duration ExpectedEventInterval(TimePoint now) const;
 };
 
 /// Settings of an upstream directory.
@@ -138,7 +148,8 @@
   Duration OldestLoadAge() const;
 
   /// Updates an upstream's load by the header of a response,
-  /// `running,queued,slots`. Ignores malformed text.
+  /// `running,queued,slots` and, from some upstreams, `,slowness` in percent of
+  /// the usual time of work. Ignores malformed text.
   void UpdateLoad(const UpstreamId& id, const std::string& text);
   /// Updates the loaded version of a model by a response. Ignores a version
   /// lower than the known one.
--- a/briarspread/routing/load_estimate.cc
+++ b/briarspread/routing/load_estimate.cc
@@ -1,6 +1,7 @@
 #include "briarspread/routing/load_estimate.h"
 
 #include <algorithm>
+#include <cassert>
 #include <chrono>
 #include <limits>
 
@@ -43,7 +44,15 @@
   return static_cast<double>(InFlight()) / static_cast<double>(Slots());
 }
 
-Duration LoadEstimate::ExpectedWait() const {
+double LoadEstimate::Slowness(TimePoint now) const {
+  return upstream_.load.slowness.At(now);
+}
+
+double LoadEstimate::CompletionCost(TimePoint now) const {
+  return (Fraction() + 1.0 / Slots()) * Slowness(now);
+}
+
+Duration LoadEstimate::ExpectedWait(TimePoint now) const {
   const std::uint32_t in_flight = InFlight();
   const std::uint32_t slots = Slots();
   if (in_flight < slots) return Duration::zero();
@@ -53,14 +62,19 @@
   // A slot becomes free every service / slots. That has to happen once for each
   // waiting request and once for this request.
   const std::int64_t ahead = std::int64_t{in_flight} - slots + 1;
-  return Duration(service) * ahead / slots;
+  return std::chrono::duration_cast<Duration>(
+      Slowness(now) * std::chrono::duration<double, std::nano>(
+                          Duration(service) * ahead / slots));
 }
 
-void RecordServiceTime(UpstreamCounters& counters, Duration taken) {
+void RecordServiceTime(UpstreamCounters& counters, Duration taken,
+                       double slowness) {
+  assert(slowness > 0);
   const auto us =
       std::chrono::duration_cast<std::chrono::microseconds>(taken).count();
   const std::int64_t sample = std::clamp<std::int64_t>(
-      us, 1, std::numeric_limits<std::uint32_t>::max());
+      static_cast<std::int64_t>(static_cast<double>(us) / slowness), 1,
+      std::numeric_limits<std::uint32_t>::max());
   std::uint32_t old = counters.service_time_us.load();
   std::uint32_t next = 0;
   do {
--- a/briarspread/routing/load_estimate.h
+++ b/briarspread/routing/load_estimate.h
@@ -25,9 +25,15 @@
   std::uint32_t InFlight() const;
   /// `InFlight` as a fraction of the slots; above 1 if requests wait.
   double Fraction() const;
-  /// Expected time that a request sent now would wait for a slot; zero if a
-  /// slot is free.
-  Duration ExpectedWait() const;
+  /// Expected time that a request sent at `now` would wait for a slot; zero if
+  /// a slot is free.
+  Duration ExpectedWait(TimePoint now) const;
+  /// Estimated ratio of the time that work takes at `now` to what is usual for
+  /// the upstream.
+  double Slowness(TimePoint now) const;
+  /// Relative measure of the time until a request sent at `now` completes: the
+  /// load fraction including that request, times the slowness.
+  double CompletionCost(TimePoint now) const;
   /// Number of requests that the upstream can run at the same time; assumed if
   /// it has not been reported.
   std::uint32_t Slots() const;
@@ -37,9 +43,11 @@
 };
 
 /// Updates the moving average of service times, which
-/// `LoadEstimate::ExpectedWait` uses, with the duration of one exchange.
-/// Thread-safe and lock-free.
-void RecordServiceTime(UpstreamCounters& counters, Duration taken);
+/// `LoadEstimate::ExpectedWait` uses, with the duration of one exchange during
+/// which work took `slowness` times as long as usual. Thread-safe and
+/// lock-free. Precondition: `slowness` > 0.
+void RecordServiceTime(UpstreamCounters& counters, Duration taken,
+                       double slowness = 1.0);
 
 }  // namespace briarspread
 
--- a/briarspread/routing/routing_table.h
+++ b/briarspread/routing/routing_table.h
@@ -11,6 +11,7 @@
 #include "briarspread/core/upstream.h"
 #include "briarspread/routing/circuit_breaker.h"
 #include "briarspread/routing/routing_index.h"
+#include "briarspread/routing/slowness_estimate.h"
 
 namespace briarspread {
 
@@ -32,6 +33,9 @@
   std::uint32_t own_in_flight = 0;
   /// Number of rollouts among `own_in_flight`.
   std::uint32_t own_rollouts = 0;
+  /// How long work takes on the upstream's machine; normal where the upstream
+  /// does not report it.
+  SlownessEstimate slowness{};
 };
 
 /// This instance's counters for one upstream, shared by all routing tables that
@@ -46,8 +50,9 @@
   /// Whether the upstream accepts no requests, as shown by a refusal or a
   /// failed health check.
   std::atomic<bool> refuses_work{false};
-  /// Moving average of the duration of an exchange, in microseconds; zero
-  /// before the first exchange has ended.
+  /// Moving average of the duration of an exchange, in microseconds, at the
+  /// usual speed of the upstream's machine; zero before the first exchange has
+  /// ended.
   std::atomic<std::uint32_t> service_time_us{0};
 };
 
--- a/briarspread/routing/two_choices_router.cc
+++ b/briarspread/routing/two_choices_router.cc
@@ -113,6 +113,9 @@
     }
     return !request.is_rollout || HasRolloutQuota(upstream);
   }
+  /// Returns whether a request is expected to complete sooner at `a` than at
+  /// `b`; compares the loads alone where both machines are equally fast.
+  bool CompletesSooner(const Candidate& a, const Candidate& b) const;
   bool HasRolloutQuota(const UpstreamView& upstream) const {
     const std::uint64_t name_hash = StableHash(upstream.listed.name);
     const std::uint32_t slots = LoadEstimate(upstream).Slots();
@@ -147,6 +150,14 @@
   double load = 0;
 };
 
+bool TwoChoicesRouter::Context::CompletesSooner(const Candidate& a,
+                                                const Candidate& b) const {
+  const LoadEstimate load_a(At(a.index));
+  const LoadEstimate load_b(At(b.index));
+  if (load_a.Slowness(now) == load_b.Slowness(now)) return a.load < b.load;
+  return load_a.CompletionCost(now) < load_b.CompletionCost(now);
+}
+
 TwoChoicesRouter::TwoChoicesRouter(const TwoChoicesSettings& settings,
                                    RandomSource& random, const Clock& clock,
                                    const CacheHints* hints)
@@ -318,7 +329,7 @@
   const auto second = SampleUsable(context, group, first);
   if (!second.has_value()) return candidate;
   const Candidate other{*second, context.LoadAt(*second)};
-  return other.load < candidate.load ? other : candidate;
+  return context.CompletesSooner(other, candidate) ? other : candidate;
 }
 
 std::optional<std::uint32_t> TwoChoicesRouter::SampleUsable(
