Slow start of upstreams that have started or recovered

Cause: an upstream that has just registered looks idle to all instances at once, so each sends its requests there until a first report arrives.

Change: SlowStart is one concurrency limit for all instances together, which each instance estimates from the responses it gets: load reports, refusals, failures, event intervals. An instance sends its part of the requests in the last report, and at least the equal division of the limit in rendezvous order. Two choices passes over an upstream beyond the limit unless the best other one has two requests for each slot or none is usable; EnginePlacement keeps to the limit unless all engines that may run the item are in slow start. It begins for new starts, upstreams back in the list, closed breakers and refusals; upstreams known when the instance starts are excepted unless they started within the last 5 s.

--- a/briarspread/batch/engine_placement.cc
+++ b/briarspread/batch/engine_placement.cc
@@ -18,6 +18,12 @@
   return fastest;
 }
 
+bool IsWithinSlowStart(const EngineView& engine) {
+  return !engine.paced.has_value() ||
+         (EstimatedLoad(engine) < engine.paced->total &&
+          engine.own_in_flight < engine.paced->own);
+}
+
 }  // namespace
 
 std::uint32_t EstimatedLoad(const EngineView& engine) {
@@ -73,6 +79,18 @@
 std::optional<std::size_t> EnginePlacement::Choose(
     const EngineRequirements& need,
     const std::vector<EngineView>& engines) const {
+  const auto chosen = ChooseWithin(need, engines, true);
+  const bool has_other = std::any_of(
+      engines.begin(), engines.end(), [&](const EngineView& engine) {
+        return IsEligible(need, engine) && !engine.paced.has_value();
+      });
+  if (chosen.has_value() || has_other) return chosen;
+  return ChooseWithin(need, engines, false);
+}
+
+std::optional<std::size_t> EnginePlacement::ChooseWithin(
+    const EngineRequirements& need, const std::vector<EngineView>& engines,
+    bool has_slow_start) const {
   const Duration fastest = FastestOf(engines);
   const bool has_sound = std::any_of(
       engines.begin(), engines.end(), [&](const EngineView& engine) {
@@ -83,6 +101,7 @@
   for (std::size_t i = 0; i < engines.size(); ++i) {
     const EngineView& engine = engines[i];
     if (!IsEligible(need, engine) || !HasRoom(need, engine)) continue;
+    if (has_slow_start && !IsWithinSlowStart(engine)) continue;
     double cost = CostOf(need, engine, fastest);
     if (has_sound && IsSlow(engine, fastest)) {
       const bool is_trial =
@@ -107,7 +126,10 @@
   }
   for (std::size_t i = 0; i < engines.size(); ++i) {
     if (i == at || IsSlow(engines[i], fastest)) continue;
-    if (IsEligible(need, engines[i]) && HasRoom(need, engines[i])) return true;
+    if (IsEligible(need, engines[i]) && HasRoom(need, engines[i]) &&
+        IsWithinSlowStart(engines[i])) {
+      return true;
+    }
   }
   return false;
 }
--- a/briarspread/batch/engine_placement.h
+++ b/briarspread/batch/engine_placement.h
@@ -10,6 +10,14 @@
 
 namespace briarspread::batch {
 
+/// Limits of the slow start of an engine.
+struct PacedSlots {
+  /// Limit for the requests of all instances together.
+  std::uint32_t total = 1;
+  /// Limit for the requests of this instance.
+  std::uint32_t own = 1;
+};
+
 /// State of an engine that placement decides by.
 struct EngineView {
   UpstreamId id;
@@ -43,6 +51,8 @@
   Duration event_interval{0};
   /// Whether `event_interval` was measured recently.
   bool is_interval_fresh = false;
+  /// Limits of the engine's slow start; nothing if it is not in one.
+  std::optional<PacedSlots> paced;
 };
 
 /// What an item requires of its engine.
@@ -88,7 +98,9 @@
 /// Longer items prefer faster engines, since the longest item decides when a
 /// step ends. A slow engine gets no item while an engine of normal speed may
 /// run it, except for an occasional single item that measures whether the
-/// engine is still slow. Has no state; thread-safe.
+/// engine is still slow. An engine in slow start gets items up to its limits,
+/// or up to its slots if all engines that may run the item are in slow start.
+/// Has no state; thread-safe.
 class EnginePlacement final {
  public:
   explicit EnginePlacement(const EnginePlacementSettings& settings)
@@ -106,6 +118,10 @@
                      const std::vector<EngineView>& engines) const;
 
  private:
+  /// Chooses with the limits of slow starts or without them.
+  std::optional<std::size_t> ChooseWithin(
+      const EngineRequirements& need, const std::vector<EngineView>& engines,
+      bool has_slow_start) const;
   bool HasRoom(const EngineRequirements& need, const EngineView& engine) const;
   bool IsSlow(const EngineView& engine, Duration fastest) const;
   double CostOf(const EngineRequirements& need, const EngineView& engine,
--- a/briarspread/batch/item_run.cc
+++ b/briarspread/batch/item_run.cc
@@ -141,7 +141,11 @@
     }
     const TimePoint now = context_.clock.Now();
     // The first interval includes queueing for a slot and reading the prompt.
-    if (events_ > 0) UpdateEventInterval(now);
+    if (events_ > 0) {
+      UpdateEventInterval(now);
+    } else {
+      context_.directory.RecordFirstEvent(spec_.engine);
+    }
     ++events_;
     last_event_ = now;
     if (!listener_.OnRunEvent(*this, event, version_)) {
--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -134,11 +134,23 @@
         engine.listed.locality.region == self_.locality.region;
     view.event_interval = engine.ExpectedEventInterval(now);
     view.is_interval_fresh = now - engine.interval_measured < kMaxIntervalAge;
+    if (engine.slow_start != nullptr) {
+      view.paced = PacedSlotsOf(engine, now);
+    }
     views.push_back(view);
   }
   return views;
 }
 
+PacedSlots JobRunner::PacedSlotsOf(const forward::KnownUpstream& engine,
+                                   TimePoint now) const {
+  // Only the instances that run items share the limit.
+  const InstanceShare share = peer_loads_.ShareOf(engine.listed.id, self_.name);
+  const SlowStart& limit = engine.slow_start->limit;
+  return {static_cast<std::uint32_t>(limit.LimitAt(now)),
+          limit.AllowanceAt(now, share)};
+}
+
 std::map<UpstreamId, std::int64_t> JobRunner::EstimateOwnTokens() const {
   std::map<UpstreamId, std::int64_t> tokens;
   for (const auto& [key, run] : runs_) {
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -269,6 +269,9 @@
                              const ModelName& model) const;
   /// Returns an estimate of the memory, in tokens, that own items use on each
   /// engine.
+  /// Returns the limits of an engine that is in slow start.
+  PacedSlots PacedSlotsOf(const forward::KnownUpstream& engine,
+                          TimePoint now) const;
   std::map<UpstreamId, std::int64_t> EstimateOwnTokens() const;
   /// Returns whether an item has text and has waited long enough for an engine
   /// on which the text may go on.
--- a/briarspread/batch/peer_engine_loads.cc
+++ b/briarspread/batch/peer_engine_loads.cc
@@ -1,7 +1,11 @@
 #include "briarspread/batch/peer_engine_loads.h"
 
 #include <nlohmann/json.hpp>
+#include <string>
 #include <utility>
+#include <vector>
+
+#include "briarspread/routing/slow_start.h"
 
 namespace briarspread::batch {
 
@@ -36,4 +40,15 @@
   return n;
 }
 
+InstanceShare PeerEngineLoads::ShareOf(const UpstreamId& engine,
+                                       const InstanceId& self) const {
+  std::vector<std::string> names{self.value()};
+  for (const auto& [peer, report] : reports_) {
+    if (peer == self || report.loads.empty()) continue;
+    if (clock_.Now() - report.received > time_to_live_) continue;
+    names.push_back(peer.value());
+  }
+  return RendezvousShare(engine.value(), names, 0);
+}
+
 }  // namespace briarspread::batch
--- a/briarspread/batch/peer_engine_loads.h
+++ b/briarspread/batch/peer_engine_loads.h
@@ -8,6 +8,7 @@
 
 #include "briarspread/core/clock.h"
 #include "briarspread/core/ids.h"
+#include "briarspread/routing/routing_table.h"
 
 namespace briarspread::batch {
 
@@ -34,6 +35,9 @@
   /// Returns the number of items that all peers together have at an engine, by
   /// their reports that have not expired.
   std::uint32_t LoadAt(const UpstreamId& engine) const;
+  /// Returns the share of `self` among the instances that run items, by their
+  /// reports that have not expired. Their order differs for each engine.
+  InstanceShare ShareOf(const UpstreamId& engine, const InstanceId& self) const;
 
  private:
   struct Report {
--- a/briarspread/forward/forward_context.cc
+++ b/briarspread/forward/forward_context.cc
@@ -15,6 +15,12 @@
   if (leaving != nullptr && *leaving == "1") {
     context.directory.MarkLeaving(upstream);
   }
+  const bool is_refused = head.status == 421 ||
+                          head.headers.Find(context.headers.not_run) != nullptr;
+  // Limits of the request rate are kept by the limiter.
+  if (is_refused && head.headers.Find(context.headers.limit) == nullptr) {
+    context.directory.RecordRefusal(upstream);
+  }
 }
 
 }  // namespace briarspread::forward
--- a/briarspread/forward/upstream_directory.cc
+++ b/briarspread/forward/upstream_directory.cc
@@ -61,6 +61,9 @@
                : slowness_at_measurement +
                      (slowness - slowness_at_measurement) / kAverageParts;
   interval_measured = now;
+  if (slow_start != nullptr) {
+    slow_start->limit.OnEventInterval(event_interval, now);
+  }
 }
 
 Duration KnownUpstream::ExpectedEventInterval(TimePoint now) const {
@@ -90,6 +93,7 @@
   }
   Remove(missing);
   for (DiscoveredUpstream& upstream : listed) Insert(std::move(upstream));
+  has_listed_ = true;
   LOG(INFO) << "event=upstreams_listed upstreams=" << known_.size()
             << " gone=" << missing.size();
 }
@@ -144,8 +148,21 @@
   upstream.load.slots = listed.slots;
   upstream.listed = std::move(listed);
   const UpstreamId id = upstream.listed.id;
-  known_.insert_or_assign(id, std::move(upstream));
+  const auto added = known_.insert_or_assign(id, std::move(upstream)).first;
   table_.reset();
+  // What was there when this instance started may have run for long.
+  if (has_listed_ || IsRecentStart(added->second.listed)) {
+    BeginSlowStart(added->second, 0, "started");
+  }
+}
+
+bool UpstreamDirectory::IsRecentStart(const DiscoveredUpstream& listed) const {
+  const std::int64_t now_ms = std::chrono::duration_cast<milliseconds>(
+                                  clock_.WallNow().time_since_epoch())
+                                  .count();
+  const std::int64_t age_ms =
+      now_ms - static_cast<std::int64_t>(listed.start_id);
+  return age_ms >= 0 && milliseconds(age_ms) <= settings_.recent_start;
 }
 
 void UpstreamDirectory::SetLeaving(KnownUpstream& upstream) {
@@ -213,10 +230,11 @@
 void UpstreamDirectory::Drop(const UpstreamId& id) {
   const auto it = known_.find(id);
   if (it == known_.end()) return;
-  const DiscoveredUpstream listed = std::move(it->second.listed);
+  const DiscoveredUpstream listed = it->second.listed;
   LOG(INFO) << "event=upstream_gone upstream=" << id
             << " service=" << listed.service
             << " was_leaving=" << listed.is_leaving;
+  if (it->second.slow_start != nullptr) EndSlowStart(it->second);
   known_.erase(it);
   table_.reset();
   if (on_removed_) on_removed_(listed);
@@ -224,6 +242,7 @@
 
 void UpstreamDirectory::DropExpired() {
   departures_.DropOld();
+  for (auto& [id, upstream] : known_) EndSlowStartIfDone(upstream);
   std::vector<UpstreamId> expired;
   for (const auto& [id, upstream] : known_) {
     if (upstream.expires.has_value() && clock_.Now() >= *upstream.expires) {
@@ -255,7 +274,7 @@
         listed.software};
     views.push_back(UpstreamView{std::move(row), upstream.load,
                                  upstream.counters, InstanceShare{},
-                                 upstream.breaker});
+                                 upstream.breaker, upstream.slow_start});
   }
   for (const auto& [service, n] : live) quotas_[service]->SetLimit(n / 2);
   table_ = MakeRoutingTable(std::move(views), self_, links_);
@@ -278,6 +297,9 @@
   load.slowness.Record(figures->slowness_percent, clock_.Now());
   load.received = clock_.Now();
   load.own_in_flight = upstream->counters->in_flight.load();
+  if (upstream->slow_start != nullptr) {
+    upstream->slow_start->limit.OnReport(load);
+  }
   const auto it = table_index_.find(id);
   if (table_ != nullptr && it != table_index_.end()) {
     table_->upstreams[it->second].load = load;
@@ -305,15 +327,128 @@
 }
 
 void UpstreamDirectory::RecordSuccess(const UpstreamId& id) {
-  if (KnownUpstream* upstream = Find(id)) {
-    upstream->breaker->OnSuccess(clock_.Now());
+  KnownUpstream* upstream = Find(id);
+  if (upstream == nullptr) return;
+  const bool was_open = upstream->breaker->is_open();
+  upstream->breaker->OnSuccess(clock_.Now());
+  if (was_open && !upstream->breaker->is_open()) {
+    BeginSlowStart(*upstream, 0, "recovered");
+  } else {
+    RecordGoodResponse(*upstream);
   }
 }
 
 void UpstreamDirectory::RecordFailure(const UpstreamId& id) {
   if (KnownUpstream* upstream = Find(id)) {
     upstream->breaker->OnFailure(clock_.Now());
+    if (upstream->slow_start != nullptr) {
+      upstream->slow_start->limit.OnRefusal(clock_.Now());
+    }
+  }
+}
+
+// --- Slow start
+
+void UpstreamDirectory::RecordRefusal(const UpstreamId& id) {
+  KnownUpstream* upstream = Find(id);
+  if (upstream == nullptr || upstream->listed.is_leaving) return;
+  if (upstream->slow_start != nullptr) {
+    upstream->slow_start->limit.OnRefusal(clock_.Now());
+    return;
+  }
+  // It ran the requests of its last report, so half as many are a safe begin.
+  const double limit = upstream->load.running / 2.0;
+  BeginSlowStart(*upstream, std::max(1.0, limit), "refused");
+}
+
+void UpstreamDirectory::RecordFirstEvent(const UpstreamId& id) {
+  if (KnownUpstream* upstream = Find(id)) RecordGoodResponse(*upstream);
+}
+
+void UpstreamDirectory::RecordGoodResponse(KnownUpstream& upstream) {
+  if (upstream.slow_start == nullptr) return;
+  upstream.slow_start->limit.OnGoodResponse(upstream.slow_start->share.count,
+                                            clock_.Now());
+  EndSlowStartIfDone(upstream);
+}
+
+void UpstreamDirectory::BeginSlowStart(KnownUpstream& upstream, double limit,
+                                       std::string_view reason) {
+  if (!has_slow_start_ || upstream.listed.is_leaving) return;
+  if (upstream.slow_start != nullptr) EndSlowStart(upstream);
+  const std::uint32_t slots = std::max(1U, upstream.load.slots);
+  const UpstreamId& id = upstream.listed.id;
+  upstream.slow_start = std::make_shared<PacedUpstream>(
+      PacedUpstream{SlowStart(settings_.slow_start, slots, limit, clock_.Now()),
+                    ShareOf(id)});
+  LOG(INFO) << "event=slow_start_began upstream=" << id << " reason=" << reason
+            << " limit=" << upstream.slow_start->limit.LimitAt(clock_.Now())
+            << " slots=" << slots
+            << " instances=" << upstream.slow_start->share.count;
+  PublishSlowStart(upstream);
+}
+
+void UpstreamDirectory::EndSlowStart(KnownUpstream& upstream) {
+  const PacedUpstream& paced = *upstream.slow_start;
+  const TimePoint now = clock_.Now();
+  LOG(INFO) << "event=slow_start_ended upstream=" << upstream.listed.id
+            << " limit=" << paced.limit.LimitAt(now) << " ms="
+            << std::chrono::duration_cast<milliseconds>(now -
+                                                        paced.limit.began())
+                   .count()
+            << " held_back=" << paced.held_back;
+  held_back_before_ += paced.held_back;
+  upstream.slow_start.reset();
+  PublishSlowStart(upstream);
+}
+
+void UpstreamDirectory::EndSlowStartIfDone(KnownUpstream& upstream) {
+  if (upstream.slow_start == nullptr) return;
+  if (upstream.slow_start->limit.HasEnded(clock_.Now())) {
+    EndSlowStart(upstream);
+  }
+}
+
+void UpstreamDirectory::PublishSlowStart(const KnownUpstream& upstream) {
+  const auto it = table_index_.find(upstream.listed.id);
+  if (table_ != nullptr && it != table_index_.end()) {
+    table_->upstreams[it->second].slow_start = upstream.slow_start;
+  }
+}
+
+void UpstreamDirectory::SetInstances(const InstanceId& self,
+                                     std::vector<std::string> names) {
+  if (std::find(names.begin(), names.end(), self.value()) == names.end()) {
+    names.push_back(self.value());
+  }
+  instances_ = std::move(names);
+  self_index_ = static_cast<std::size_t>(
+      std::find(instances_.begin(), instances_.end(), self.value()) -
+      instances_.begin());
+  for (auto& [id, upstream] : known_) {
+    if (upstream.slow_start != nullptr) {
+      upstream.slow_start->share = ShareOf(id);
+    }
+  }
+}
+
+InstanceShare UpstreamDirectory::ShareOf(const UpstreamId& id) const {
+  if (instances_.empty()) return InstanceShare{};
+  return RendezvousShare(id.value(), instances_, self_index_);
+}
+
+std::size_t UpstreamDirectory::CountSlowStarts() const {
+  return static_cast<std::size_t>(std::count_if(
+      known_.begin(), known_.end(),
+      [](const auto& entry) { return entry.second.slow_start != nullptr; }));
+}
+
+std::uint64_t UpstreamDirectory::held_back() const {
+  std::uint64_t n = held_back_before_;
+  for (const auto& [id, upstream] : known_) {
+    if (upstream.slow_start != nullptr) n += upstream.slow_start->held_back;
   }
+  return n;
 }
 
 }  // namespace briarspread::forward
--- a/briarspread/forward/upstream_directory.h
+++ b/briarspread/forward/upstream_directory.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "briarspread/core/ids.h"
@@ -64,6 +65,8 @@
   /// When the upstream is removed unless it registers again; unset while it is
   /// registered.
   std::optional<TimePoint> expires;
+  /// The upstream's slow start; null if it is not in one.
+  std::shared_ptr<PacedUpstream> slow_start;
 
   /// Returns the loaded version of a model; zero where the model is not loaded.
   WeightVersion VersionOf(const ModelName& model) const;
@@ -85,6 +88,10 @@
   milliseconds mass_expiry_grace{1800};
   CircuitBreakerSettings breaker{2, seconds(1), seconds(4), seconds(2)};
   DeparturesSettings departures;
+  SlowStartSettings slow_start;
+  /// Maximum age of an upstream that is in slow start although it was known
+  /// when this instance started.
+  seconds recent_start{5};
 };
 
 /// The registered upstreams, with their load and health as measured by this
@@ -105,6 +112,18 @@
   UpstreamDirectory(const UpstreamDirectorySettings& settings,
                     const Locality& self, const Clock& clock);
 
+  /// Sets whether upstreams that have started or recovered are in slow start.
+  /// Off by default.
+  void SetSlowStart(bool is_enabled) { has_slow_start_ = is_enabled; }
+  /// Sets the names of all instances that use the upstreams, with this one
+  /// among them. Shares the limits of slow starts among them.
+  void SetInstances(const InstanceId& self, std::vector<std::string> names);
+  /// Number of upstreams in slow start.
+  std::size_t CountSlowStarts() const;
+  /// Number of routing decisions in which a slow start kept a request from an
+  /// upstream.
+  std::uint64_t held_back() const;
+
   void SetOnRemoved(OnRemoved on_removed) {
     on_removed_ = std::move(on_removed);
   }
@@ -155,12 +174,26 @@
   /// lower than the known one.
   void UpdateVersion(const UpstreamId& id, const ModelName& model,
                      WeightVersion version);
+  /// Records that the upstream refused a request that it did not run.
+  void RecordRefusal(const UpstreamId& id);
+  /// Records the first event of a stream, which shows that its work has begun.
+  void RecordFirstEvent(const UpstreamId& id);
   void RecordSuccess(const UpstreamId& id);
   void RecordFailure(const UpstreamId& id);
 
  private:
   void Insert(DiscoveredUpstream listed);
   void SetLeaving(KnownUpstream& upstream);
+  /// Begins the slow start of an upstream at `limit`; zero for the default.
+  void BeginSlowStart(KnownUpstream& upstream, double limit,
+                      std::string_view reason);
+  void EndSlowStart(KnownUpstream& upstream);
+  void EndSlowStartIfDone(KnownUpstream& upstream);
+  void RecordGoodResponse(KnownUpstream& upstream);
+  /// Puts the upstream's slow start into the cached table.
+  void PublishSlowStart(const KnownUpstream& upstream);
+  bool IsRecentStart(const DiscoveredUpstream& listed) const;
+  InstanceShare ShareOf(const UpstreamId& id) const;
   void Drop(const UpstreamId& id);
   bool IsMassExpiry(const std::vector<UpstreamId>& ids) const;
 
@@ -174,6 +207,13 @@
   std::map<UpstreamId, KnownUpstream> known_;
   /// Limits on the number of open circuit breakers, by service.
   std::map<ServiceName, std::shared_ptr<EjectionQuota>> quotas_;
+  bool has_slow_start_ = false;
+  bool has_listed_ = false;
+  /// Held-back requests of slow starts that have ended.
+  std::uint64_t held_back_before_ = 0;
+  /// Names of the instances, and the index of this one.
+  std::vector<std::string> instances_;
+  std::size_t self_index_ = 0;
   LinkBudget links_;
   /// Cached table; null after the set of upstreams or a registration has
   /// changed.
--- a/briarspread/routing/routing_table.h
+++ b/briarspread/routing/routing_table.h
@@ -11,6 +11,7 @@
 #include "briarspread/core/upstream.h"
 #include "briarspread/routing/circuit_breaker.h"
 #include "briarspread/routing/routing_index.h"
+#include "briarspread/routing/slow_start.h"
 #include "briarspread/routing/slowness_estimate.h"
 
 namespace briarspread {
@@ -65,6 +66,15 @@
   std::uint32_t count = 1;
 };
 
+/// The slow start of an upstream, as routing sees it. Not thread-safe.
+struct PacedUpstream {
+  SlowStart limit;
+  /// This instance's rank among the instances that use the upstream.
+  InstanceShare share;
+  /// Number of routing decisions in which the limit kept a request away.
+  std::uint64_t held_back = 0;
+};
+
 /// What this instance knows about one upstream.
 struct UpstreamView {
   /// The upstream's entry in the instance list.
@@ -77,6 +87,9 @@
   InstanceShare share = {};
   /// The upstream's circuit breaker; null if it has none.
   std::shared_ptr<CircuitBreaker> breaker = nullptr;
+  /// The upstream's slow start; null if it is not in one. A table with slow
+  /// starts must be used on one thread only.
+  std::shared_ptr<PacedUpstream> slow_start = nullptr;
   /// Estimated load, as a fraction of the slots, when the table was built; set
   /// by `MakeRoutingTable`.
   double published_load = 0;
--- a/briarspread/routing/two_choices_router.cc
+++ b/briarspread/routing/two_choices_router.cc
@@ -98,6 +98,10 @@
   /// Fraction of the slots that the request must leave free; zero for live
   /// requests.
   double reserve = 0;
+  /// Whether the limits of slow starts are ignored.
+  bool ignores_slow_start = false;
+  /// Whether a slow start kept the request from an upstream that it could use.
+  mutable bool was_held_back = false;
 
   const UpstreamView& At(std::uint32_t index) const {
     return table.upstreams[index];
@@ -111,7 +115,19 @@
     if (upstream.breaker != nullptr && !upstream.breaker->Allows(now)) {
       return false;
     }
-    return !request.is_rollout || HasRolloutQuota(upstream);
+    if (request.is_rollout && !HasRolloutQuota(upstream)) return false;
+    return ignores_slow_start || IsWithinSlowStart(upstream);
+  }
+  bool IsWithinSlowStart(const UpstreamView& upstream) const {
+    if (upstream.slow_start == nullptr) return true;
+    PacedUpstream& paced = *upstream.slow_start;
+    if (upstream.counters->in_flight.load() <
+        paced.limit.AllowanceAt(now, paced.share)) {
+      return true;
+    }
+    was_held_back = true;
+    ++paced.held_back;
+    return false;
   }
   /// Returns whether a request is expected to complete sooner at `a` than at
   /// `b`; compares the loads alone where both machines are equally fast.
@@ -185,6 +201,18 @@
 }
 
 std::optional<TwoChoicesRouter::Candidate> TwoChoicesRouter::ChooseOnce(
+    Context& context) {
+  context.ignores_slow_start = false;
+  context.was_held_back = false;
+  const auto chosen = ChooseNearest(context);
+  const bool has_room =
+      chosen.has_value() && chosen->load < settings_.slow_start_override_load;
+  if (has_room || !context.was_held_back) return chosen;
+  context.ignores_slow_start = true;
+  return ChooseNearest(context);
+}
+
+std::optional<TwoChoicesRouter::Candidate> TwoChoicesRouter::ChooseNearest(
     const Context& context) {
   if (!context.rules.pins.empty()) {
     const auto pin = context.rules.PinOf(context.request.request_class);
--- a/briarspread/routing/two_choices_router.h
+++ b/briarspread/routing/two_choices_router.h
@@ -25,6 +25,9 @@
   /// Load, as a fraction of the slots, below which an upstream with prefix
   /// affinity is always chosen.
   double affinity_free_load = 0.5;
+  /// Load, as a fraction of the slots, of the best other upstream from which a
+  /// request is sent to an upstream beyond the limit of its slow start.
+  double slow_start_override_load = 2.0;
 };
 
 /// Router that uses the power of two choices: it picks the less loaded of two
@@ -52,7 +55,10 @@
   struct Context;
   struct Candidate;
 
-  std::optional<Candidate> ChooseOnce(const Context& context);
+  /// Chooses within the limits of slow starts, or beyond them where the other
+  /// upstreams are overloaded or cannot be used.
+  std::optional<Candidate> ChooseOnce(Context& context);
+  std::optional<Candidate> ChooseNearest(const Context& context);
   std::optional<Candidate> ChoosePinned(const Context& context,
                                         const UpstreamId& pin) const;
   std::optional<Candidate> ChooseRemote(const Context& context,
--- a/tests/batch/decisions_test.cc
+++ b/tests/batch/decisions_test.cc
@@ -2,6 +2,7 @@
 // of jobs. Comments name the load that a decision is designed for.
 
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "briarspread/batch/engine_placement.h"
 #include "briarspread/batch/item_order.h"
@@ -108,6 +109,40 @@
   REQUIRE(kPlacement.Choose(need, engines) == 0);
 }
 
+// Load: several owners that place items while an engine has just started.
+TEST_CASE("an engine in slow start gets items up to its limits") {
+  std::vector<EngineView> engines = {Engine("new"), Engine("old", 4)};
+  const EngineRequirements need{WeightVersion(5), {}, {}, 0, 1};
+  engines[0].paced = PacedSlots{2, 1};
+  REQUIRE(kPlacement.Choose(need, engines) == 0);
+  engines[0].own_in_flight = 1;
+  REQUIRE_FALSE(kPlacement.Choose(need, engines).has_value());
+  engines[0].paced = PacedSlots{2, 2};
+  REQUIRE(kPlacement.Choose(need, engines) == 0);
+  engines[0].peer_in_flight = 1;
+  REQUIRE_FALSE(kPlacement.Choose(need, engines).has_value());
+  // Guards against items that wait while all engines that may run them start.
+  engines[1].version = WeightVersion(4);
+  REQUIRE(kPlacement.Choose(need, engines) == 0);
+}
+
+TEST_CASE("only instances that run items share the limit of a slow start") {
+  ManualClock clock;
+  const UpstreamId engine("a");
+  const std::vector<InstanceId> names = {InstanceId("x"), InstanceId("y"),
+                                         InstanceId("z")};
+  std::set<std::uint32_t> ranks;
+  for (const InstanceId& self : names) {
+    PeerEngineLoads loads(seconds(2), clock);
+    loads.Put(InstanceId("idle"), {});
+    REQUIRE(loads.ShareOf(engine, self).count == 1);
+    for (const InstanceId& peer : names) loads.Put(peer, {{engine, 1}});
+    REQUIRE(loads.ShareOf(engine, self).count == 3);
+    ranks.insert(loads.ShareOf(engine, self).rank);
+  }
+  REQUIRE(ranks.size() == 3);
+}
+
 // Guards against a failure of a simulated day: all items of a slow engine moved
 // to one free slot.
 TEST_CASE("an item is moved only while a faster engine has room") {
--- a/tests/forward/load_replay.h
+++ b/tests/forward/load_replay.h
@@ -36,6 +36,9 @@
     /// Requests a second of all instances together.
     double rate = 400;
     bool sends_slowness = true;
+    bool has_slow_start = false;
+    /// Number of instances that have callers; zero for all.
+    std::size_t active_instances = 0;
     /// Zone of an upstream, and of an instance.
     std::function<std::string(std::size_t)> zone_of_upstream = [](std::size_t) {
       return "lim-a";
@@ -63,7 +66,14 @@
       for (std::size_t u = 0; u < servers_.size(); ++u) {
         listed.push_back(Listed(u));
       }
-      instances_[i]->directory.ReplaceAll(listed);
+      UpstreamDirectory& directory = instances_[i]->directory;
+      directory.SetSlowStart(settings.has_slow_start);
+      std::vector<std::string> names;
+      for (std::size_t k = 0; k < settings.instances; ++k) {
+        names.push_back("i" + std::to_string(k));
+      }
+      directory.SetInstances(InstanceId(names[i]), names);
+      directory.ReplaceAll(listed);
     }
   }
 
@@ -79,19 +89,27 @@
 
   /// Runs requests that arrive at random, until `end` since the start.
   void RunUntil(Duration end) {
+    constexpr milliseconds kHousekeepingInterval{200};
     while (true) {
+      if (elapsed() >= next_housekeeping_) {
+        for (const auto& it : instances_) it->directory.DropExpired();
+        next_housekeeping_ = elapsed() + kHousekeepingInterval;
+      }
       const Duration next = Duration(static_cast<std::int64_t>(
           -std::log(1.0 - Uniform()) * 1e9 / settings_.rate));
       const Duration arrives = elapsed() + next;
       FinishUntil(std::min(arrives, end));
       if (arrives >= end) return;
-      Send(random_.Below(instances_.size()));
+      Send(random_.Below(settings_.active_instances == 0
+                             ? instances_.size()
+                             : settings_.active_instances));
     }
   }
 
   /// Restarts an upstream: it fails what it holds, and registers again.
   void Restart(std::size_t u) {
     Server& server = servers_[u];
+    lost += server.held();
     ++server.start_id;
     server.running = 0;
     server.queue.clear();
@@ -99,7 +117,6 @@
   }
 
   Duration elapsed() const { return clock_.Now() - start_; }
-  std::uint32_t HeldBy(std::size_t u) const { return servers_[u].held(); }
   UpstreamDirectory& directory(std::size_t i) {
     return instances_[i]->directory;
   }
@@ -108,6 +125,8 @@
   std::vector<Run> runs;
   /// Largest number of requests that each upstream held since last cleared.
   std::map<std::size_t, std::uint32_t> peaks;
+  /// Requests that upstreams held when they restarted.
+  std::size_t lost = 0;
   /// Requests that found no upstream.
   std::size_t unplaced = 0;
 
@@ -218,11 +237,11 @@
     Run run = end.pending.run;
     const std::size_t u = run.upstream;
     Server& server = servers_[u];
-    end.pending.counters->in_flight.fetch_sub(1);
-    if (end.start_id != server.start_id) return;
-    --server.running;
+    if (end.start_id != server.start_id) {
+      end.pending.counters->in_flight.fetch_sub(1);
+      return;
+    }
     run.ended = elapsed();
-    Begin(u);
     std::string load = std::to_string(server.running) + "," +
                        std::to_string(server.queue.size()) + "," +
                        std::to_string(settings_.slots);
@@ -232,6 +251,9 @@
     const UpstreamId id("u" + std::to_string(u));
     UpstreamDirectory& directory = instances_[run.instance]->directory;
     directory.UpdateLoad(id, load);
+    end.pending.counters->in_flight.fetch_sub(1);
+    --server.running;
+    Begin(u);
     directory.RecordSuccess(id);
     KnownUpstream* known = directory.Find(id);
     RecordServiceTime(*known->counters, run.ended - run.sent,
@@ -243,6 +265,7 @@
   briarspread::testing::ManualClock clock_;
   const TimePoint start_ = clock_.Now();
   SplitMixRandom random_{20261206};
+  Duration next_housekeeping_{0};
   std::vector<std::unique_ptr<Instance>> instances_;
   std::vector<Server> servers_;
   std::priority_queue<End, std::vector<End>, std::greater<>> ends_;
