--- a/briarspread/forward/upstream_chooser.cc
+++ b/briarspread/forward/upstream_chooser.cc
@@ -37,12 +37,20 @@
     index = context_.router.Choose(route_request, table, no_rules);
   }
   if (!index.has_value()) return std::nullopt;
-  const UpstreamView& view = table.upstreams[*index];
-  const TimePoint now = context_.clock.Now();
-  if (LoadEstimate(view).ExpectedWait(now) > deadline_ - now) {
+  if (!StartsInTime(table.upstreams[*index]) &&
+      context_.directory.CountSlowStarts() > 0) {
+    route_request.ignores_slow_start = true;
+    index = context_.router.Choose(route_request, table, no_rules);
+  }
+  if (!index.has_value() || !StartsInTime(table.upstreams[*index])) {
     return std::nullopt;
   }
-  return UpstreamId(view.listed.name);
+  return UpstreamId(table.upstreams[*index].listed.name);
+}
+
+bool UpstreamChooser::StartsInTime(const UpstreamView& upstream) const {
+  const TimePoint now = context_.clock.Now();
+  return LoadEstimate(upstream).ExpectedWait(now) <= deadline_ - now;
 }
 
 std::vector<UpstreamId> UpstreamChooser::TriedExceptOldest() const {
--- a/briarspread/forward/upstream_chooser.h
+++ b/briarspread/forward/upstream_chooser.h
@@ -48,6 +48,9 @@
   /// is the oldest. Precondition: at least one was tried.
   std::vector<UpstreamId> TriedExceptOldest() const;
 
+  /// Returns whether a request sent now would start before the deadline.
+  bool StartsInTime(const UpstreamView& upstream) const;
+
   ForwardContext& context_;
   const bool is_idempotent_;
   const TimePoint deadline_;
--- a/briarspread/forward/upstream_directory.cc
+++ b/briarspread/forward/upstream_directory.cc
@@ -376,6 +376,7 @@
                                        std::string_view reason) {
   if (!has_slow_start_ || upstream.listed.is_leaving) return;
   if (upstream.slow_start != nullptr) EndSlowStart(upstream);
+  ++slow_starts_;
   const std::uint32_t slots = std::max(1U, upstream.load.slots);
   const UpstreamId& id = upstream.listed.id;
   upstream.slow_start = std::make_shared<PacedUpstream>(
@@ -398,6 +399,7 @@
                    .count()
             << " held_back=" << paced.held_back;
   held_back_before_ += paced.held_back;
+  --slow_starts_;
   upstream.slow_start.reset();
   PublishSlowStart(upstream);
 }
@@ -437,12 +439,6 @@
   return RendezvousShare(id.value(), instances_, self_index_);
 }
 
-std::size_t UpstreamDirectory::CountSlowStarts() const {
-  return static_cast<std::size_t>(std::count_if(
-      known_.begin(), known_.end(),
-      [](const auto& entry) { return entry.second.slow_start != nullptr; }));
-}
-
 std::uint64_t UpstreamDirectory::held_back() const {
   std::uint64_t n = held_back_before_;
   for (const auto& [id, upstream] : known_) {
--- a/briarspread/forward/upstream_directory.h
+++ b/briarspread/forward/upstream_directory.h
@@ -119,7 +119,7 @@
   /// among them. Shares the limits of slow starts among them.
   void SetInstances(const InstanceId& self, std::vector<std::string> names);
   /// Number of upstreams in slow start.
-  std::size_t CountSlowStarts() const;
+  std::size_t CountSlowStarts() const { return slow_starts_; }
   /// Number of routing decisions in which a slow start kept a request from an
   /// upstream.
   std::uint64_t held_back() const;
@@ -209,6 +209,8 @@
   std::map<ServiceName, std::shared_ptr<EjectionQuota>> quotas_;
   bool has_slow_start_ = false;
   bool has_listed_ = false;
+  /// Number of upstreams in slow start.
+  std::size_t slow_starts_ = 0;
   /// Held-back requests of slow starts that have ended.
   std::uint64_t held_back_before_ = 0;
   /// Names of the instances, and the index of this one.
--- a/briarspread/routing/router.h
+++ b/briarspread/routing/router.h
@@ -31,6 +31,9 @@
   ByteCount expected_answer_bytes{0};
   /// The software version that the upstream must have; empty for any.
   SoftwareVersion software{};
+  /// Whether the limits of slow starts are ignored, because the request would
+  /// be refused otherwise.
+  bool ignores_slow_start = false;
   /// Upstreams that must not be chosen, such as those already tried.
   std::vector<UpstreamId> excluded;
 };
--- a/briarspread/routing/two_choices_router.cc
+++ b/briarspread/routing/two_choices_router.cc
@@ -202,7 +202,7 @@
 
 std::optional<TwoChoicesRouter::Candidate> TwoChoicesRouter::ChooseOnce(
     Context& context) {
-  context.ignores_slow_start = false;
+  context.ignores_slow_start = context.request.ignores_slow_start;
   context.was_held_back = false;
   const auto chosen = ChooseNearest(context);
   const bool has_room =
--- a/tests/forward/slow_start_test.cc
+++ b/tests/forward/slow_start_test.cc
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "briarspread/forward/upstream_chooser.h"
+#include "tests/forward/forward_fixture.h"
 #include "tests/forward/load_replay.h"
 
 namespace briarspread::forward {
@@ -234,6 +236,30 @@
   REQUIRE(directory.Find(UpstreamId("recent"))->slow_start != nullptr);
 }
 
+// Guards against a refused request while an upstream in slow start has a slot.
+TEST_CASE("the limit of a slow start gives way to a request with a deadline") {
+  ForwardFixture f;
+  // With this many instances, the limit leaves room here only after seconds.
+  std::vector<std::string> names;
+  for (int i = 0; i < 400; ++i) names.push_back("i" + std::to_string(i));
+  f.directory.SetInstances(InstanceId("self"), names);
+  f.directory.SetSlowStart(true);
+  f.directory.ReplaceAll({DirectoryFixture::Listed("full", 1)});
+  f.directory.Put(DirectoryFixture::Listed("new", 1));
+  KnownUpstream& full = *f.directory.Find(UpstreamId("full"));
+  KnownUpstream& starting = *f.directory.Find(UpstreamId("new"));
+  full.counters->in_flight = 12;
+  RecordServiceTime(*full.counters, seconds(20));
+  starting.counters->in_flight = 7;
+  const auto choose = [&](Duration left) {
+    UpstreamChooser chooser(f.context, true, f.clock.Now() + left);
+    return chooser.Choose(ServiceName("s"));
+  };
+  REQUIRE(choose(seconds(60)) == UpstreamId("full"));
+  REQUIRE(choose(seconds(1)) == UpstreamId("new"));
+  REQUIRE(f.directory.held_back() > 0);
+}
+
 // Guards against a change of service where no configuration asks for it.
 TEST_CASE("without the setting no upstream is in slow start") {
   DirectoryFixture d(false);
--- a/tests/forward/uneven_upstreams_test.cc
+++ b/tests/forward/uneven_upstreams_test.cc
@@ -102,6 +102,44 @@
   REQUIRE(replay.LatencyMs(0.99) < blind.LatencyMs(0.99));
 }
 
+// Load: 100 instances whose load reports are seconds old, since each of them
+// sends few requests; upstreams that run 70% of their slots.
+TEST_CASE("a hundred instances do not herd to the same upstreams") {
+  std::vector<double> p99;
+  for (const std::size_t instances : {1, 100}) {
+    LoadReplay::Settings settings;
+    settings.instances = instances;
+    settings.upstreams = 80;
+    settings.rate = 4500;
+    LoadReplay replay(settings);
+    replay.RunUntil(seconds(6));
+    p99.push_back(replay.LatencyMs(0.99));
+    std::uint32_t peak = 0;
+    for (const auto& [u, n] : replay.peaks) peak = std::max(peak, n);
+    INFO("instances=" << instances << " most requests held: " << peak);
+    CHECK(peak <= 4 * settings.slots);
+  }
+  INFO("p99 in ms of 1 and 100 instances: " << p99[0] << ", " << p99[1]);
+  REQUIRE(p99[1] < 1.5 * p99[0]);
+}
+
+// Load: 100 instances that see at about the same time that an upstream is as
+// fast as usual again.
+TEST_CASE("a hundred instances do not herd to an upstream that speeds up") {
+  LoadReplay::Settings settings;
+  settings.instances = 100;
+  settings.rate = 450;
+  LoadReplay replay(settings);
+  replay.slowness = [](std::size_t u, Duration at) {
+    return u == 0 && at >= seconds(10) && at < seconds(18) ? 4.0 : 1.0;
+  };
+  replay.RunUntil(seconds(18));
+  replay.peaks.clear();
+  replay.RunUntil(seconds(25));
+  INFO("most requests held: " << replay.peaks[0]);
+  REQUIRE(replay.peaks[0] <= 4 * settings.slots);
+}
+
 // Load: the instances of one zone get three times the requests that its
 // upstreams can run; the near zone has room.
 TEST_CASE("a zone with three times the demand spills before requests wait") {
--- a/tests/platform/accounts_test.cc
+++ b/tests/platform/accounts_test.cc
@@ -112,6 +112,16 @@
   REQUIRE(fixture.recorder.Last("Api-Key").empty());
 }
 
+TEST_CASE("with accounts, an upstream that registers is in slow start") {
+  AccountsFixture fixture;
+  fixture.store.memory().Write("servers/desk-2",
+                               fixture.replica.Registration("desk"));
+  fixture.Await([&] {
+    return fixture.instance->node.FormatMetrics().find(
+               "briarspread_slow_start_upstreams 1") != std::string::npos;
+  });
+}
+
 // Guards against a revoked key that still works, and against a key that was
 // moved to another account and still counts for the first.
 TEST_CASE("keys follow the configuration, on open connections as well") {
