Slow start: hold for a second after a decrease, count the begin of streams

Cause: after a refusal, the next report showed about as many requests running as before, so the slow start ended at once and could begin again with the next refusal, several times a second with two log lines each.

Change: for 1 s after a decrease the slow start does not end and the limit does not jump to the reported requests; the limit is at most the slots. The begin of a caller's stream counts as a good response, as an item's first event does.

--- a/briarspread/forward/live_response.cc
+++ b/briarspread/forward/live_response.cc
@@ -166,6 +166,7 @@
   is_forwarding_body_ = true;
   begun_head_ = response_.head;
   last_progress_ = context_.clock.Now();
+  context_.directory.RecordFirstEvent(*upstream_);
   timer_.Every(spec_.stall_detection.check_interval,
                [this] { CheckProgress(); });
   sink_.OnResponseHead(response_.head);
--- a/briarspread/forward/upstream_directory.h
+++ b/briarspread/forward/upstream_directory.h
@@ -176,7 +176,7 @@
                      WeightVersion version);
   /// Records that the upstream refused a request that it did not run.
   void RecordRefusal(const UpstreamId& id);
-  /// Records the first event of a stream, which shows that its work has begun.
+  /// Records the begin of a stream, which shows that its work has begun.
   void RecordFirstEvent(const UpstreamId& id);
   void RecordSuccess(const UpstreamId& id);
   void RecordFailure(const UpstreamId& id);
--- a/briarspread/routing/slow_start.cc
+++ b/briarspread/routing/slow_start.cc
@@ -30,6 +30,7 @@
                                                    settings.initial_divisor)),
       last_response_(now) {
   assert(slots > 0);
+  if (initial_limit > 0) last_decrease_ = now;
 }
 
 double SlowStart::LimitAt(TimePoint now) const {
@@ -72,9 +73,9 @@
         static_cast<double>(reported_) / std::max(1U, own_at_report_), 1.0,
         static_cast<double>(instances));
     // None of the reported requests waits, so the upstream can run as many.
-    limit_ = std::max(limit_, static_cast<double>(reported_));
+    if (!IsHeld(now)) limit_ = std::max(limit_, double{1.0} * reported_);
   }
-  limit_ += requests_per_own;
+  limit_ = std::min(limit_ + requests_per_own, double{1.0} * slots_);
 }
 
 void SlowStart::OnRefusal(TimePoint now) {
@@ -102,7 +103,8 @@
 }
 
 bool SlowStart::HasEnded(TimePoint now) const {
-  return limit_ >= slots_ || now - began_ >= settings_.max_duration;
+  if (now - began_ >= settings_.max_duration) return true;
+  return limit_ >= slots_ && !IsHeld(now);
 }
 
 }  // namespace briarspread
--- a/briarspread/routing/slow_start.h
+++ b/briarspread/routing/slow_start.h
@@ -31,6 +31,10 @@
   /// Minimum time between two decreases, so that the responses to requests sent
   /// at the same time decrease the limit once.
   milliseconds decrease_interval{100};
+  /// Time after a decrease in which the slow start does not end, and a report
+  /// does not raise the limit to what it shows running. Bounds how often an
+  /// upstream that keeps refusing enters slow start.
+  milliseconds hold_after_decrease{1000};
   /// Factor for the limit on a refusal or a failure.
   double refusal_factor = 0.5;
   /// Factor for the limit when more requests wait or events slow down.
@@ -52,8 +56,8 @@
 /// at the same time. Not thread-safe.
 class SlowStart final {
  public:
-  /// `initial_limit` is the limit to begin with; zero for the settings' part of
-  /// `slots`. Precondition: `slots` > 0.
+  /// `initial_limit` is the limit to begin with after a refusal; zero for the
+  /// settings' part of `slots`. Precondition: `slots` > 0.
   SlowStart(const SlowStartSettings& settings, std::uint32_t slots,
             double initial_limit, TimePoint now);
 
@@ -79,6 +83,9 @@
 
  private:
   void Decrease(double factor, TimePoint now);
+  bool IsHeld(TimePoint now) const {
+    return now - last_decrease_ < settings_.hold_after_decrease;
+  }
 
   const SlowStartSettings settings_;
   const TimePoint began_;
--- a/tests/forward/slow_start_test.cc
+++ b/tests/forward/slow_start_test.cc
@@ -11,6 +11,31 @@
 namespace briarspread::forward {
 namespace {
 
+struct DirectoryFixture {
+  explicit DirectoryFixture(bool has_slow_start) {
+    directory.SetSlowStart(has_slow_start);
+    directory.ReplaceAll({Listed("old", 1)});
+  }
+  static DiscoveredUpstream Listed(const std::string& id,
+                                   std::uint64_t start_id) {
+    DiscoveredUpstream listed;
+    listed.id = UpstreamId(id);
+    listed.service = ServiceName("s");
+    listed.start_id = start_id;
+    listed.slots = 8;
+    return listed;
+  }
+  bool IsStarting(const std::string& id) {
+    return directory.Find(UpstreamId(id))->slow_start != nullptr;
+  }
+  void Fail(const std::string& id, int times) {
+    for (int i = 0; i < times; ++i) directory.RecordFailure(UpstreamId(id));
+  }
+
+  briarspread::testing::ManualClock clock;
+  UpstreamDirectory directory{UpstreamDirectorySettings{}, Locality{}, clock};
+};
+
 constexpr seconds kRestart{5};
 constexpr std::uint32_t kSlots = 8;
 
@@ -165,6 +190,25 @@
   REQUIRE(limit.HasEnded(now + seconds(10)));
 }
 
+// Guards against an upstream that keeps refusing and enters slow start several
+// times a second.
+TEST_CASE("a slow start after a refusal lasts a second at least") {
+  DirectoryFixture d(true);
+  const UpstreamId id("old");
+  d.directory.UpdateLoad(id, "8,0,8");
+  d.directory.RecordRefusal(id);
+  REQUIRE(d.IsStarting("old"));
+  for (int i = 0; i < 9; ++i) {
+    d.clock.Advance(milliseconds(100));
+    d.directory.UpdateLoad(id, "8,0,8");
+    d.directory.RecordSuccess(id);
+    REQUIRE(d.IsStarting("old"));
+  }
+  d.clock.Advance(milliseconds(200));
+  d.directory.RecordSuccess(id);
+  REQUIRE_FALSE(d.IsStarting("old"));
+}
+
 TEST_CASE("the instances' shares of a limit add up to it") {
   const TimePoint now{seconds(100)};
   SlowStart limit(SlowStartSettings{}, 56, 0, now);
@@ -175,31 +219,6 @@
   REQUIRE(total == 7);
 }
 
-struct DirectoryFixture {
-  explicit DirectoryFixture(bool has_slow_start) {
-    directory.SetSlowStart(has_slow_start);
-    directory.ReplaceAll({Listed("old", 1)});
-  }
-  static DiscoveredUpstream Listed(const std::string& id,
-                                   std::uint64_t start_id) {
-    DiscoveredUpstream listed;
-    listed.id = UpstreamId(id);
-    listed.service = ServiceName("s");
-    listed.start_id = start_id;
-    listed.slots = 8;
-    return listed;
-  }
-  bool IsStarting(const std::string& id) {
-    return directory.Find(UpstreamId(id))->slow_start != nullptr;
-  }
-  void Fail(const std::string& id, int times) {
-    for (int i = 0; i < times; ++i) directory.RecordFailure(UpstreamId(id));
-  }
-
-  briarspread::testing::ManualClock clock;
-  UpstreamDirectory directory{UpstreamDirectorySettings{}, Locality{}, clock};
-};
-
 TEST_CASE(
     "what has started or recovered is in slow start, what was there not") {
   DirectoryFixture d(true);
@@ -241,6 +260,7 @@
   ForwardFixture f;
   // With this many instances, the limit leaves room here only after seconds.
   std::vector<std::string> names;
+  names.reserve(400);
   for (int i = 0; i < 400; ++i) names.push_back("i" + std::to_string(i));
   f.directory.SetInstances(InstanceId("self"), names);
   f.directory.SetSlowStart(true);
