--- a/briarspread/batch/engine_view_cache.cc
+++ b/briarspread/batch/engine_view_cache.cc
@@ -94,9 +94,19 @@
   view.has_permit =
       context_.limiter.HasPermit(id, forward::RequestPurpose::kItem);
   view.is_same_region = engine.listed.locality.region == self_.locality.region;
-  view.event_interval = engine.event_interval;
+  view.event_interval = engine.ExpectedEventInterval(now_);
   view.is_interval_fresh = now_ - engine.interval_measured < kMaxIntervalAge;
+  if (engine.slow_start != nullptr) view.paced = PacedSlotsOf(engine);
   return view;
 }
 
+PacedSlots EngineViewCache::PacedSlotsOf(
+    const forward::KnownUpstream& engine) const {
+  // Only the instances that run items share the limit.
+  const InstanceShare share = peer_loads_.ShareOf(engine.listed.id, self_.name);
+  const SlowStart& limit = engine.slow_start->limit;
+  return {static_cast<std::uint32_t>(limit.LimitAt(now_)),
+          limit.AllowanceAt(now_, share)};
+}
+
 }  // namespace briarspread::batch
--- a/briarspread/batch/engine_view_cache.h
+++ b/briarspread/batch/engine_view_cache.h
@@ -45,6 +45,8 @@
   /// Sets what is used only where there are many engines.
   void SetConnection(const forward::KnownUpstream& engine,
                      EngineView& view) const;
+  /// Returns the limits of an engine that is in slow start.
+  PacedSlots PacedSlotsOf(const forward::KnownUpstream& engine) const;
   EngineView MakeView(const forward::KnownUpstream& engine,
                       const ModelName& model,
                       const forward::Service* service) const;
--- a/briarspread/batch/peer_engine_loads.cc
+++ b/briarspread/batch/peer_engine_loads.cc
@@ -2,7 +2,11 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <string>
 #include <utility>
+#include <vector>
+
+#include "briarspread/routing/slow_start.h"
 
 namespace briarspread::batch {
 
@@ -60,4 +64,15 @@
   }
 }
 
+InstanceShare PeerEngineLoads::ShareOf(const UpstreamId& engine,
+                                       const InstanceId& self) const {
+  std::vector<std::string> names{self.value()};
+  for (const auto& [peer, report] : reports_) {
+    if (peer == self || report.loads.empty()) continue;
+    if (clock_.Now() - report.received > time_to_live_) continue;
+    names.push_back(peer.value());
+  }
+  return RendezvousShare(engine.value(), names, 0);
+}
+
 }  // namespace briarspread::batch
--- a/briarspread/forward/upstream_directory.cc
+++ b/briarspread/forward/upstream_directory.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -12,19 +13,30 @@
 namespace briarspread::forward {
 namespace {
 
-std::optional<std::array<std::uint32_t, 3>> ParseTriple(std::string_view text) {
-  std::array<std::uint32_t, 3> parts{};
-  for (std::size_t i = 0; i < parts.size(); ++i) {
+/// The figures of a load header.
+struct LoadFigures {
+  std::uint32_t running = 0;
+  std::uint32_t queued = 0;
+  std::uint32_t slots = 0;
+  /// How long work takes in percent of the usual time; zero if not sent.
+  std::uint32_t slowness_percent = 0;
+};
+
+/// Parses three or four numbers that are separated by commas.
+std::optional<LoadFigures> ParseLoad(std::string_view text) {
+  std::array<std::uint32_t, 4> parts{};
+  std::size_t count = 0;
+  while (true) {
     const std::size_t comma = text.find(',');
     const auto n = proxy::ParseNumber(text.substr(0, comma));
-    const bool is_last = i + 1 == parts.size();
-    if (!n.has_value() || is_last != (comma == std::string_view::npos)) {
-      return std::nullopt;
-    }
-    parts[i] = static_cast<std::uint32_t>(*n);
-    if (!is_last) text.remove_prefix(comma + 1);
+    if (!n.has_value() || count == parts.size()) return std::nullopt;
+    parts[count++] = static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(*n, std::numeric_limits<std::uint32_t>::max()));
+    if (comma == std::string_view::npos) break;
+    text.remove_prefix(comma + 1);
   }
-  return parts;
+  if (count < 3) return std::nullopt;
+  return LoadFigures{parts[0], parts[1], parts[2], parts[3]};
 }
 
 }  // namespace
@@ -36,6 +48,33 @@
   return WeightVersion(0);
 }
 
+void KnownUpstream::RecordEventInterval(Duration taken, TimePoint now) {
+  /// The newest interval has a weight of 1 / `kAverageParts`.
+  constexpr int kAverageParts = 8;
+  const bool is_first = event_interval.count() == 0;
+  const double slowness = load.slowness.At(now);
+  event_interval =
+      is_first ? taken
+               : event_interval + (taken - event_interval) / kAverageParts;
+  slowness_at_measurement =
+      is_first ? slowness
+               : slowness_at_measurement +
+                     (slowness - slowness_at_measurement) / kAverageParts;
+  interval_measured = now;
+  if (slow_start != nullptr) {
+    slow_start->limit.OnEventInterval(event_interval, now);
+  }
+}
+
+Duration KnownUpstream::ExpectedEventInterval(TimePoint now) const {
+  // Without recent readings, the slowness is assumed to be that of the
+  // measurement.
+  const double change =
+      load.slowness.At(now, slowness_at_measurement) / slowness_at_measurement;
+  return std::chrono::duration_cast<Duration>(
+      change * std::chrono::duration<double, std::nano>(event_interval));
+}
+
 UpstreamDirectory::UpstreamDirectory(const UpstreamDirectorySettings& settings,
                                      const Locality& self, const Clock& clock)
     : settings_(settings),
@@ -54,6 +93,7 @@
   }
   Remove(missing);
   for (DiscoveredUpstream& upstream : listed) Insert(std::move(upstream));
+  has_listed_ = true;
   LOG(INFO) << "event=upstreams_listed upstreams=" << known_.size()
             << " gone=" << missing.size();
 }
@@ -108,8 +148,21 @@
   upstream.load.slots = listed.slots;
   upstream.listed = std::move(listed);
   const UpstreamId id = upstream.listed.id;
-  known_.insert_or_assign(id, std::move(upstream));
+  const auto added = known_.insert_or_assign(id, std::move(upstream)).first;
   table_.reset();
+  // What was there when this instance started may have run for long.
+  if (has_listed_ || IsRecentStart(added->second.listed)) {
+    BeginSlowStart(added->second, 0, "started");
+  }
+}
+
+bool UpstreamDirectory::IsRecentStart(const DiscoveredUpstream& listed) const {
+  const std::int64_t now_ms = std::chrono::duration_cast<milliseconds>(
+                                  clock_.WallNow().time_since_epoch())
+                                  .count();
+  const std::int64_t age_ms =
+      now_ms - static_cast<std::int64_t>(listed.start_id);
+  return age_ms >= 0 && milliseconds(age_ms) <= settings_.recent_start;
 }
 
 void UpstreamDirectory::SetLeaving(KnownUpstream& upstream) {
@@ -177,10 +230,11 @@
 void UpstreamDirectory::Drop(const UpstreamId& id) {
   const auto it = known_.find(id);
   if (it == known_.end()) return;
-  const DiscoveredUpstream listed = std::move(it->second.listed);
+  const DiscoveredUpstream listed = it->second.listed;
   LOG(INFO) << "event=upstream_gone upstream=" << id
             << " service=" << listed.service
             << " was_leaving=" << listed.is_leaving;
+  if (it->second.slow_start != nullptr) EndSlowStart(it->second);
   known_.erase(it);
   table_.reset();
   if (on_removed_) on_removed_(listed);
@@ -188,6 +242,7 @@
 
 void UpstreamDirectory::DropExpired() {
   departures_.DropOld();
+  for (auto& [id, upstream] : known_) EndSlowStartIfDone(upstream);
   std::vector<UpstreamId> expired;
   for (const auto& [id, upstream] : known_) {
     if (upstream.expires.has_value() && clock_.Now() >= *upstream.expires) {
@@ -219,7 +274,7 @@
         listed.software};
     views.push_back(UpstreamView{std::move(row), upstream.load,
                                  upstream.counters, InstanceShare{},
-                                 upstream.breaker});
+                                 upstream.breaker, upstream.slow_start});
   }
   for (const auto& [service, n] : live) quotas_[service]->SetLimit(n / 2);
   table_ = MakeRoutingTable(std::move(views), self_, links_);
@@ -233,14 +288,18 @@
 void UpstreamDirectory::UpdateLoad(const UpstreamId& id,
                                    const std::string& text) {
   KnownUpstream* upstream = Find(id);
-  const auto parts = ParseTriple(text);
-  if (upstream == nullptr || !parts.has_value()) return;
+  const auto figures = ParseLoad(text);
+  if (upstream == nullptr || !figures.has_value()) return;
   LoadReport& load = upstream->load;
-  load.running = (*parts)[0];
-  load.queued = (*parts)[1];
-  if ((*parts)[2] > 0) load.slots = (*parts)[2];
+  load.running = figures->running;
+  load.queued = figures->queued;
+  if (figures->slots > 0) load.slots = figures->slots;
+  load.slowness.Record(figures->slowness_percent, clock_.Now());
   load.received = clock_.Now();
   load.own_in_flight = upstream->counters->in_flight.load();
+  if (upstream->slow_start != nullptr) {
+    upstream->slow_start->limit.OnReport(load);
+  }
   const auto it = table_index_.find(id);
   if (table_ != nullptr && it != table_index_.end()) {
     table_->upstreams[it->second].load = load;
@@ -268,15 +327,124 @@
 }
 
 void UpstreamDirectory::RecordSuccess(const UpstreamId& id) {
-  if (KnownUpstream* upstream = Find(id)) {
-    upstream->breaker->OnSuccess(clock_.Now());
+  KnownUpstream* upstream = Find(id);
+  if (upstream == nullptr) return;
+  const bool was_open = upstream->breaker->is_open();
+  upstream->breaker->OnSuccess(clock_.Now());
+  if (was_open && !upstream->breaker->is_open()) {
+    BeginSlowStart(*upstream, 0, "recovered");
+  } else {
+    RecordGoodResponse(*upstream);
   }
 }
 
 void UpstreamDirectory::RecordFailure(const UpstreamId& id) {
   if (KnownUpstream* upstream = Find(id)) {
     upstream->breaker->OnFailure(clock_.Now());
+    if (upstream->slow_start != nullptr) {
+      upstream->slow_start->limit.OnRefusal(clock_.Now());
+    }
+  }
+}
+
+// --- Slow start
+
+void UpstreamDirectory::RecordRefusal(const UpstreamId& id) {
+  KnownUpstream* upstream = Find(id);
+  if (upstream == nullptr || upstream->listed.is_leaving) return;
+  if (upstream->slow_start != nullptr) {
+    upstream->slow_start->limit.OnRefusal(clock_.Now());
+    return;
+  }
+  // It ran the requests of its last report, so half as many are a safe begin.
+  const double limit = upstream->load.running / 2.0;
+  BeginSlowStart(*upstream, std::max(1.0, limit), "refused");
+}
+
+void UpstreamDirectory::RecordFirstEvent(const UpstreamId& id) {
+  if (KnownUpstream* upstream = Find(id)) RecordGoodResponse(*upstream);
+}
+
+void UpstreamDirectory::RecordGoodResponse(KnownUpstream& upstream) {
+  if (upstream.slow_start == nullptr) return;
+  upstream.slow_start->limit.OnGoodResponse(upstream.slow_start->share.count,
+                                            clock_.Now());
+  EndSlowStartIfDone(upstream);
+}
+
+void UpstreamDirectory::BeginSlowStart(KnownUpstream& upstream, double limit,
+                                       std::string_view reason) {
+  if (!has_slow_start_ || upstream.listed.is_leaving) return;
+  if (upstream.slow_start != nullptr) EndSlowStart(upstream);
+  ++slow_starts_;
+  const std::uint32_t slots = std::max(1U, upstream.load.slots);
+  const UpstreamId& id = upstream.listed.id;
+  upstream.slow_start = std::make_shared<PacedUpstream>(
+      PacedUpstream{SlowStart(settings_.slow_start, slots, limit, clock_.Now()),
+                    ShareOf(id)});
+  LOG(INFO) << "event=slow_start_began upstream=" << id << " reason=" << reason
+            << " limit=" << upstream.slow_start->limit.LimitAt(clock_.Now())
+            << " slots=" << slots
+            << " instances=" << upstream.slow_start->share.count;
+  PublishSlowStart(upstream);
+}
+
+void UpstreamDirectory::EndSlowStart(KnownUpstream& upstream) {
+  const PacedUpstream& paced = *upstream.slow_start;
+  const TimePoint now = clock_.Now();
+  LOG(INFO) << "event=slow_start_ended upstream=" << upstream.listed.id
+            << " limit=" << paced.limit.LimitAt(now) << " ms="
+            << std::chrono::duration_cast<milliseconds>(now -
+                                                        paced.limit.began())
+                   .count()
+            << " held_back=" << paced.held_back;
+  held_back_before_ += paced.held_back;
+  --slow_starts_;
+  upstream.slow_start.reset();
+  PublishSlowStart(upstream);
+}
+
+void UpstreamDirectory::EndSlowStartIfDone(KnownUpstream& upstream) {
+  if (upstream.slow_start == nullptr) return;
+  if (upstream.slow_start->limit.HasEnded(clock_.Now())) {
+    EndSlowStart(upstream);
+  }
+}
+
+void UpstreamDirectory::PublishSlowStart(const KnownUpstream& upstream) {
+  const auto it = table_index_.find(upstream.listed.id);
+  if (table_ != nullptr && it != table_index_.end()) {
+    table_->upstreams[it->second].slow_start = upstream.slow_start;
+  }
+}
+
+void UpstreamDirectory::SetInstances(const InstanceId& self,
+                                     std::vector<std::string> names) {
+  if (std::find(names.begin(), names.end(), self.value()) == names.end()) {
+    names.push_back(self.value());
+  }
+  instances_ = std::move(names);
+  self_index_ = static_cast<std::size_t>(
+      std::find(instances_.begin(), instances_.end(), self.value()) -
+      instances_.begin());
+  for (auto& [id, upstream] : known_) {
+    if (upstream.slow_start != nullptr) {
+      upstream.slow_start->share = ShareOf(id);
+    }
+  }
+}
+
+InstanceShare UpstreamDirectory::ShareOf(const UpstreamId& id) const {
+  if (instances_.empty()) return InstanceShare{};
+  return RendezvousShare(id.value(), instances_, self_index_);
+}
+
+std::uint64_t UpstreamDirectory::held_back() const {
+  std::uint64_t n = held_back_before_;
+  for (const auto& [id, upstream] : known_) {
+    if (upstream.slow_start != nullptr) n += upstream.slow_start->held_back;
   }
+  return n;
 }
 
 }  // namespace briarspread::forward
--- a/briarspread/routing/routing_table.h
+++ b/briarspread/routing/routing_table.h
@@ -11,6 +11,8 @@
 #include "briarspread/core/upstream.h"
 #include "briarspread/routing/circuit_breaker.h"
 #include "briarspread/routing/routing_index.h"
+#include "briarspread/routing/slow_start.h"
+#include "briarspread/routing/slowness_estimate.h"
 
 namespace briarspread {
 
@@ -32,6 +34,9 @@
   std::uint32_t own_in_flight = 0;
   /// Number of rollouts among `own_in_flight`.
   std::uint32_t own_rollouts = 0;
+  /// How long work takes on the upstream's machine; normal where the upstream
+  /// does not report it.
+  SlownessEstimate slowness{};
 };
 
 /// This instance's counters for one upstream, shared by all routing tables that
@@ -46,8 +51,9 @@
   /// Whether the upstream accepts no requests, as shown by a refusal or a
   /// failed health check.
   std::atomic<bool> refuses_work{false};
-  /// Moving average of the duration of an exchange, in microseconds; zero
-  /// before the first exchange has ended.
+  /// Moving average of the duration of an exchange, in microseconds, at the
+  /// usual speed of the upstream's machine; zero before the first exchange has
+  /// ended.
   std::atomic<std::uint32_t> service_time_us{0};
 };
 
@@ -60,6 +66,15 @@
   std::uint32_t count = 1;
 };
 
+/// The slow start of an upstream, as routing sees it. Not thread-safe.
+struct PacedUpstream {
+  SlowStart limit;
+  /// This instance's rank among the instances that use the upstream.
+  InstanceShare share;
+  /// Number of routing decisions in which the limit kept a request away.
+  std::uint64_t held_back = 0;
+};
+
 /// What this instance knows about one upstream.
 struct UpstreamView {
   /// The upstream's entry in the instance list.
@@ -72,6 +87,9 @@
   InstanceShare share = {};
   /// The upstream's circuit breaker; null if it has none.
   std::shared_ptr<CircuitBreaker> breaker = nullptr;
+  /// The upstream's slow start; null if it is not in one. A table with slow
+  /// starts must be used on one thread only.
+  std::shared_ptr<PacedUpstream> slow_start = nullptr;
   /// Estimated load, as a fraction of the slots, when the table was built; set
   /// by `MakeRoutingTable`.
   double published_load = 0;
--- a/briarspread/routing/two_choices_router.cc
+++ b/briarspread/routing/two_choices_router.cc
@@ -98,6 +98,10 @@
   /// Fraction of the slots that the request must leave free; zero for live
   /// requests.
   double reserve = 0;
+  /// Whether the limits of slow starts are ignored.
+  bool ignores_slow_start = false;
+  /// Whether a slow start kept the request from an upstream that it could use.
+  mutable bool was_held_back = false;
 
   const UpstreamView& At(std::uint32_t index) const {
     return table.upstreams[index];
@@ -111,8 +115,23 @@
     if (upstream.breaker != nullptr && !upstream.breaker->Allows(now)) {
       return false;
     }
-    return !request.is_rollout || HasRolloutQuota(upstream);
+    if (request.is_rollout && !HasRolloutQuota(upstream)) return false;
+    return ignores_slow_start || IsWithinSlowStart(upstream);
   }
+  bool IsWithinSlowStart(const UpstreamView& upstream) const {
+    if (upstream.slow_start == nullptr) return true;
+    PacedUpstream& paced = *upstream.slow_start;
+    if (upstream.counters->in_flight.load() <
+        paced.limit.AllowanceAt(now, paced.share)) {
+      return true;
+    }
+    was_held_back = true;
+    ++paced.held_back;
+    return false;
+  }
+  /// Returns whether a request is expected to complete sooner at `a` than at
+  /// `b`; compares the loads alone where both machines are equally fast.
+  bool CompletesSooner(const Candidate& a, const Candidate& b) const;
   bool HasRolloutQuota(const UpstreamView& upstream) const {
     const std::uint64_t name_hash = StableHash(upstream.listed.name);
     const std::uint32_t slots = LoadEstimate(upstream).Slots();
@@ -147,6 +166,14 @@
   double load = 0;
 };
 
+bool TwoChoicesRouter::Context::CompletesSooner(const Candidate& a,
+                                                const Candidate& b) const {
+  const LoadEstimate load_a(At(a.index));
+  const LoadEstimate load_b(At(b.index));
+  if (load_a.Slowness(now) == load_b.Slowness(now)) return a.load < b.load;
+  return load_a.CompletionCost(now) < load_b.CompletionCost(now);
+}
+
 TwoChoicesRouter::TwoChoicesRouter(const TwoChoicesSettings& settings,
                                    RandomSource& random, const Clock& clock,
                                    const CacheHints* hints)
@@ -174,6 +201,18 @@
 }
 
 std::optional<TwoChoicesRouter::Candidate> TwoChoicesRouter::ChooseOnce(
+    Context& context) {
+  context.ignores_slow_start = context.request.ignores_slow_start;
+  context.was_held_back = false;
+  const auto chosen = ChooseNearest(context);
+  const bool has_room =
+      chosen.has_value() && chosen->load < settings_.slow_start_override_load;
+  if (has_room || !context.was_held_back) return chosen;
+  context.ignores_slow_start = true;
+  return ChooseNearest(context);
+}
+
+std::optional<TwoChoicesRouter::Candidate> TwoChoicesRouter::ChooseNearest(
     const Context& context) {
   if (!context.rules.pins.empty()) {
     const auto pin = context.rules.PinOf(context.request.request_class);
@@ -318,7 +357,7 @@
   const auto second = SampleUsable(context, group, first);
   if (!second.has_value()) return candidate;
   const Candidate other{*second, context.LoadAt(*second)};
-  return other.load < candidate.load ? other : candidate;
+  return context.CompletesSooner(other, candidate) ? other : candidate;
 }
 
 std::optional<std::uint32_t> TwoChoicesRouter::SampleUsable(
