--- /dev/null
+++ b/briarspread/core/memory_budget.cc
@@ -0,0 +1,94 @@
+#include "briarspread/core/memory_budget.h"
+
+#include <cassert>
+#include <utility>
+
+namespace briarspread {
+
+std::string_view ToString(MemoryHolder holder) {
+  switch (holder) {
+    case MemoryHolder::kConnections:
+      return "connections";
+    case MemoryHolder::kRequests:
+      return "requests";
+    case MemoryHolder::kSubmissions:
+      return "submissions";
+    case MemoryHolder::kResponses:
+      return "responses";
+  }
+  return "unknown";
+}
+
+std::size_t MemoryBudget::CeilingOf(MemoryPriority priority) const {
+  switch (priority) {
+    case MemoryPriority::kBulk:
+      return limit_ / 4 * 3;
+    case MemoryPriority::kOrdinary:
+      return limit_ / 8 * 7;
+    case MemoryPriority::kEssential:
+      return limit_;
+  }
+  return limit_;
+}
+
+std::map<std::string, std::uint64_t> MemoryBudget::UsedByHolder() const {
+  std::map<std::string, std::uint64_t> used;
+  for (std::size_t i = 0; i < kMemoryHolders; ++i) {
+    used[std::string(ToString(static_cast<MemoryHolder>(i)))] = by_holder_[i];
+  }
+  return used;
+}
+
+bool MemoryBudget::TryAdd(MemoryHolder holder, std::size_t n,
+                          MemoryPriority priority) {
+  const std::size_t ceiling = CeilingOf(priority);
+  if (used_ > ceiling || n > ceiling - used_) return false;
+  Add(holder, n);
+  return true;
+}
+
+void MemoryBudget::Add(MemoryHolder holder, std::size_t n) {
+  used_ += n;
+  by_holder_[static_cast<std::size_t>(holder)] += n;
+}
+
+void MemoryBudget::Subtract(MemoryHolder holder, std::size_t n) {
+  assert(used(holder) >= n);
+  used_ -= n;
+  by_holder_[static_cast<std::size_t>(holder)] -= n;
+}
+
+MemoryReservation::MemoryReservation(MemoryReservation&& other) noexcept
+    : budget_(other.budget_),
+      holder_(other.holder_),
+      bytes_(std::exchange(other.bytes_, 0)) {}
+
+MemoryReservation& MemoryReservation::operator=(
+    MemoryReservation&& other) noexcept {
+  if (this == &other) return *this;
+  Release();
+  budget_ = other.budget_;
+  holder_ = other.holder_;
+  bytes_ = std::exchange(other.bytes_, 0);
+  return *this;
+}
+
+bool MemoryReservation::TryGrowTo(std::size_t total, MemoryPriority priority) {
+  if (total <= bytes_) return true;
+  if (budget_ != nullptr &&
+      !budget_->TryAdd(holder_, total - bytes_, priority)) {
+    return false;
+  }
+  bytes_ = total;
+  return true;
+}
+
+void MemoryReservation::Set(std::size_t total) {
+  if (budget_ != nullptr) {
+    if (total > bytes_) budget_->Add(holder_, total - bytes_);
+    if (total < bytes_) budget_->Subtract(holder_, bytes_ - total);
+  }
+  bytes_ = total;
+}
+
+}  // namespace briarspread
