--- a/briarspread/core/memory_budget.cc
+++ b/briarspread/core/memory_budget.cc
@@ -34,32 +34,20 @@
 std::map<std::string, std::uint64_t> MemoryBudget::UsedByHolder() const {
   std::map<std::string, std::uint64_t> used;
   for (std::size_t i = 0; i < kMemoryHolders; ++i) {
-    used[std::string(ToString(static_cast<MemoryHolder>(i)))] = by_holder_[i];
+    used[std::string(ToString(static_cast<MemoryHolder>(i)))] =
+        usage_->by_holder[i];
   }
   return used;
 }
 
-bool MemoryBudget::TryAdd(MemoryHolder holder, std::size_t n,
-                          MemoryPriority priority) {
+bool MemoryBudget::HasRoom(std::size_t n, MemoryPriority priority) const {
   const std::size_t ceiling = CeilingOf(priority);
-  if (used_ > ceiling || n > ceiling - used_) return false;
-  Add(holder, n);
-  return true;
-}
-
-void MemoryBudget::Add(MemoryHolder holder, std::size_t n) {
-  used_ += n;
-  by_holder_[static_cast<std::size_t>(holder)] += n;
-}
-
-void MemoryBudget::Subtract(MemoryHolder holder, std::size_t n) {
-  assert(used(holder) >= n);
-  used_ -= n;
-  by_holder_[static_cast<std::size_t>(holder)] -= n;
+  return used() <= ceiling && n <= ceiling - used();
 }
 
 MemoryReservation::MemoryReservation(MemoryReservation&& other) noexcept
     : budget_(other.budget_),
+      usage_(other.usage_),
       holder_(other.holder_),
       bytes_(std::exchange(other.bytes_, 0)) {}
 
@@ -68,6 +56,7 @@
   if (this == &other) return *this;
   Release();
   budget_ = other.budget_;
+  usage_ = other.usage_;
   holder_ = other.holder_;
   bytes_ = std::exchange(other.bytes_, 0);
   return *this;
@@ -75,18 +64,19 @@
 
 bool MemoryReservation::TryGrowTo(std::size_t total, MemoryPriority priority) {
   if (total <= bytes_) return true;
-  if (budget_ != nullptr &&
-      !budget_->TryAdd(holder_, total - bytes_, priority)) {
+  if (budget_ != nullptr && !budget_->HasRoom(total - bytes_, priority)) {
     return false;
   }
-  bytes_ = total;
+  Set(total);
   return true;
 }
 
 void MemoryReservation::Set(std::size_t total) {
-  if (budget_ != nullptr) {
-    if (total > bytes_) budget_->Add(holder_, total - bytes_);
-    if (total < bytes_) budget_->Subtract(holder_, bytes_ - total);
+  if (usage_ != nullptr) {
+    std::size_t& held = usage_->by_holder[static_cast<std::size_t>(holder_)];
+    assert(held >= bytes_);
+    held = held - bytes_ + total;
+    usage_->total = usage_->total - bytes_ + total;
   }
   bytes_ = total;
 }
--- a/briarspread/core/memory_budget.h
+++ b/briarspread/core/memory_budget.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -40,19 +41,20 @@
 class MemoryBudget final {
  public:
   /// Precondition: `limit` is above zero.
-  explicit MemoryBudget(std::size_t limit) : limit_(limit) {}
+  explicit MemoryBudget(std::size_t limit)
+      : limit_(limit), usage_(std::make_shared<Usage>()) {}
   MemoryBudget(const MemoryBudget&) = delete;
   MemoryBudget& operator=(const MemoryBudget&) = delete;
 
   std::size_t limit() const { return limit_; }
-  std::size_t used() const { return used_; }
+  std::size_t used() const { return usage_->total; }
   std::size_t used(MemoryHolder holder) const {
-    return by_holder_[static_cast<std::size_t>(holder)];
+    return usage_->by_holder[static_cast<std::size_t>(holder)];
   }
   /// Returns the bytes up to which reservations of this priority succeed.
   std::size_t CeilingOf(MemoryPriority priority) const;
   /// Whether work that has begun should buffer as little as it can.
-  bool IsTight() const { return used_ > limit_ / 2; }
+  bool IsTight() const { return used() > limit_ / 2; }
 
   /// Counts something that was rejected, closed or delayed for want of memory
   /// or connections.
@@ -67,13 +69,17 @@
  private:
   friend class MemoryReservation;
 
-  bool TryAdd(MemoryHolder holder, std::size_t n, MemoryPriority priority);
-  void Add(MemoryHolder holder, std::size_t n);
-  void Subtract(MemoryHolder holder, std::size_t n);
+  /// Shared with the reservations, because operations that the event loop
+  /// still holds may outlive the budget.
+  struct Usage {
+    std::size_t total = 0;
+    std::array<std::size_t, kMemoryHolders> by_holder{};
+  };
+
+  bool HasRoom(std::size_t n, MemoryPriority priority) const;
 
   const std::size_t limit_;
-  std::size_t used_ = 0;
-  std::array<std::size_t, kMemoryHolders> by_holder_{};
+  const std::shared_ptr<Usage> usage_;
   std::map<std::string, std::uint64_t> refusals_;
 };
 
@@ -81,11 +87,13 @@
 /// Not thread-safe.
 class MemoryReservation final {
  public:
-  /// A reservation without a budget has no limit. Precondition: `budget` is
-  /// null or outlives this object.
-  explicit MemoryReservation(MemoryBudget* budget = nullptr,
+  /// A reservation without a budget has no limit. It may outlive the budget,
+  /// but must not grow then.
+  explicit MemoryReservation(const MemoryBudget* budget = nullptr,
                              MemoryHolder holder = MemoryHolder::kConnections)
-      : budget_(budget), holder_(holder) {}
+      : budget_(budget),
+        usage_(budget == nullptr ? nullptr : budget->usage_),
+        holder_(holder) {}
   ~MemoryReservation() { Release(); }
   MemoryReservation(MemoryReservation&& other) noexcept;
   MemoryReservation& operator=(MemoryReservation&& other) noexcept;
@@ -100,7 +108,8 @@
   std::size_t bytes() const { return bytes_; }
 
  private:
-  MemoryBudget* budget_;
+  const MemoryBudget* budget_;
+  std::shared_ptr<MemoryBudget::Usage> usage_;
   MemoryHolder holder_;
   std::size_t bytes_ = 0;
 };
--- a/briarspread/forward/forward_context.h
+++ b/briarspread/forward/forward_context.h
@@ -5,6 +5,7 @@
 
 #include "briarspread/accounts/usage_recorder.h"
 #include "briarspread/core/clock.h"
+#include "briarspread/core/memory_budget.h"
 #include "briarspread/core/random_source.h"
 #include "briarspread/forward/configuration.h"
 #include "briarspread/forward/crash_guard.h"
@@ -37,6 +38,8 @@
   StreamOrigins& stream_origins;
   /// Receives the usage of client accounts; null if it is not recorded.
   accounts::UsageRecorder* usage = nullptr;
+  /// The budget for buffered bytes; null for no limit.
+  MemoryBudget* memory = nullptr;
 };
 
 /// Records what the head of an upstream's response, to a request sent at
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -22,21 +22,24 @@
                          ResponseSink& sink)
     : context_(context),
       spec_(std::move(spec)),
+      request_(
+          std::make_shared<const proxy::Request>(std::move(spec_.request))),
       sink_(sink),
       policy_(AttemptSettings{}, spec_.route.is_idempotent(),
               spec_.route.max_attempts),
       chooser_(context, spec_.route.is_idempotent(), spec_.deadline),
       timer_(context.loop),
+      response_memory_(context.memory, MemoryHolder::kResponses),
       events_("") {
   if (spec_.route.kind == RouteKind::kStream && spec_.route.is_resumable) {
     relay_.emplace(
-        spec_.request.head.headers.FindNumber(context_.headers.last_event_id));
+        request_->head.headers.FindNumber(context_.headers.last_event_id));
   }
 }
 
 std::string_view LiveRequest::AttemptId() const {
   const std::string* id =
-      spec_.request.head.headers.Find(context_.headers.attempt_id);
+      request_->head.headers.Find(context_.headers.attempt_id);
   return id == nullptr ? std::string_view{"-"} : std::string_view{*id};
 }
 
@@ -52,7 +55,7 @@
 
 void LiveRequest::FindOrigin() {
   const std::string* resumed =
-      spec_.request.head.headers.Find(context_.headers.resumed_attempt);
+      request_->head.headers.Find(context_.headers.resumed_attempt);
   if (resumed == nullptr) {
     Refuse("origin_not_named");
     return;
@@ -93,9 +96,9 @@
   return permit_waiter_ != nullptr;
 }
 
-std::string LiveRequest::SerializeRequest(const UpstreamId& upstream,
-                                          milliseconds left) const {
-  proxy::RequestHead head = spec_.request.head;
+std::string LiveRequest::SerializeRequestHead(const UpstreamId& upstream,
+                                              milliseconds left) const {
+  proxy::RequestHead head = request_->head;
   head.headers.RemoveHopByHop();
   head.headers.Set(context_.headers.deadline, std::to_string(left.count()));
   head.headers.Set(context_.headers.expected_upstream, upstream.value());
@@ -103,13 +106,13 @@
     head.headers.Set(context_.headers.last_event_id,
                      std::to_string(*relay_->last_event_id()));
   }
-  return proxy::Serialize(head, spec_.request.body);
+  return proxy::SerializeHead(head, request_->body.size());
 }
 
 bool LiveRequest::CanBeSent() const {
   const CrashGuard& crash_guard = context_.crash_guard;
   return !spec_.may_be_suspected || !crash_guard.has_suspects() ||
-         !crash_guard.ShouldRefuse(FingerprintOf(spec_.request));
+         !crash_guard.ShouldRefuse(FingerprintOf(*request_));
 }
 
 void LiveRequest::StartAttempt() {
@@ -146,7 +149,7 @@
 
 void LiveRequest::LogResumption(const DiscoveredUpstream& upstream) const {
   const std::string* resumed =
-      spec_.request.head.headers.Find(context_.headers.resumed_attempt);
+      request_->head.headers.Find(context_.headers.resumed_attempt);
   LOG(INFO) << "event=stream_resumed request=" << AttemptId()
             << " upstream=" << upstream.id << " software=" << upstream.software
             << " after_event=" << *relay_->last_event_id()
@@ -169,14 +172,16 @@
         SecondsOf(attempt_started_ - spec_.arrived));
   }
   response_ = {};
+  response_memory_.Release();
   is_forwarding_body_ = false;
   proxy::ExchangeRequest request;
   const milliseconds left = TimeLeft();
   request.to = upstream->listed.endpoint;
-  request.bytes = SerializeRequest(chosen, left);
-  request.is_head_request = spec_.request.head.method == "HEAD";
+  request.bytes = SerializeRequestHead(chosen, left);
+  request.body = std::shared_ptr<const std::string>(request_, &request_->body);
+  request.is_head_request = request_->head.method == "HEAD";
   const std::string* attempt_id =
-      spec_.request.head.headers.Find(context_.headers.attempt_id);
+      request_->head.headers.Find(context_.headers.attempt_id);
   if (attempt_id != nullptr) {
     request.echo_name = context_.headers.attempt_id;
     request.echo_value = *attempt_id;
@@ -230,7 +235,7 @@
   if (failure.verdict == Verdict::kMayHaveRun) RecordUsage();
   if (failure.verdict == Verdict::kMayHaveRun && spec_.may_be_suspected) {
     context_.crash_guard.RecordBrokenExchange(*upstream_,
-                                              FingerprintOf(spec_.request));
+                                              FingerprintOf(*request_));
   }
   ++context_.metrics.faults[std::string(ToString(failure.fault))];
   context_.upstreams.RecordFailure(*upstream_, failure);
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -113,8 +113,8 @@
   /// Waits for a permit for an upstream of `service`. Returns false if none is
   /// to be had soon enough.
   bool WaitForPermit(const ServiceName& service);
-  std::string SerializeRequest(const UpstreamId& upstream,
-                               milliseconds left) const;
+  std::string SerializeRequestHead(const UpstreamId& upstream,
+                                   milliseconds left) const;
   bool CanBeSent() const;
   std::string_view AttemptId() const;
   void RecordResponse(int status);
@@ -129,6 +129,11 @@
   /// Passes part of the body on, and pauses reading from the upstream while too
   /// many bytes are unsent.
   void ForwardBody(std::string_view data);
+  /// Passes part of the body on and records its progress.
+  void PassOn(std::string_view data);
+  /// Returns a limit on buffered bytes: the usual one, or a lower one while
+  /// little memory is free.
+  std::size_t LimitBytes(std::size_t usual) const;
   void AbortResponse();
   void OnStreamEnd();
   /// Ends an attempt whose response exceeds the buffer but must not be passed
@@ -158,7 +163,10 @@
   bool ContinuesStream(const proxy::ResponseHead& head) const;
 
   ForwardContext& context_;
+  /// Its `request` is empty.
   LiveRequestSpec spec_;
+  /// Shared with the exchanges that send its body.
+  const std::shared_ptr<const proxy::Request> request_;
   ResponseSink& sink_;
   AttemptPolicy policy_;
   UpstreamChooser chooser_;
@@ -178,6 +186,7 @@
   std::optional<TimePoint> permit_deadline_;
   bool is_usage_recorded_ = false;
   proxy::Response response_;
+  MemoryReservation response_memory_;
   /// An upstream's error response, passed on if no retry succeeds.
   std::optional<proxy::Response> error_response_;
   std::uint32_t upstream_errors_ = 0;
--- a/briarspread/forward/live_response.cc
+++ b/briarspread/forward/live_response.cc
@@ -16,9 +16,17 @@
 constexpr std::size_t kMaxBufferedBytes = std::size_t{256} * 1024;
 /// Number of unsent bytes above which reading from the upstream is paused.
 constexpr std::size_t kMaxUnsentBytes = std::size_t{256} * 1024;
+/// Both limits while little memory is free.
+constexpr std::size_t kMaxTightBytes = std::size_t{32} * 1024;
 
 }  // namespace
 
+std::size_t LiveRequest::LimitBytes(std::size_t usual) const {
+  const bool is_tight =
+      context_.memory != nullptr && context_.memory->IsTight();
+  return is_tight ? kMaxTightBytes : usual;
+}
+
 bool LiveRequest::IsUnsigned(const proxy::ResponseHead& head) const {
   return proxy::IsSuccess(head.status) && !context_.headers.signature.empty() &&
          head.headers.Find(context_.headers.signature) == nullptr;
@@ -60,14 +68,22 @@
 void LiveRequest::OnBody(std::string_view data) {
   if (!is_forwarding_body_) {
     response_.body.append(data);
-    if (response_.body.size() <= kMaxBufferedBytes) return;
+    response_memory_.Set(response_.body.size());
+    if (response_.body.size() <= LimitBytes(kMaxBufferedBytes)) return;
     if (!CanForwardResponse()) {
       AbortUnusableResponse();
       return;
     }
     StartStreaming();
-    data = response_.body;
+    const std::string begin = std::exchange(response_.body, {});
+    response_memory_.Release();
+    PassOn(begin);
+    return;
   }
+  PassOn(data);
+}
+
+void LiveRequest::PassOn(std::string_view data) {
   if (!relay_.has_value()) {
     UpdateProgress(data);
     ForwardBody(data);
@@ -148,7 +164,7 @@
   LOG(INFO) << "event=stream_began request=" << AttemptId()
             << " upstream=" << *upstream_ << " software=" << attempt_software_;
   const std::string* id =
-      spec_.request.head.headers.Find(context_.headers.attempt_id);
+      request_->head.headers.Find(context_.headers.attempt_id);
   if (id == nullptr || attempt_software_.value().empty()) return;
   context_.stream_origins.Record(forward::AttemptId(*id), attempt_software_);
 }
@@ -156,7 +172,7 @@
 void LiveRequest::ForwardBody(std::string_view data) {
   sink_.OnResponseBody(data);
   if (self_ != nullptr && exchange_ != nullptr &&
-      sink_.unsent() > kMaxUnsentBytes) {
+      sink_.unsent() > LimitBytes(kMaxUnsentBytes)) {
     exchange_->SetPaused(true);
   }
 }
@@ -189,7 +205,7 @@
   context_.directory.RecordSuccess(*upstream_);
   UpdateServiceTime();
   if (context_.crash_guard.has_suspects()) {
-    context_.crash_guard.RecordCompleteResponse(FingerprintOf(spec_.request));
+    context_.crash_guard.RecordCompleteResponse(FingerprintOf(*request_));
   }
   if (status == 500) ++upstream_errors_;
   const bool may_differ = status >= 500 && spec_.route.is_idempotent();
--- a/briarspread/forward/relayed_exchange.cc
+++ b/briarspread/forward/relayed_exchange.cc
@@ -59,6 +59,7 @@
                 "&start=" + std::to_string(spec_.upstream.start_id) +
                 "&request=" + proxy::EncodeParameter(spec_.request.echo_value);
   call.body = spec_.request.bytes;
+  if (spec_.request.body != nullptr) call.body += *spec_.request.body;
   call.timeout = spec_.request.timeout;
   return call;
 }
--- a/briarspread/proxy/http_message.cc
+++ b/briarspread/proxy/http_message.cc
@@ -163,16 +163,22 @@
   for (const std::string_view name : kHopByHop) Remove(name);
 }
 
-std::string Serialize(const RequestHead& head, std::string_view body) {
+std::string SerializeHead(const RequestHead& head, std::size_t body_bytes) {
   std::string out;
-  out.reserve(256 + body.size());
+  out.reserve(256);
   out.append(head.method).append(" ").append(head.target);
   out.append(" HTTP/1.1\r\n");
   AppendLines(out, head.headers);
-  if (!body.empty() || (head.method != "GET" && head.method != "HEAD")) {
-    AppendLength(out, body.size());
+  if (body_bytes > 0 || (head.method != "GET" && head.method != "HEAD")) {
+    AppendLength(out, body_bytes);
   }
-  out.append("\r\n").append(body);
+  out.append("\r\n");
+  return out;
+}
+
+std::string Serialize(const RequestHead& head, std::string_view body) {
+  std::string out = SerializeHead(head, body.size());
+  out.append(body);
   return out;
 }
 
--- a/briarspread/proxy/http_message.h
+++ b/briarspread/proxy/http_message.h
@@ -1,12 +1,14 @@
 #ifndef BRIARSPREAD_PROXY_HTTP_MESSAGE_H_
 #define BRIARSPREAD_PROXY_HTTP_MESSAGE_H_
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "briarspread/core/clock.h"
+#include "briarspread/core/memory_budget.h"
 
 namespace briarspread::proxy {
 
@@ -73,6 +75,9 @@
 struct Request {
   RequestHead head;
   std::string body;
+  /// The reservation for the body's bytes, held as long as the body; null if
+  /// there is none.
+  std::shared_ptr<MemoryReservation> memory = nullptr;
 };
 
 /// A complete response.
@@ -87,6 +92,8 @@
 /// Returns the bytes of a request whose body is delimited by `Content-Length`.
 /// Thread-safe.
 std::string Serialize(const RequestHead& head, std::string_view body);
+/// Returns the bytes of such a request's head. Thread-safe.
+std::string SerializeHead(const RequestHead& head, std::size_t body_bytes);
 /// Returns the bytes of a response's head. `length` is the body's size in
 /// bytes, used with `Framing::kLength` only. Thread-safe.
 std::string SerializeHead(const ResponseHead& head, Framing framing,
--- a/briarspread/proxy/message_reader.cc
+++ b/briarspread/proxy/message_reader.cc
@@ -1,9 +1,19 @@
 #include "briarspread/proxy/message_reader.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
 namespace briarspread::proxy {
+namespace {
+
+/// Size of a body above which memory for the rest of it is allocated at once.
+constexpr std::size_t kLargeBodyBytes = std::size_t{128} * 1024;
+/// Memory of a header line beyond its characters: the object, and the spare
+/// part of the growing list.
+constexpr std::size_t kLineOverheadBytes = 3 * sizeof(Header);
+
+}  // namespace
 
 MessageReader::MessageReader(Kind kind, const ReadLimits& limits)
     : kind_(kind), limits_(limits) {
@@ -105,6 +115,22 @@
   return kind_ == Kind::kRequest ? request_.headers : response_.headers;
 }
 
+std::size_t MessageReader::head_memory() const {
+  const auto& lines = kind_ == Kind::kRequest ? request_.headers.lines()
+                                              : response_.headers.lines();
+  return head_bytes_ + lines.size() * kLineOverheadBytes;
+}
+
+void MessageReader::ReserveBody(std::size_t n) {
+  const std::size_t size = body_.size() + n;
+  if (size <= kLargeBodyBytes || size <= body_.capacity()) return;
+  const bool has_length = (parser_.flags & F_CONTENTLENGTH) != 0;
+  // The parser counts down the bytes that are still to come.
+  const std::size_t all =
+      has_length ? size + parser_.content_length : limits_.max_body_bytes;
+  body_.reserve(std::max(size, std::min(all, limits_.max_body_bytes)));
+}
+
 void MessageReader::FlushLine() {
   if (!line_.name.empty()) {
     headers().Add(std::move(line_.name), std::move(line_.value));
@@ -160,6 +186,7 @@
     self.error_ = ReadError::kBodyTooLarge;
     return -1;
   }
+  self.ReserveBody(n);
   self.body_.append(at, n);
   return 0;
 }
--- a/briarspread/proxy/message_reader.h
+++ b/briarspread/proxy/message_reader.h
@@ -59,6 +59,8 @@
   ResponseHead& response() { return response_; }
   /// Body bytes received and not yet removed by the caller.
   std::string& body() { return body_; }
+  /// Estimate of the memory that the current message's head occupies.
+  std::size_t head_memory() const;
 
  private:
   static int OnUrl(http_parser* parser, const char* at, std::size_t n);
@@ -73,6 +75,9 @@
   }
 
   void FlushLine();
+  /// Allocates memory for the rest of a large body, so that it is not copied
+  /// as it grows. Its pages are used only once bytes arrive.
+  void ReserveBody(std::size_t n);
   HeaderList& headers();
   bool HasBareLineFeed(std::string_view bytes);
 
--- a/briarspread/proxy/server_connection.cc
+++ b/briarspread/proxy/server_connection.cc
@@ -16,6 +16,19 @@
 /// Number of unsent bytes below which the drained callback is called.
 constexpr std::size_t kLowWaterBytes = std::size_t{64} * 1024;
 
+/// Memory of a connection without a request: its object, which has the read
+/// buffer, and the smallest allocations.
+constexpr std::size_t kConnectionBytes = std::size_t{16} * 1024;
+/// Size of a body above which it counts as large.
+constexpr std::size_t kSmallBodyBytes = std::size_t{64} * 1024;
+/// Bytes by which the reservation of a large body grows.
+constexpr std::size_t kReserveStep = std::size_t{64} * 1024;
+/// Bytes that count as progress. With `ShedSettings::min_stall` this is a rate
+/// at which a body of the maximum size would take more than an hour.
+constexpr std::size_t kProgressBytes = std::size_t{16} * 1024;
+/// Retry-After time of requests that are rejected for want of memory.
+constexpr milliseconds kMemoryRetryAfter{1000};
+
 bool HasStatusWithoutBody(int status) { return status == 204 || status == 304; }
 
 }  // namespace
@@ -111,16 +124,25 @@
 
 ServerConnection::ServerConnection(asio::ip::tcp::socket socket,
                                    const ServerSettings& settings,
-                                   RequestHandler& handler, OnClosed on_closed)
+                                   RequestHandler& handler, OnClosed on_closed,
+                                   OnPaused on_paused)
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
       settings_(settings),
       handler_(handler),
       on_closed_(std::move(on_closed)),
-      reader_(MessageReader::Kind::kRequest, settings.limits) {
+      on_paused_(std::move(on_paused)),
+      reader_(MessageReader::Kind::kRequest, settings.limits),
+      memory_(settings.memory, MemoryHolder::kConnections),
+      unsent_memory_(settings.memory, MemoryHolder::kResponses),
+      last_progress_(std::chrono::steady_clock::now()) {
   SetSocketOptions(socket_, settings.dead_peer);
 }
 
+bool ServerConnection::Reserve() {
+  return memory_.TryGrowTo(kConnectionBytes, MemoryPriority::kOrdinary);
+}
+
 void ServerConnection::Start() {
   SetTimer();
   Read();
@@ -167,6 +189,10 @@
   asio::error_code ec;
   socket_.close(ec);
   NotifyDisconnect();
+  // The last operation in progress may keep the object for a while.
+  body_memory_.reset();
+  memory_.Release();
+  std::string().swap(reader_.body());
   if (const auto on_closed = std::exchange(on_closed_, nullptr)) {
     on_closed(this);
   }
@@ -178,8 +204,14 @@
 
 void ServerConnection::SetTimer() {
   const bool is_arriving = reader_.has_started() && responder_ == nullptr;
-  timer_.expires_after(is_arriving ? settings_.header_timeout
-                                   : settings_.idle_timeout);
+  milliseconds limit = settings_.idle_timeout;
+  if (is_arriving) {
+    limit =
+        reader_.has_head() ? settings_.body_timeout : settings_.header_timeout;
+  }
+  if (is_discarding_) limit = settings_.header_timeout;
+  has_received_ = false;
+  timer_.expires_after(limit);
   timer_.async_wait([self = shared_from_this()](asio::error_code ec) {
     if (!ec) self->OnTimer();
   });
@@ -187,7 +219,14 @@
 
 void ServerConnection::OnTimer() {
   if (is_closed_) return;
-  if (responder_ != nullptr || !out_.empty() || !writing_.empty()) {
+  if (is_discarding_) {
+    Close();
+    return;
+  }
+  const bool is_body_arriving =
+      reader_.has_head() && (has_received_ || paused_since_.has_value());
+  if (responder_ != nullptr || !out_.empty() || !writing_.empty() ||
+      is_body_arriving) {
     SetTimer();
     return;
   }
@@ -200,6 +239,13 @@
 
 void ServerConnection::Read() {
   if (is_reading_ || is_closed_ || unparsed_.size() > kMaxUnparsedBytes) return;
+  if (!ReserveForRead()) {
+    if (paused_since_.has_value()) return;
+    paused_since_ = std::chrono::steady_clock::now();
+    if (on_paused_) on_paused_();
+    return;
+  }
+  paused_since_.reset();
   is_reading_ = true;
   socket_.async_read_some(
       asio::buffer(buf_),
@@ -214,7 +260,85 @@
       });
 }
 
+bool ServerConnection::ReserveForRead() {
+  if (is_discarding_) return true;
+  const std::size_t own = kConnectionBytes + unparsed_.size() +
+                          (reader_.has_started() ? reader_.head_memory() : 0);
+  if (!memory_.TryGrowTo(own, MemoryPriority::kOrdinary)) return false;
+  if (responder_ != nullptr || !reader_.has_head()) return true;
+  const std::size_t body = reader_.body().size() + buf_.size();
+  if (body_memory_ == nullptr) {
+    body_memory_ = std::make_shared<MemoryReservation>(settings_.memory,
+                                                       MemoryHolder::kRequests);
+  }
+  if (body <= kSmallBodyBytes) {
+    return body_memory_->TryGrowTo(body, MemoryPriority::kOrdinary);
+  }
+  return body_memory_->TryGrowTo(
+      (body + kReserveStep - 1) / kReserveStep * kReserveStep,
+      MemoryPriority::kBulk);
+}
+
+void ServerConnection::RecordProgress(std::size_t n) {
+  has_received_ = true;
+  progress_bytes_ += n;
+  if (progress_bytes_ < kProgressBytes) return;
+  progress_bytes_ = 0;
+  last_progress_ = std::chrono::steady_clock::now();
+}
+
+ConnectionLoad ServerConnection::LoadAt(TimePoint now) const {
+  ConnectionLoad load;
+  load.bytes = memory_.bytes() + unsent_memory_.bytes();
+  if (body_memory_ != nullptr) load.bytes += body_memory_->bytes();
+  load.stalled = now - last_progress_;
+  if (!out_.empty() || !writing_.empty() || is_discarding_) {
+    load.phase = ConnectionPhase::kSending;
+  } else if (responder_ != nullptr) {
+    load.phase = ConnectionPhase::kHandling;
+  } else if (paused_since_.has_value()) {
+    load.phase = ConnectionPhase::kPaused;
+    load.stalled = now - *paused_since_;
+  } else if (reader_.has_started()) {
+    load.phase = ConnectionPhase::kReceiving;
+  }
+  return load;
+}
+
+void ServerConnection::ResumeReading() {
+  if (paused_since_.has_value()) Read();
+}
+
+void ServerConnection::Shed() {
+  if (is_closed_) return;
+  const bool is_receiving = responder_ == nullptr && reader_.has_head() &&
+                            !closes_after_write_ && out_.empty() &&
+                            writing_.empty();
+  if (!is_receiving) {
+    Close();
+    return;
+  }
+  DropRequest();
+  Response response = MakeResponse(503, "{\"error\":\"overloaded\"}");
+  SetRetryAfter(response, kMemoryRetryAfter);
+  SendAndClose(response);
+}
+
+void ServerConnection::DropRequest() {
+  std::string().swap(reader_.body());
+  unparsed_.clear();
+  body_memory_.reset();
+  is_discarding_ = true;
+  SetTimer();
+  Read();
+}
+
 void ServerConnection::OnRead(std::size_t n) {
+  if (is_discarding_) {
+    Read();
+    return;
+  }
+  RecordProgress(n);
   unparsed_.append(buf_.data(), n);
   ParseBuffered();
   Read();
@@ -223,6 +347,7 @@
 void ServerConnection::ParseBuffered() {
   if (responder_ != nullptr || closes_after_write_ || unparsed_.empty()) return;
   const bool was_started = reader_.has_started();
+  const bool has_head = reader_.has_head();
   const std::size_t n = reader_.Feed(unparsed_);
   unparsed_.erase(0, n);
   if (reader_.error() != ReadError::kNone) {
@@ -238,7 +363,7 @@
     sent_continue_ = true;
     Queue("HTTP/1.1 100 Continue\r\n\r\n");
   }
-  if (!was_started) SetTimer();
+  if (!was_started || has_head != reader_.has_head()) SetTimer();
 }
 
 void ServerConnection::RefuseByReadError() {
@@ -255,8 +380,11 @@
 }
 
 void ServerConnection::Refuse(int status) {
+  SendAndClose(MakeResponse(status, "{\"error\":\"bad request\"}"));
+}
+
+void ServerConnection::SendAndClose(const Response& response) {
   closes_after_write_ = true;
-  Response response = MakeResponse(status, "{\"error\":\"bad request\"}");
   Queue(SerializeHead(response.head, Framing::kLength, response.body.size(),
                       false) +
         response.body);
@@ -264,7 +392,10 @@
 
 void ServerConnection::Dispatch() {
   if (!reader_.keeps_alive()) closes_after_response_ = true;
-  Request request{std::move(reader_.request()), std::move(reader_.body())};
+  Request request{std::move(reader_.request()), std::move(reader_.body()),
+                  std::exchange(body_memory_, nullptr)};
+  reader_.body().clear();
+  if (request.memory != nullptr) request.memory->Set(request.body.size());
   const auto responder = std::make_shared<ConnectionResponder>(
       shared_from_this(), request.head.method == "HEAD");
   responder_ = responder;
@@ -293,6 +424,9 @@
     return;
   }
   reader_.StartNext();
+  memory_.Set(kConnectionBytes + unparsed_.size());
+  last_progress_ = std::chrono::steady_clock::now();
+  progress_bytes_ = 0;
   sent_continue_ = false;
   SetTimer();
   // Buffered bytes are parsed from the event loop, not from within the handler
@@ -309,16 +443,23 @@
 void ServerConnection::Queue(std::string_view bytes) {
   if (is_closed_) return;
   out_ += bytes;
+  CountUnsent();
   Flush();
 }
 
+void ServerConnection::CountUnsent() {
+  unsent_memory_.Set(out_.size() + writing_.size());
+}
+
 void ServerConnection::Flush() {
   if (!writing_.empty() || is_closed_) return;
   if (out_.empty()) {
     if (closes_after_write_) {
       asio::error_code ec;
       socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-      Close();
+      // Closing with unread bytes would reset the connection, and the caller
+      // might not receive the response.
+      if (!is_discarding_) Close();
     }
     return;
   }
@@ -335,8 +476,12 @@
       });
 }
 
-void ServerConnection::OnWritten(std::size_t) {
+void ServerConnection::OnWritten(std::size_t n) {
+  RecordProgress(n);
+  // A large buffer would otherwise stay with the connection.
+  if (writing_.capacity() > kLowWaterBytes) std::string().swap(writing_);
   writing_.clear();
+  CountUnsent();
   const auto active = responder_;
   if (active != nullptr && out_.size() < kLowWaterBytes) active->OnDrained();
   Flush();
--- a/briarspread/proxy/upstream_connection.cc
+++ b/briarspread/proxy/upstream_connection.cc
@@ -147,9 +147,14 @@
   // The bytes outlive the write, whatever ends the exchange.
   const auto bytes =
       std::make_shared<const std::string>(std::move(request_.bytes));
+  const auto body = std::exchange(request_.body, nullptr);
+  const std::array<asio::const_buffer, 2> all = {
+      asio::buffer(*bytes),
+      body == nullptr ? asio::const_buffer() : asio::buffer(*body)};
   asio::async_write(
-      socket_, asio::buffer(*bytes),
-      [self = shared_from_this(), bytes](asio::error_code ec, std::size_t) {
+      socket_, all,
+      [self = shared_from_this(), bytes, body](asio::error_code ec,
+                                               std::size_t) {
         self->is_writing_ = false;
         // A response may arrive before the request is sent completely. After a
         // failed write the read side then determines how the exchange ends.
--- a/briarspread/proxy/upstream_connection.h
+++ b/briarspread/proxy/upstream_connection.h
@@ -56,8 +56,11 @@
 /// The request of one exchange and how to send it.
 struct ExchangeRequest {
   Endpoint to;
-  /// The bytes of the complete request.
+  /// The bytes of the request, without those of `body`.
   std::string bytes;
+  /// The rest of the request's bytes, shared with its sender so that they are
+  /// not copied; null if there is none.
+  std::shared_ptr<const std::string> body = nullptr;
   /// Whether the method is `HEAD`, so that the response has no body whatever
   /// its head says.
   bool is_head_request = false;
--- a/tests/core/memory_budget_test.cc
+++ b/tests/core/memory_budget_test.cc
@@ -53,6 +53,18 @@
   REQUIRE(other.TryGrowTo(1, MemoryPriority::kBulk));
 }
 
+TEST_CASE("a reservation may outlive its budget") {
+  // The event loop releases the last operations after the instance is gone.
+  MemoryReservation last;
+  {
+    MemoryBudget budget(kLimit);
+    last = MemoryReservation(&budget, MemoryHolder::kRequests);
+    last.Set(1);
+  }
+  last.Release();
+  REQUIRE(last.bytes() == 0);
+}
+
 TEST_CASE("a reservation without a budget has no limit") {
   MemoryReservation any;
   REQUIRE(any.TryGrowTo(std::size_t{1} << 40U, MemoryPriority::kBulk));
