Submissions: test of fields that are not read; lint of the memory tests

Cause: a field of a submission that nobody reads took a hundred times the memory of its text, and no unit test covered the item-by-item reader. Change: a codec test; clang-tidy findings in the files of the budget.

--- a/briarspread/core/memory_budget.cc
+++ b/briarspread/core/memory_budget.cc
@@ -47,18 +47,21 @@
 
 MemoryReservation::MemoryReservation(MemoryReservation&& other) noexcept
     : budget_(other.budget_),
-      usage_(other.usage_),
+      usage_(std::move(other.usage_)),
       holder_(other.holder_),
-      bytes_(std::exchange(other.bytes_, 0)) {}
+      bytes_(std::exchange(other.bytes_, 0)) {
+  other.budget_ = nullptr;
+}
 
 MemoryReservation& MemoryReservation::operator=(
     MemoryReservation&& other) noexcept {
   if (this == &other) return *this;
   Release();
   budget_ = other.budget_;
-  usage_ = other.usage_;
+  usage_ = std::move(other.usage_);
   holder_ = other.holder_;
   bytes_ = std::exchange(other.bytes_, 0);
+  other.budget_ = nullptr;
   return *this;
 }
 
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -1,4 +1,6 @@
 #include <catch2/catch.hpp>
+#include <string>
+#include <vector>
 
 #include "platform/base64.h"
 #include "platform/batch_codec.h"
@@ -202,5 +204,29 @@
   REQUIRE_FALSE(ParseSnapshot("{}").has_value());
 }
 
+TEST_CASE("fields of a submission that are not read take no memory") {
+  // Their tree took a hundred times the memory of the text.
+  const std::string item = R"({"Id":"a","Path":"/p","x":[[1],{"Id":[2]}]})";
+  const auto parse = [](const std::string& body) {
+    return ParseSubmission("j", "h", "/roll/", body);
+  };
+  const auto spec = parse(R"({"x":[{"Items":[1]}],"Items":[)" + item +
+                          R"(],"y":{"Step":[]},"Step":3})");
+  REQUIRE(IsOk(spec));
+  REQUIRE(ValueOf(spec).step == 3);
+  REQUIRE(ValueOf(spec).items.size() == 1);
+  REQUIRE(ValueOf(spec).items[0].path == "/p");
+  for (const auto& wrong : std::vector<std::string>{
+           "[" + item + "]", R"({"Items":[)" + item + "," + item + "]}",
+           R"({"Step":[1],"Items":[)" + item + "]}", R"({"Items":[[]]})",
+           R"({"Items":[{"Id":["a"],"Path":"/p"}]})",
+           R"({"Items":[{"Id":"a","Path":"/p","Headers":{"a":["b"]}}]})",
+           R"({"Items":[],"x":)" + std::string(100, '[') +
+               std::string(100, ']') + "}"}) {
+    INFO(wrong);
+    REQUIRE_FALSE(IsOk(parse(wrong)));
+  }
+}
+
 }  // namespace
 }  // namespace briarspread::platform
--- a/tests/pressure/crowd.cc
+++ b/tests/pressure/crowd.cc
@@ -52,7 +52,7 @@
     next = std::string_view(plan_.piece)
                .substr(0, plan_.body_bytes - client->sent);
   }
-  asio::async_write(client->socket, asio::buffer(next),
+  asio::async_write(client->socket, asio::buffer(next.data(), next.size()),
                     [this, client](asio::error_code ec, std::size_t n) {
                       if (client->is_stopped) return;
                       last_progress_ = std::chrono::steady_clock::now();
--- a/tests/pressure/edge_process.cc
+++ b/tests/pressure/edge_process.cc
@@ -21,7 +21,7 @@
 
 std::string WriteSettings(const PlatformSettings& settings,
                           const std::string& limits) {
-  const std::string path =
+  std::string path =
       (std::filesystem::temp_directory_path() /
        ("pressure-" + std::to_string(settings.frontend->port) + ".conf"))
           .string();
