--- a/bench/forward_bench/event_gateway.cc
+++ b/bench/forward_bench/event_gateway.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <iostream>
 #include <memory>
+#include <optional>
 
 #include "briarspread/core/random_source.h"
 #include "briarspread/forward/caller_gateway.h"
@@ -91,7 +92,7 @@
       callers_.RefuseUnrouted(request, *responder);
       return;
     }
-    callers_.Forward(std::move(request), *route, responder);
+    callers_.Forward(std::move(request), *route, std::nullopt, responder);
   }
 
  private:
