--- a/tests/pressure/pressure_test.cc
+++ b/tests/pressure/pressure_test.cc
@@ -3,6 +3,7 @@
 // ends the process. Checks only what the speed of the machine doesn't change.
 #include <catch2/catch.hpp>
 
+#include "platform/base64.h"
 #include "tests/platform/edge_fixture.h"
 #include "tests/pressure/crowd.h"
 #include "tests/pressure/edge_process.h"
@@ -195,5 +196,32 @@
   fixture.CheckBounds();
 }
 
+// Guards against a single large submission that needs several times its size:
+// the copies that are made after it was parsed are not reserved.
+TEST_CASE("a single large submission is accepted within the memory limit") {
+  PressureFixture fixture(88);
+  nlohmann::json items = nlohmann::json::array();
+  const std::string text(kMiB * 3 / 4, 'x');
+  for (int i = 0; i < 31; ++i) {
+    items.push_back({{"Id", "i" + std::to_string(i)},
+                     {"Path", "/roll/1"},
+                     {"Headers", nlohmann::json::object()},
+                     {"Body", EncodeBase64(text)},
+                     {"Tokens", 9},
+                     {"Group", "g"}});
+  }
+  const std::string body = nlohmann::json{
+      {"Step", 0},
+      {"Model", "m"},
+      {"MinVersion", 1},
+      {"TargetGroups", 1},
+      {"Items",
+       std::move(items)}}.dump();
+  const auto answer = fixture.Call(*fixture.settings.frontend, "POST",
+                                   "/roll/x", body, "job-1");
+  REQUIRE(answer.head.status == 202);
+  fixture.CheckBounds();
+}
+
 }  // namespace
 }  // namespace briarspread::platform
