--- a/briarspread/proxy/http_listener.cc
+++ b/briarspread/proxy/http_listener.cc
@@ -222,6 +222,7 @@
     all.emplace_back(entry.connection->LoadAt(now), entry.connection);
   }
   std::vector<ConnectionLoad> loads;
+  loads.reserve(all.size());
   for (const auto& [load, connection] : all) loads.push_back(load);
   const auto victim = ShedPolicy(settings_.shed).ChooseForMemory(loads);
   if (victim.has_value()) {
