--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -216,13 +216,16 @@
   REQUIRE(ValueOf(spec).step == 3);
   REQUIRE(ValueOf(spec).items.size() == 1);
   REQUIRE(ValueOf(spec).items[0].path == "/p");
-  for (const auto& wrong : std::vector<std::string>{
-           "[" + item + "]", R"({"Items":[)" + item + "," + item + "]}",
-           R"({"Step":[1],"Items":[)" + item + "]}", R"({"Items":[[]]})",
-           R"({"Items":[{"Id":["a"],"Path":"/p"}]})",
-           R"({"Items":[{"Id":"a","Path":"/p","Headers":{"a":["b"]}}]})",
-           R"({"Items":[],"x":)" + std::string(100, '[') +
-               std::string(100, ']') + "}"}) {
+  const std::vector<std::string> all_wrong{
+      "[" + item + "]",
+      R"({"Items":[)" + item + "," + item + "]}",
+      R"({"Step":[1],"Items":[)" + item + "]}",
+      R"({"Items":[[]]})",
+      R"({"Items":[{"Id":["a"],"Path":"/p"}]})",
+      R"({"Items":[{"Id":"a","Path":"/p","Headers":{"a":["b"]}}]})",
+      R"({"Items":[],"x":)" + std::string(100, '[') + std::string(100, ']') +
+          "}"};
+  for (const auto& wrong : all_wrong) {
     INFO(wrong);
     REQUIRE_FALSE(IsOk(parse(wrong)));
   }
--- a/tests/pressure/crowd.cc
+++ b/tests/pressure/crowd.cc
@@ -49,8 +49,8 @@
 void Crowd::Send(const std::shared_ptr<Client>& client) {
   std::string_view next = plan_.head;
   if (client->has_sent_head) {
-    next = std::string_view(plan_.piece)
-               .substr(0, plan_.body_bytes - client->sent);
+    next = plan_.piece;
+    next = next.substr(0, plan_.body_bytes - client->sent);
   }
   asio::async_write(client->socket, asio::buffer(next.data(), next.size()),
                     [this, client](asio::error_code ec, std::size_t n) {
