--- a/briarspread/forward/exchange_headers.h
+++ b/briarspread/forward/exchange_headers.h
@@ -21,7 +21,8 @@
   /// Present in a response if the upstream did not run the request.
   std::string not_run = "Briarspread-Not-Run";
   /// Number of running requests, of queued requests and of slots of the
-  /// upstream, separated by commas.
+  /// upstream, separated by commas. A fourth figure may follow: how long work
+  /// takes on its machine now, in percent of the usual time.
   std::string load = "Briarspread-Load";
   /// Set to "1" by an upstream that is leaving and must receive no new
   /// requests.
