--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -348,6 +348,13 @@
                 events = [e for r, e in self.history
                           if r > after and e["Key"].startswith(prefix)]
                 left = until - time.monotonic()
+                if machine in self.turned_away:
+                    # "no response" while this machine is turned away; 503 at the
+                    # end of the wait, as for any other call.
+                    if left <= 0:
+                        return 503, {}
+                    await asyncio.sleep(min(left, 0.05))
+                    continue
                 if events or left <= 0:
                     return 200, {"events": events, "StoreRevision": self.revision}
                 async with self.changed:
