Review case 7: all machines run out of memory together by configurations

Cause: each machine keeps the last 2,000 changes of the watched keys with their whole values, whatever their size. The former case 10 (an item answered 422 a fourth time after three handovers) makes room, as the least grave. No code of the project is changed.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,5 +1,5 @@
-"""Case 10: an item that each replica answers with 422 reaches replicas a fourth
-time, since a machine that hands a batch job over does not tell its failures."""
+"""Case 10: a request that crashes the replicas that run it, and that all machines
+refuse, runs and crashes replicas again after a rolling restart of the machines."""
 
 import os
 import sys
@@ -9,8 +9,40 @@
 
 from standins import *  # noqa: E402,F403
 
-HOST, PREFIX, MODEL = "trainer.example", "/roll/", "m0"
-ROLL_GAP_S = 1.2
+HOST, PREFIX = "desk.example", "/quote/"
+POISON = b"a body that crashes the replicas that begin to run it"
+STABLE_S = 4.0
+BACK_S = 2.0
+ROLL_GAP_S = 1.3
+FIRST_S, LATER_S = 20, 25
+
+
+class CrashingReplica(Replica):
+    """Crashes when it begins to run the poison: all its connections end, it says
+    nothing to the store, and it is back after some seconds with the same id."""
+
+    arrivals = []
+
+    async def handle(self, request, writer):
+        is_meant = request.header("X-Expect-Instance") in (None, self.id)
+        if request.body != POISON or not is_meant:
+            return await super().handle(request, writer)
+        attempt = request.header("X-Attempt-Id")
+        self.arrivals.append(self.record.now())
+        self.record.add("%s begins to run %s and crashes" % (self.id, attempt))
+        self.beat.cancel()
+        port = self.server.port
+        self.server.stop()
+        asyncio.create_task(self.come_back(port))
+        return None
+
+    async def come_back(self, port):
+        await asyncio.sleep(BACK_S)
+        self.server = await Server(self.server.host, self.handle, port).start()
+        self.born, self.sequence = int(time.time() * 1000), 0
+        await self.register()
+        self.beat = asyncio.create_task(self.keep_registered())
+        self.record.add("%s is back" % self.id)
 
 
 async def play(record):
@@ -21,42 +53,65 @@
         platform.stop()
 
 
+async def send_poison(machines, record, until):
+    """The request comes again each second, at any machine in rotation."""
+    turn = 0
+    while record.now() < until:
+        live = [m for m in machines if not m.is_leaving]
+        machine = live[turn % len(live)]
+        turn += 1
+        answered = await call(
+            machine.frontend, "POST", PREFIX + "7c",
+            [("Host", HOST), ("X-Attempt-Id", job_id()), ("X-Deadline-Ms", "1200")],
+            POISON, 3.0)
+        record.add("the poison at %s: %s" % (machine.name, answered and answered[0]))
+        await asyncio.sleep(1.0)
+
+
+async def restart(machine, record):
+    machine.is_leaving = True
+    await machine.stop_and_start()
+    while not await machine.is_ready():
+        await asyncio.sleep(0.1)
+    machine.is_leaving = False
+    record.add("%s is ready again" % machine.name)
+
+
 async def run(platform, record):
     for i, zone in enumerate(["lim-a", "aqp-a", "lim-b", "lim-a", "aqp-a", "aqp-a"]):
-        platform.add_machine("edge-%s-%d" % (zone, i), zone)
-    for i in range(4):
-        # Items take some 4 s, so that no group is complete while machines stop.
-        await platform.add_replica(zone="aqp-a", service="llm", name="i-%d" % i,
-                                   models=[MODEL], event_s=0.1, events=40)
-    await platform.configure([rollout_route("r", HOST, PREFIX, "llm")],
-                             [service("llm", [MODEL])])
+        platform.add_machine("edge-%s-%d" % (zone, i), zone).is_leaving = False
+    for i, zone in enumerate(["lim-a", "lim-a", "aqp-a", "aqp-a", "lim-b"]):
+        replica = CrashingReplica(platform.store, record, platform.net + str(100 + i),
+                                  zone, "desk", "d-%d" % i, slots=6)
+        platform.replicas.append(replica)
+        await replica.start()
+    route = {"Name": "quote", "Host": HOST, "Prefix": PREFIX, "Type": "safe",
+             "TimeoutMs": 1200, "LatencyGoalMs": 200, "Priority": 2,
+             "Service": "desk", "MaxAttempts": 2}
+    await platform.configure([route], [service("desk")])
     await platform.start_all()
-    entry = next(m for m in platform.machines.values() if m.zone == "aqp-a")
-    job, lot = make_job(MODEL, PREFIX, 4, 4), job_id()
-    refused = job["Items"][0]["Id"]
-    for replica in platform.replicas:
-        replica.answer_item = lambda item, _: 422 if item == refused else 200
-    answered = await submit(entry.frontend, HOST, PREFIX, job, lot)
-    if answered is None or answered[0] != 202:
-        raise CannotRun("the job is not accepted")
-    owners = [owner_of(platform, lot)]
-    restarts = []
-    for _ in range(3 if trouble() else 0):
-        await asyncio.sleep(ROLL_GAP_S)
-        # The platform stops the machines in turn, those that run the job first.
-        owner = owner_of(platform, lot)
-        owners.append(owner)
-        restarts.append(asyncio.create_task(owner.stop_and_start()))
-    until = time.monotonic() + 25
-    reader = next(m for m in platform.machines.values() if m not in owners)
-    results = await read_all(reader.frontend, HOST, lot, 16, until, record)
-    await asyncio.gather(*restarts)
-    record.say("stopped in turn: %s" % ", ".join(m.name for m in owners[1:]))
-    answers = sum(replica.runs.get(refused, 0) for replica in platform.replicas)
-    lost = [r["Id"] for r in results if r["State"] == "lost"]
-    record.say("%d results, lost: %s; the item was answered 422 %d times, three are allowed" % (
-        len(results), lost == [refused], answers))
-    return answers <= 3
+    machines = list(platform.machines.values())
+    arrivals = CrashingReplica.arrivals
+
+    await send_poison(machines, record, record.now() + FIRST_S)
+    record.say("%d replicas crashed under the request at first" % len(arrivals))
+    if len(arrivals) < 3:
+        raise CannotRun("the request crashed fewer than three replicas")
+    if trouble():
+        restarts = []
+        for machine in machines:
+            restarts.append(asyncio.create_task(restart(machine, record)))
+            await asyncio.sleep(ROLL_GAP_S)
+        await asyncio.gather(*restarts)
+    # From here on all machines and the store are in touch, and the third crash
+    # is long past.
+    await asyncio.sleep(STABLE_S + 1)
+    begun = record.now()
+    await send_poison(machines, record, begun + LATER_S)
+    late = [at for at in arrivals if at >= begun]
+    record.say("the request reached replicas %d times more, sent by machines in touch; "
+               "three are allowed" % len(late))
+    return len(late) <= 3
 
 
 main(HERE, play)
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -22,6 +22,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 STAMP = "X-Server-Stamp"
 HEARTBEAT_S = 1.2
+HISTORY_S = 20
 
 
 def trouble():
@@ -229,7 +230,8 @@
         self.record = record
         self.revision = 100
         self.items = {}
-        self.history = []
+        self.history = []  # (revision, event, time)
+        self.forgotten = 0  # up to this revision
         self.leases = {}
         self.next_lease = 1000
         self.changed = asyncio.Condition()
@@ -251,6 +253,10 @@
         while True:
             await asyncio.sleep(0.05)
             now = time.monotonic()
+            old = sum(1 for _, _, at in self.history if now - at > HISTORY_S)
+            if old:
+                self.forgotten = self.history[old - 1][0]
+                del self.history[:old]
             for lease, (until, _) in list(self.leases.items()):
                 if until < now:
                     await self.end_lease(lease)
@@ -268,11 +274,11 @@
             item = {"Key": key, "Value": value, "Revision": self.revision,
                     "Created": created, "Lease": lease}
             self.items[key] = item
-            self.history.append((self.revision, item))
+            self.history.append((self.revision, item, time.monotonic()))
         for key in removals:
             if self.items.pop(key, None) is not None:
-                self.history.append((self.revision, {
-                    "Key": key, "Revision": self.revision, "Removed": True}))
+                event = {"Key": key, "Revision": self.revision, "Removed": True}
+                self.history.append((self.revision, event, time.monotonic()))
         async with self.changed:
             self.changed.notify_all()
         return self.revision
@@ -345,7 +351,9 @@
         waiting.append(machine)
         try:
             while True:
-                events = [e for r, e in self.history
+                if after < self.forgotten:
+                    return 410, {}
+                events = [e for r, e, _ in self.history
                           if r > after and e["Key"].startswith(prefix)]
                 left = until - time.monotonic()
                 if machine in self.turned_away:
@@ -647,6 +655,20 @@
             pass
         return 0.0
 
+    async def enforce_memory(self):
+        """Does as the platform: kills the process once it uses more than
+        MemoryMb, and starts it again."""
+        while True:
+            await asyncio.sleep(0.02)
+            used = self.memory()
+            if used > self.memory_mb:
+                self.ends_by_itself += 1
+                self.platform.record.say("%s uses %.0f MB of %d and is killed, time %d" % (
+                    self.name, used, self.memory_mb, self.ends_by_itself))
+                self.kill()
+                await asyncio.sleep(1.0)
+                await self.start()
+
     async def is_ready(self):
         answer = await call(self.ready, "GET", "/briarspread/readyz", timeout=1.0)
         return answer is not None and answer[0] == 200
