Text from outside can no longer add a request to a head

Cause: a head was put together from any strings; text from JSON, peers and stored records was never checked. The parser ends a CONNECT message at its head, and the connection went on with the next byte.

Change: what is sent is a RequestBytes, made from valid text only; received heads are handled only if IsAcceptable. A submission with such text is refused whole with 400 and names item and field; a stored job lists such items as given up and runs the others. An item's fields for one connection and its Last-Event-Id are left out. Serialization moved from http_message into message_bytes; FailedExchange became proxy::UnsentExchange.

Why it works: there is one way to bytes that reach a socket, and its type can't be made from other text; after a head whose end is in doubt the connection is closed.

--- a/briarspread/batch/item_run.cc
+++ b/briarspread/batch/item_run.cc
@@ -61,7 +61,7 @@
   }
   proxy::ExchangeRequest request;
   request.to = spec_.endpoint;
-  request.bytes = proxy::Serialize(head, spec_.request.body);
+  request.bytes = proxy::RequestBytes::Make(head, spec_.request.body);
   request.echo_name = context_.headers.attempt_id;
   request.echo_value = spec_.attempt_id;
   context_.limiter.RecordSend(spec_.engine, forward::RequestPurpose::kItem);
--- a/briarspread/batch/job_gateway.cc
+++ b/briarspread/batch/job_gateway.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "briarspread/batch/job_calls.h"
+#include "briarspread/batch/job_validation.h"
 #include "briarspread/fleet/home_order.h"
 
 namespace briarspread::batch {
@@ -78,6 +79,10 @@
 // --- Submitting
 
 void JobGateway::Submit(JobSpec spec, Done<std::monostate> done) {
+  if (const Status valid = Validate(spec); !IsOk(valid)) {
+    done(valid);
+    return;
+  }
   const std::optional<JobRecord> known = FindKnownRecord(spec.id);
   if (known.has_value()) {
     if (MayAccess(*known, AccountOf(spec))) {
--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -279,6 +279,9 @@
   for (const proxy::Header& line : item.headers) {
     head.headers.Set(line.name, line.value);
   }
+  head.headers.RemoveHopByHop();
+  // The resume position is this instance's to say.
+  head.headers.Remove(context_.headers.last_event_id);
   head.headers.Set("Host", spec.host);
   head.headers.Set(context_.headers.attempt_id, item.id.value());
   SetAccount(spec, head.headers);
--- a/briarspread/batch/job_peer_handler.cc
+++ b/briarspread/batch/job_peer_handler.cc
@@ -5,6 +5,7 @@
 
 #include "briarspread/batch/engine_load_publisher.h"
 #include "briarspread/batch/job_calls.h"
+#include "briarspread/batch/job_validation.h"
 
 namespace briarspread::batch {
 namespace {
@@ -96,7 +97,7 @@
 void JobPeerHandler::Accept(const proxy::Request& request,
                             const ResponderPtr& responder) {
   auto spec = DecodeJobSpec(request.body);
-  if (!spec.has_value()) {
+  if (!spec.has_value() || !IsOk(Validate(*spec))) {
     SendStatus(*responder, 400);
     return;
   }
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "briarspread/batch/job_validation.h"
+
 namespace briarspread::batch {
 namespace {
 
@@ -265,6 +267,7 @@
     job.ledger.RestoreListed(loaded.listed);
     RestoreWaitingItems(job.ledger, loaded.progress);
     RestoreWaitingItems(job.ledger, handover.progress);
+    GiveUpInvalidItems(stored.id, job);
     ++metrics_.jobs_adopted;
     LOG(INFO) << "event=job_adopted job=" << stored.id
               << " listed=" << loaded.listed.size()
@@ -276,6 +279,17 @@
   });
 }
 
+void JobRunner::GiveUpInvalidItems(const JobId& id, OwnedJob& job) {
+  const auto& items = job.ledger.spec().items;
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    if (job.ledger.item(i).phase != ItemPhase::kWaiting) continue;
+    if (!FindInvalidField(items[i]).has_value()) continue;
+    job.ledger.GiveUp(i, context_.clock.Now());
+    RecordGivenUpItem(job, i, "invalid");
+    ScheduleListing(id, settings_.listing_delay);
+  }
+}
+
 std::vector<JobId> JobRunner::OpenJobs() const {
   std::vector<JobId> open;
   for (const auto& [id, job] : jobs_) {
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -320,6 +320,10 @@
   void Resume(const JobId& id);
   void ExpireItems(const JobId& id, OwnedJob& job, TimePoint now);
 
+  /// Gives up the waiting items of a loaded job that can never be sent; only
+  /// earlier builds accepted such items.
+  void GiveUpInvalidItems(const JobId& id, OwnedJob& job);
+
   void RecordRunEnd(const ItemRun& run, RunOutcome outcome, TimePoint now);
   void RecordGivenUpItem(const OwnedJob& job, std::size_t i,
                          const std::string& reason);
--- a/briarspread/fleet/peer_client.cc
+++ b/briarspread/fleet/peer_client.cc
@@ -21,7 +21,7 @@
   head.headers.Add("Host", peer.host);
   proxy::ExchangeRequest request;
   request.to = peer;
-  request.bytes = proxy::Serialize(head, call.body);
+  request.bytes = proxy::RequestBytes::Make(head, call.body);
   request.is_head_request = head.method == "HEAD";
   request.timeout = call.timeout;
   return request;
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -102,8 +102,8 @@
   return permit_waiter_ != nullptr;
 }
 
-std::string LiveRequest::SerializeRequestHead(const UpstreamId& upstream,
-                                              milliseconds left) const {
+std::optional<proxy::RequestBytes> LiveRequest::SerializeRequestHead(
+    const UpstreamId& upstream, milliseconds left) const {
   proxy::RequestHead head = request_->head;
   head.headers.RemoveHopByHop();
   head.headers.Set(context_.headers.deadline, std::to_string(left.count()));
@@ -112,7 +112,7 @@
     head.headers.Set(context_.headers.last_event_id,
                      std::to_string(*relay_->last_event_id()));
   }
-  return proxy::SerializeHead(head, request_->body.size());
+  return proxy::RequestBytes::MakeHead(head, request_->body.size());
 }
 
 bool LiveRequest::CanBeSent() const {
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -113,8 +113,8 @@
   /// Waits for a permit for an upstream of `service`. Returns false if none is
   /// to be had soon enough.
   bool WaitForPermit(const ServiceName& service);
-  std::string SerializeRequestHead(const UpstreamId& upstream,
-                                   milliseconds left) const;
+  std::optional<proxy::RequestBytes> SerializeRequestHead(
+      const UpstreamId& upstream, milliseconds left) const;
   bool CanBeSent() const;
   std::string_view AttemptId() const;
   void RecordResponse(int status);
--- a/briarspread/forward/relay_handler.cc
+++ b/briarspread/forward/relay_handler.cc
@@ -158,7 +158,14 @@
   }
   proxy::ExchangeRequest exchange;
   exchange.to = known->listed.endpoint;
-  exchange.bytes = request.body;
+  exchange.bytes = proxy::RequestBytes::Parse(request.body);
+  if (!exchange.bytes.has_value()) {
+    RespondNotSent(*responder,
+                   FormatRelayFailure({proxy::ExchangeFault::kInvalidRequest,
+                                       Verdict::kNotRun}),
+                   "invalid_request");
+    return;
+  }
   exchange.is_head_request = request.head.method == "HEAD";
   exchange.echo_value = proxy::FindParameter(query, "request").value_or("");
   if (!exchange.echo_value.empty()) {
--- a/briarspread/forward/relayed_exchange.cc
+++ b/briarspread/forward/relayed_exchange.cc
@@ -24,7 +24,8 @@
   using proxy::ExchangeFault;
   for (const ExchangeFault fault :
        {ExchangeFault::kNotConnected, ExchangeFault::kBroken,
-        ExchangeFault::kGarbled, ExchangeFault::kTimedOut}) {
+        ExchangeFault::kGarbled, ExchangeFault::kTimedOut,
+        ExchangeFault::kInvalidRequest}) {
     for (const Verdict verdict : {Verdict::kNotRun, Verdict::kMayHaveRun}) {
       proxy::ExchangeFailure failure{fault, verdict};
       failure.was_relayed = true;
@@ -61,7 +62,7 @@
                 proxy::EncodeParameter(spec_.upstream.id.value()) +
                 "&start=" + std::to_string(spec_.upstream.start_id) +
                 "&request=" + proxy::EncodeParameter(spec_.request.echo_value);
-  call.body = spec_.request.bytes;
+  call.body = spec_.request.bytes->text();
   if (spec_.request.body != nullptr) call.body += *spec_.request.body;
   call.timeout = spec_.request.timeout;
   return call;
--- a/briarspread/forward/relayed_exchange.h
+++ b/briarspread/forward/relayed_exchange.h
@@ -53,7 +53,7 @@
     OnReached on_reached;
   };
 
-  /// Precondition: references outlive this object.
+  /// Precondition: references outlive this object, and the request has bytes.
   RelayedExchange(PeerClient& client, RelayPeers& peers, const Clock& clock,
                   Spec spec, proxy::ExchangeListener& listener);
   ~RelayedExchange() override;
--- a/briarspread/forward/upstream_transport.cc
+++ b/briarspread/forward/upstream_transport.cc
@@ -5,29 +5,13 @@
 #include <utility>
 
 #include "briarspread/forward/relayed_exchange.h"
+#include "briarspread/proxy/unsent_exchange.h"
 
 namespace briarspread::forward {
 namespace {
 
 constexpr std::string_view kLinksOk = "ok";
 
-/// An exchange whose request is not sent, since nothing reaches the upstream.
-class FailedExchange final : public proxy::Exchange {
- public:
-  FailedExchange(asio::io_context& loop, proxy::ExchangeListener& listener)
-      : timer_(loop) {
-    timer_.After(milliseconds(0), [&listener] {
-      listener.OnFailure(
-          {proxy::ExchangeFault::kNotConnected, Verdict::kNotRun});
-    });
-  }
-  void Cancel() override { timer_.Cancel(); }
-  void SetPaused(bool) override {}
-
- private:
-  LoopTimer timer_;
-};
-
 }  // namespace
 
 UpstreamTransport::UpstreamTransport(asio::io_context& loop,
@@ -62,7 +46,9 @@
     const UpstreamStart& upstream, proxy::ExchangeRequest request,
     proxy::ExchangeListener& listener) {
   const Endpoint to = request.to;
-  if (!ShouldRelay(to)) return pool_.Start(std::move(request), listener);
+  if (!request.bytes.has_value() || !ShouldRelay(to)) {
+    return pool_.Start(std::move(request), listener);
+  }
   ++metrics_.relayed_exchanges;
   RelayedExchange::Spec spec;
   spec.upstream = upstream;
@@ -80,13 +66,18 @@
 
 std::unique_ptr<proxy::Exchange> UpstreamTransport::StartUnrelayed(
     proxy::ExchangeRequest request, proxy::ExchangeListener& listener) {
-  if (is_cut_off()) return std::make_unique<FailedExchange>(loop_, listener);
+  if (is_cut_off()) {
+    return std::make_unique<proxy::UnsentExchange>(
+        loop_.get_executor(), proxy::ExchangeFault::kNotConnected, listener);
+  }
   return pool_.Start(std::move(request), listener);
 }
 
 void UpstreamTransport::RecordFailure(const UpstreamId& upstream,
                                       const proxy::ExchangeFailure& failure) {
   if (failure.was_reused_connection) return;
+  // The upstream has no part in it.
+  if (failure.fault == proxy::ExchangeFault::kInvalidRequest) return;
   const KnownUpstream* known = directory_.Find(upstream);
   if (known == nullptr) return;
   if (!failure.was_relayed && paths_.ShouldRelay(known->listed.endpoint)) {
--- a/briarspread/proxy/connection_pool.cc
+++ b/briarspread/proxy/connection_pool.cc
@@ -1,8 +1,12 @@
 #include "briarspread/proxy/connection_pool.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <utility>
 
+#include "briarspread/proxy/unsent_exchange.h"
+
 namespace briarspread::proxy {
 
 /// An exchange on a pooled connection, which it does not own.
@@ -70,6 +74,12 @@
 
 std::unique_ptr<Exchange> ConnectionPool::Start(ExchangeRequest request,
                                                 ExchangeListener& listener) {
+  if (!request.bytes.has_value()) {
+    LOG(ERROR) << "event=request_invalid to=" << request.to.host << ":"
+               << request.to.port << " request=" << request.echo_value;
+    return std::make_unique<UnsentExchange>(
+        loop_.get_executor(), ExchangeFault::kInvalidRequest, listener);
+  }
   Connection connection = TakeIdle(request);
   if (connection == nullptr) connection = Open(request.to);
   connection->Run(std::move(request), listener);
--- a/briarspread/proxy/connection_pool.h
+++ b/briarspread/proxy/connection_pool.h
@@ -27,7 +27,8 @@
   /// Starts an exchange on an idle connection to its endpoint, or on a new
   /// connection. An idle connection that recently carried the same request is
   /// not reused: a late duplicate of the first response would be taken for the
-  /// response to the second request. Precondition: `listener` lives until the
+  /// response to the second request. A request without bytes fails as
+  /// `kInvalidRequest`. Precondition: `listener` lives until the
   /// exchange ends, fails or is cancelled.
   std::unique_ptr<Exchange> Start(ExchangeRequest request,
                                   ExchangeListener& listener);
--- a/briarspread/proxy/exchange.cc
+++ b/briarspread/proxy/exchange.cc
@@ -12,6 +12,8 @@
       return "garbled";
     case ExchangeFault::kTimedOut:
       return "timed_out";
+    case ExchangeFault::kInvalidRequest:
+      return "invalid_request";
   }
   return "unknown";
 }
--- a/briarspread/proxy/exchange.h
+++ b/briarspread/proxy/exchange.h
@@ -20,6 +20,8 @@
   kGarbled,
   /// The exchange's timeout expired.
   kTimedOut,
+  /// The request has text that may not stand in a head; nothing was sent.
+  kInvalidRequest,
 };
 
 /// Returns the name of a fault as used in logs and metrics. Thread-safe.
--- a/briarspread/proxy/http_listener.cc
+++ b/briarspread/proxy/http_listener.cc
@@ -6,6 +6,8 @@
 #include <asio/buffer.hpp>
 #include <utility>
 
+#include "briarspread/proxy/message_bytes.h"
+
 namespace briarspread::proxy {
 namespace {
 
@@ -124,9 +126,7 @@
   CountRefusal(cause);
   Response response = MakeResponse(503, "{\"error\":\"overloaded\"}");
   SetRetryAfter(response, kConnectionRetryAfter);
-  const std::string bytes = SerializeHead(response.head, Framing::kLength,
-                                          response.body.size(), false) +
-                            response.body;
+  const std::string bytes = SerializeLast(response);
   // A new connection has room for these bytes. If not, the caller only sees the
   // connection end.
   asio::error_code ec;
--- a/briarspread/proxy/http_message.cc
+++ b/briarspread/proxy/http_message.cc
@@ -1,7 +1,5 @@
 #include "briarspread/proxy/http_message.h"
 
-#include <http_parser.h>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -26,47 +24,6 @@
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
-std::string_view Trim(std::string_view text) {
-  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
-    text.remove_prefix(1);
-  }
-  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
-    text.remove_suffix(1);
-  }
-  return text;
-}
-
-void AppendLines(std::string& out, const HeaderList& headers) {
-  for (const Header& line : headers.lines()) {
-    out.append(line.name).append(": ").append(line.value).append("\r\n");
-  }
-}
-
-void AppendNumber(std::string& out, std::size_t n, int base) {
-  std::array<char, 24> buf;
-  const auto end =
-      std::to_chars(buf.data(), buf.data() + buf.size(), n, base).ptr;
-  out.append(buf.data(), end);
-}
-
-void AppendLength(std::string& out, std::size_t length) {
-  out.append("Content-Length: ");
-  AppendNumber(out, length, 10);
-  out.append("\r\n");
-}
-
-std::string_view ReasonOf(int status) {
-  switch (status) {
-#define BRIARSPREAD_REASON(number, name, text) \
-  case number:                                 \
-    return #text;
-    HTTP_STATUS_MAP(BRIARSPREAD_REASON)
-#undef BRIARSPREAD_REASON
-    default:
-      return "Unknown";
-  }
-}
-
 int HexDigit(char c) {
   if (c >= '0' && c <= '9') return c - '0';
   c = ToLower(c);
@@ -98,6 +55,16 @@
 
 }  // namespace
 
+std::string_view Trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
 bool EqualsIgnoreCase(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
          std::equal(a.begin(), a.end(), b.begin(),
@@ -163,45 +130,6 @@
   for (const std::string_view name : kHopByHop) Remove(name);
 }
 
-std::string SerializeHead(const RequestHead& head, std::size_t body_bytes) {
-  std::string out;
-  out.reserve(256);
-  out.append(head.method).append(" ").append(head.target);
-  out.append(" HTTP/1.1\r\n");
-  AppendLines(out, head.headers);
-  if (body_bytes > 0 || (head.method != "GET" && head.method != "HEAD")) {
-    AppendLength(out, body_bytes);
-  }
-  out.append("\r\n");
-  return out;
-}
-
-std::string Serialize(const RequestHead& head, std::string_view body) {
-  std::string out = SerializeHead(head, body.size());
-  out.append(body);
-  return out;
-}
-
-std::string SerializeHead(const ResponseHead& head, Framing framing,
-                          std::size_t length, bool keep_alive) {
-  std::string out = "HTTP/1.1 ";
-  AppendNumber(out, static_cast<std::size_t>(head.status), 10);
-  out.append(" ").append(ReasonOf(head.status)).append("\r\n");
-  AppendLines(out, head.headers);
-  if (framing == Framing::kChunked) out += "Transfer-Encoding: chunked\r\n";
-  if (framing == Framing::kLength) AppendLength(out, length);
-  if (!keep_alive) out.append("Connection: close\r\n");
-  out.append("\r\n");
-  return out;
-}
-
-std::string SerializeChunk(std::string_view data) {
-  std::string out;
-  AppendNumber(out, data.size(), 16);
-  out.append("\r\n").append(data).append("\r\n");
-  return out;
-}
-
 Response MakeResponse(int status, std::string json_body) {
   Response response;
   response.head.status = status;
--- a/briarspread/proxy/http_message.h
+++ b/briarspread/proxy/http_message.h
@@ -47,6 +47,9 @@
   std::vector<Header> lines_;
 };
 
+/// Returns `text` without spaces and tabs at its ends. Thread-safe.
+std::string_view Trim(std::string_view text);
+
 /// Whether two names are equal, ignoring ASCII case. Thread-safe.
 bool EqualsIgnoreCase(std::string_view a, std::string_view b);
 
@@ -86,22 +89,6 @@
   std::string body;
 };
 
-/// How a message's body is delimited.
-enum class Framing { kNoBody, kLength, kChunked };
-
-/// Returns the bytes of a request whose body is delimited by `Content-Length`.
-/// Thread-safe.
-std::string Serialize(const RequestHead& head, std::string_view body);
-/// Returns the bytes of such a request's head. Thread-safe.
-std::string SerializeHead(const RequestHead& head, std::size_t body_bytes);
-/// Returns the bytes of a response's head. `length` is the body's size in
-/// bytes, used with `Framing::kLength` only. Thread-safe.
-std::string SerializeHead(const ResponseHead& head, Framing framing,
-                          std::size_t length, bool keep_alive);
-/// Returns one chunk of a chunked body; the terminating chunk if `data` is
-/// empty. Thread-safe.
-std::string SerializeChunk(std::string_view data);
-
 /// Returns a response with a JSON body. Thread-safe.
 Response MakeResponse(int status, std::string json_body);
 
--- a/briarspread/proxy/message_reader.cc
+++ b/briarspread/proxy/message_reader.cc
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <utility>
 
+#include "briarspread/proxy/head_validation.h"
+
 namespace briarspread::proxy {
 namespace {
 
@@ -37,10 +39,11 @@
   return callbacks;
 }
 
-bool MessageReader::HasBareLineFeed(std::string_view bytes) {
+bool MessageReader::HasAmbiguousLine(std::string_view bytes) {
   for (const char c : bytes) {
     if (is_head_scanned_) return false;
     if (c == '\n' && last_byte_ != '\r') return true;
+    if ((c == ' ' || c == '\t') && last_byte_ == '\n') return true;
     if (c == '\n') {
       is_head_scanned_ = has_nonempty_line_ && line_bytes_ == 0;
       line_bytes_ = 0;
@@ -61,10 +64,9 @@
       http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
   const http_errno ec = HTTP_PARSER_ERRNO(&parser_);
   if (was_in_head) {
-    // Only a request's head is checked for bare line feeds: no second parser
-    // reads a response's head after this one, so the parser's own checks
-    // suffice there.
-    if (kind_ == Kind::kRequest && HasBareLineFeed(bytes)) {
+    // Only the lines of a request's head are checked: no second parser reads a
+    // response's head after this one, so the parser's own checks suffice there.
+    if (kind_ == Kind::kRequest && HasAmbiguousLine(bytes)) {
       error_ = ReadError::kMalformed;
       return 0;
     }
@@ -161,6 +163,12 @@
   return 0;
 }
 
+bool MessageReader::IsHeadAcceptable() const {
+  if (parser_.http_major != 1) return false;
+  return kind_ == Kind::kRequest ? IsAcceptable(request_)
+                                 : IsAcceptable(response_);
+}
+
 int MessageReader::OnHeadEnd(http_parser* parser) {
   MessageReader& self = Self(parser);
   self.FlushLine();
@@ -171,6 +179,10 @@
   } else {
     self.response_.status = parser->status_code;
   }
+  if (!self.IsHeadAcceptable()) {
+    self.error_ = ReadError::kMalformed;
+    return -1;
+  }
   if ((parser->flags & F_CONTENTLENGTH) != 0 &&
       parser->content_length > self.limits_.max_body_bytes) {
     self.error_ = ReadError::kBodyTooLarge;
--- a/briarspread/proxy/message_reader.h
+++ b/briarspread/proxy/message_reader.h
@@ -21,9 +21,10 @@
 };
 
 /// Incremental HTTP/1.1 parser for the successive messages of one connection.
-/// Rejects messages that two parsers could interpret differently: both
-/// `Content-Length` and `Transfer-Encoding`, malformed chunks and, in a
-/// request's head, bare line feeds. Not thread-safe.
+/// Rejects messages that two parsers could interpret differently: heads that
+/// are not `IsAcceptable`, both `Content-Length` and `Transfer-Encoding`,
+/// malformed chunks and, in a request's head, bare line feeds and continued
+/// lines. Not thread-safe.
 class MessageReader {
  public:
   enum class Kind { kRequest, kResponse };
@@ -79,7 +80,10 @@
   /// as it grows. Its pages are used only once bytes arrive.
   void ReserveBody(std::size_t n);
   HeaderList& headers();
-  bool HasBareLineFeed(std::string_view bytes);
+  /// Whether a line of the head ends without a carriage return, or continues
+  /// the line before it.
+  bool HasAmbiguousLine(std::string_view bytes);
+  bool IsHeadAcceptable() const;
 
   const Kind kind_;
   const ReadLimits limits_;
--- a/briarspread/proxy/server_connection.cc
+++ b/briarspread/proxy/server_connection.cc
@@ -8,6 +8,8 @@
 #include <exception>
 #include <utility>
 
+#include "briarspread/proxy/message_bytes.h"
+
 namespace briarspread::proxy {
 namespace {
 
@@ -46,11 +48,15 @@
     const bool has_no_body = HasStatusWithoutBody(response.head.status);
     ResponseHead head = response.head;
     head.headers.RemoveHopByHop();
-    std::string bytes =
+    auto bytes =
         SerializeHead(head, has_no_body ? Framing::kNoBody : Framing::kLength,
                       response.body.size(), keep_alive);
-    if (!is_head_request_ && !has_no_body) bytes += response.body;
-    connection_->Queue(bytes);
+    if (!bytes.has_value()) {
+      AbortInvalid(head.status);
+      return;
+    }
+    if (!is_head_request_ && !has_no_body) *bytes += response.body;
+    connection_->Queue(*bytes);
     Finish();
   }
 
@@ -60,9 +66,14 @@
     const auto length = out.headers.FindNumber("Content-Length");
     out.headers.RemoveHopByHop();
     is_chunked_ = !length.has_value();
-    connection_->Queue(SerializeHead(
-        out, is_chunked_ ? Framing::kChunked : Framing::kLength,
-        length.value_or(0), !connection_->closes_after_response_));
+    const auto bytes =
+        SerializeHead(out, is_chunked_ ? Framing::kChunked : Framing::kLength,
+                      length.value_or(0), !connection_->closes_after_response_);
+    if (!bytes.has_value()) {
+      AbortInvalid(out.status);
+      return;
+    }
+    connection_->Queue(*bytes);
   }
 
   void Write(std::string_view data) override {
@@ -107,6 +118,12 @@
   }
 
  private:
+  /// Closes the connection in place of a response that must not be sent.
+  void AbortInvalid(int status) {
+    LOG(ERROR) << "event=response_invalid status=" << status;
+    Abort();
+  }
+
   void Finish() {
     const auto connection = std::exchange(connection_, nullptr);
     on_disconnect_ = nullptr;
@@ -385,9 +402,7 @@
 
 void ServerConnection::SendAndClose(const Response& response) {
   closes_after_write_ = true;
-  Queue(SerializeHead(response.head, Framing::kLength, response.body.size(),
-                      false) +
-        response.body);
+  Queue(SerializeLast(response));
 }
 
 void ServerConnection::Dispatch() {
--- a/briarspread/proxy/upstream_connection.cc
+++ b/briarspread/proxy/upstream_connection.cc
@@ -68,7 +68,7 @@
 
 void UpstreamConnection::Run(ExchangeRequest request,
                              ExchangeListener& listener) {
-  assert(listener_ == nullptr && is_usable());
+  assert(listener_ == nullptr && is_usable() && request.bytes.has_value());
   request_ = std::move(request);
   listener_ = &listener;
   interim_count_ = 0;
@@ -149,8 +149,9 @@
   }
   is_writing_ = true;
   // The bytes outlive the write, whatever ends the exchange.
-  const auto bytes =
-      std::make_shared<const std::string>(std::move(request_.bytes));
+  const auto bytes = std::make_shared<const std::string>(
+      std::move(*request_.bytes).TakeText());
+  request_.bytes.reset();
   const auto body = std::exchange(request_.body, nullptr);
   const std::array<asio::const_buffer, 2> all = {
       asio::buffer(*bytes),
--- a/briarspread/proxy/upstream_connection.h
+++ b/briarspread/proxy/upstream_connection.h
@@ -7,12 +7,14 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "briarspread/core/clock.h"
 #include "briarspread/core/upstream.h"
 #include "briarspread/proxy/connection_observer.h"
 #include "briarspread/proxy/exchange.h"
+#include "briarspread/proxy/message_bytes.h"
 #include "briarspread/proxy/message_reader.h"
 #include "briarspread/proxy/socket_options.h"
 
@@ -56,8 +58,9 @@
 /// The request of one exchange and how to send it.
 struct ExchangeRequest {
   Endpoint to;
-  /// The bytes of the request, without those of `body`.
-  std::string bytes;
+  /// The bytes of the request, without those of `body`. Nothing if they could
+  /// not be made: the exchange then fails and nothing is sent.
+  std::optional<RequestBytes> bytes;
   /// The rest of the request's bytes, shared with its sender so that they are
   /// not copied; null if there is none.
   std::shared_ptr<const std::string> body = nullptr;
@@ -89,7 +92,8 @@
   /// started yet.
   void Open() { Connect(); }
   /// Starts an exchange, establishing the connection first if needed.
-  /// Precondition: no other exchange is in flight and `is_usable()`.
+  /// Precondition: no other exchange is in flight, `is_usable()`, and the
+  /// request has bytes.
   void Run(ExchangeRequest request, ExchangeListener& listener);
   /// Closes the connection without a call to the exchange's listener.
   void Close(CloseCause cause);
--- a/tests/forward/relayed_exchange_test.cc
+++ b/tests/forward/relayed_exchange_test.cc
@@ -89,7 +89,7 @@
     head.headers.Add("Host", "h");
     proxy::ExchangeRequest request;
     request.to = upstream.endpoint();
-    request.bytes = proxy::Serialize(head, "body");
+    request.bytes = proxy::RequestBytes::Make(head, "body");
     request.is_head_request = method == "HEAD";
     exchange = origin.upstreams.Start({UpstreamId("u"), 0}, std::move(request),
                                       listener);
@@ -279,6 +279,7 @@
   int direct = 0;
   RelayedExchange::Spec spec;
   spec.request.to = site.upstream.endpoint();
+  spec.request.bytes = proxy::RequestBytes::Parse("GET /x HTTP/1.1\r\n\r\n");
   spec.start_direct = [&](const auto&, auto&) {
     ++direct;
     return nullptr;
--- a/tests/platform/edge_fixture.h
+++ b/tests/platform/edge_fixture.h
@@ -189,7 +189,7 @@
     }
     proxy::ExchangeRequest request;
     request.to = to;
-    request.bytes = proxy::Serialize(head, body);
+    request.bytes = proxy::RequestBytes::Make(head, body);
     std::optional<proxy::CallResult> result;
     proxy::StartCall(pool, std::move(request),
                      [&](proxy::CallResult got) { result = std::move(got); });
--- a/tests/platform/exceeded_limit_test.cc
+++ b/tests/platform/exceeded_limit_test.cc
@@ -20,7 +20,7 @@
     head.headers.Add("X-Attempt-Id", "burst-" + std::to_string(i));
     proxy::ExchangeRequest request;
     request.to = *to.settings.frontend;
-    request.bytes = proxy::Serialize(head, "");
+    request.bytes = proxy::RequestBytes::Make(head, "");
     proxy::StartCall(fixture.pool, std::move(request),
                      [&responses](const proxy::CallResult& result) {
                        responses.push_back(std::get<proxy::Response>(result));
--- a/tests/platform/resumed_stream_test.cc
+++ b/tests/platform/resumed_stream_test.cc
@@ -20,7 +20,7 @@
   }
   proxy::ExchangeRequest request;
   request.to = *at.settings.frontend;
-  request.bytes = proxy::Serialize(head, "");
+  request.bytes = proxy::RequestBytes::Make(head, "");
   std::optional<proxy::CallResult> result;
   proxy::StartCall(fixture.pool, std::move(request),
                    [&](proxy::CallResult got) { result = std::move(got); });
--- a/tests/pressure/pressure_test.cc
+++ b/tests/pressure/pressure_test.cc
@@ -76,7 +76,7 @@
       is_pending = true;
       proxy::ExchangeRequest request;
       request.to = *settings.frontend;
-      request.bytes = proxy::Serialize(head, body);
+      request.bytes = proxy::RequestBytes::Make(head, body);
       proxy::StartCall(
           pool, std::move(request), [&](const proxy::CallResult& got) {
             const auto* response = std::get_if<proxy::Response>(&got);
--- a/tests/proxy/connection_test.cc
+++ b/tests/proxy/connection_test.cc
@@ -106,7 +106,7 @@
     RequestHead head;
     head.method = "GET";
     head.target = "/";
-    request.bytes = Serialize(head, "");
+    request.bytes = RequestBytes::Make(head, "");
     if (!echo.empty()) {
       request.echo_name = "X-Id";
       request.echo_value = echo;
@@ -276,7 +276,7 @@
   ConnectionPool pool(loop, {});
   ExchangeRequest request;
   request.to = server.endpoint();
-  request.bytes = "GET / HTTP/1.1\r\n\r\n";
+  request.bytes = RequestBytes::Parse("GET / HTTP/1.1\r\n\r\n");
   const auto cancel =
       StartCall(pool, std::move(request), [](const CallResult&) { FAIL(); });
   REQUIRE(RunUntil(loop, [&] { return server.handler.requests.size() == 1; }));
@@ -291,7 +291,7 @@
   std::optional<CallResult> result;
   ExchangeRequest request;
   request.to = server.endpoint();
-  request.bytes = "GET / HTTP/1.1\r\n\r\n";
+  request.bytes = RequestBytes::Parse("GET / HTTP/1.1\r\n\r\n");
   StartCall(pool, std::move(request),
             [&](const CallResult& got) { result = got; });
   REQUIRE(RunUntil(loop, [&] { return server.handler.requests.size() == 1; }));
@@ -414,7 +414,7 @@
   std::optional<CallResult> result;
   ExchangeRequest request;
   request.to = upstream.endpoint();
-  request.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  request.bytes = RequestBytes::Parse("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
   StartCall(pool, std::move(request),
             [&result](CallResult got) { result = std::move(got); });
   std::this_thread::sleep_for(5 * settings.connect_timeout);
--- a/tests/proxy/early_answer_test.cc
+++ b/tests/proxy/early_answer_test.cc
@@ -91,7 +91,7 @@
     RequestHead head;
     head.method = "POST";
     head.target = target;
-    request.bytes = Serialize(head, std::string(body_bytes, 'b'));
+    request.bytes = RequestBytes::Make(head, std::string(body_bytes, 'b'));
     const std::size_t before = answers;
     StartCall(pool, std::move(request), [&](const CallResult&) { ++answers; });
     return before + 1;
--- a/tests/proxy/endless_bytes_test.cc
+++ b/tests/proxy/endless_bytes_test.cc
@@ -110,7 +110,7 @@
     ExchangeRequest request;
     request.to = to;
     request.timeout = timeout;
-    request.bytes = "GET / HTTP/1.1\r\n\r\n";
+    request.bytes = RequestBytes::Parse("GET / HTTP/1.1\r\n\r\n");
     request.echo_name = "X-Id";
     request.echo_value = "id-" + std::to_string(++calls);
     StartCall(pool, std::move(request),
--- /dev/null
+++ b/tests/proxy/head_validation_test.cc
@@ -0,0 +1,138 @@
+// Tests of what may stand in a message's head, as it is received and as it is
+// sent. They guard against the failure of review/10 (UNASKED): text of a caller
+// became a second request.
+
+#include "briarspread/proxy/head_validation.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "briarspread/proxy/message_bytes.h"
+#include "briarspread/proxy/message_reader.h"
+
+namespace briarspread::proxy {
+namespace {
+
+using Kind = MessageReader::Kind;
+
+ReadError ErrorOf(Kind kind, const std::string& bytes) {
+  MessageReader reader(kind, ReadLimits{});
+  reader.Feed(bytes);
+  return reader.error();
+}
+
+RequestHead ProperHead() {
+  RequestHead head{"POST", "/a?b=c", {}};
+  head.headers.Add("Host", "h");
+  return head;
+}
+
+/// Texts that may not stand in a value of a head.
+const std::vector<std::string> kInvalidTexts = {
+    "a\r\nX: y", "a\nb", "a\rb", std::string("a\0b", 3), "a\x7f", "\x01"};
+
+TEST_CASE("a request is serialized only from text that may stand in a head") {
+  REQUIRE(RequestBytes::Make(ProperHead(), "x")->text() ==
+          "POST /a?b=c HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx");
+  std::vector<RequestHead> wrong;
+  for (const std::string& text : kInvalidTexts) {
+    wrong.insert(wrong.end(), 4, ProperHead());
+    wrong.end()[-1].headers.Add("X", text);
+    wrong.end()[-2].headers.Add(text, "x");
+    wrong.end()[-3].target = text;
+    wrong.end()[-4].method = text;
+  }
+  for (const char* name : {"", "a b", "a:b", "Host "}) {
+    wrong.push_back(ProperHead());
+    wrong.back().headers.Add(name, "x");
+  }
+  for (const char* name : {"content-length", "Transfer-Encoding"}) {
+    wrong.push_back(ProperHead());
+    wrong.back().headers.Add(name, "3");
+  }
+  wrong.push_back(ProperHead());
+  wrong.back().target = "/a b";
+  for (const RequestHead& head : wrong) {
+    REQUIRE_FALSE(RequestBytes::Make(head, "x").has_value());
+    REQUIRE_FALSE(RequestBytes::MakeHead(head, 0).has_value());
+  }
+}
+
+TEST_CASE("a response is serialized only from text that may stand in a head") {
+  for (const std::string& text : kInvalidTexts) {
+    Response response = MakeTextResponse("x");
+    response.head.headers.Add("X", text);
+    REQUIRE_FALSE(
+        SerializeHead(response.head, Framing::kLength, 1, true).has_value());
+  }
+}
+
+TEST_CASE("bytes of a peer are taken over only as exactly one request") {
+  const std::string one = "POST /a HTTP/1.1\r\nContent-Length: 1\r\n\r\nx";
+  REQUIRE(RequestBytes::Parse(one)->text() == one);
+  for (const std::string& bytes :
+       {std::string(), one + one, one + "\n", one.substr(0, one.size() - 1),
+        std::string("CONNECT h:80 HTTP/1.1\r\nContent-Length: 1\r\n\r\nx")}) {
+    INFO(bytes);
+    REQUIRE_FALSE(RequestBytes::Parse(bytes).has_value());
+  }
+}
+
+TEST_CASE("a request whose end is in doubt is rejected") {
+  const std::string begin = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  const std::string chunk = "\r\n1\r\nx\r\n0\r\n\r\n";
+  REQUIRE(ErrorOf(Kind::kRequest, begin + "Transfer-Encoding: Chunked \r\n" +
+                                      chunk) == ReadError::kNone);
+  REQUIRE(ErrorOf(Kind::kRequest, begin + "Content-Length: 1 \r\n\r\nx") ==
+          ReadError::kNone);
+  for (const std::string& bytes :
+       {std::string("CONNECT h:80 HTTP/1.1\r\nHost: h\r\nContent-Length: 1"
+                    "\r\n\r\nx"),
+        std::string("CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n"),
+        begin + "Transfer-Encoding : chunked\r\n" + chunk,
+        begin + "Transfer-Encoding: gzip, chunked\r\n" + chunk,
+        begin + "Transfer-Encoding: chunked, identity\r\n" + chunk,
+        begin + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" +
+            chunk,
+        begin + "Transfer-Encoding: identity\r\nContent-Length: 1\r\n\r\nx",
+        begin + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n" + chunk,
+        begin + "Content-Length: 1\r\nContent-Length: 1\r\n\r\nx",
+        begin + "Content-Length:\r\n\r\n",
+        begin + "Content-Length: +1\r\n\r\nx", begin + "X: a\r\n b\r\n\r\n",
+        begin + "X: a\r\n\tb\r\n\r\n", begin + "X: a\rb\r\n\r\n",
+        begin + "X: a\nY: b\r\n\r\n",
+        begin + std::string("X: a\0b\r\n\r\n", 11), begin + "Host: i\r\n\r\n",
+        std::string("POST /a\tb HTTP/1.1\r\nHost: h\r\n\r\n"),
+        std::string("POST /a HTTP/2.0\r\nHost: h\r\n\r\n")}) {
+    INFO(bytes);
+    REQUIRE(ErrorOf(Kind::kRequest, bytes) == ReadError::kMalformed);
+  }
+}
+
+TEST_CASE("the body of a request of any other method ends with its length") {
+  for (const char* method : {"GET", "HEAD", "DELETE", "OPTIONS"}) {
+    MessageReader reader(Kind::kRequest, ReadLimits{});
+    const std::string bytes =
+        std::string(method) +
+        " /a HTTP/1.1\r\nHost: h\r\nUpgrade: x\r\nConnection: upgrade\r\n"
+        "Content-Length: 3\r\n\r\nGET";
+    REQUIRE(reader.Feed(bytes) == bytes.size());
+    REQUIRE(reader.is_complete());
+    REQUIRE(reader.body() == "GET");
+  }
+}
+
+TEST_CASE("a response whose end is in doubt is rejected") {
+  const std::string begin = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& bytes :
+       {begin + "Transfer-Encoding: gzip\r\n\r\nx",
+        begin + "Transfer-Encoding : chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+        begin + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nx",
+        std::string("HTTP/2.0 200 OK\r\nContent-Length: 1\r\n\r\nx")}) {
+    INFO(bytes);
+    REQUIRE(ErrorOf(Kind::kResponse, bytes) == ReadError::kMalformed);
+  }
+}
+
+}  // namespace
+}  // namespace briarspread::proxy
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -30,7 +30,7 @@
   head.headers.Add("Api-Key", SoakKeyOf(SoakAccountOf(id)));
   proxy::ExchangeRequest request;
   request.to = edges_.frontends[edge];
-  request.bytes = proxy::Serialize(head, body);
+  request.bytes = proxy::RequestBytes::Make(head, body);
   request.timeout = timeout;
   proxy::StartCall(pool_, std::move(request), std::move(done));
 }
