Only an instance that has a job's configuration takes the job on

Cause: without a configuration LimitsOf took the limits meant for a removed route (one failure, due at once) and the ledger kept them for the job's life. "Not read yet" and "no such route" were one null pointer.

Change: RouteLookup tells RouteUnknown from RouteAbsent. A job carries the version of the configuration under which it was submitted; an instance that has not read that version refuses to accept, adopt or load it, at once and as not run. Limits follow the route in force. A reward call that finds no route no longer sets its item's limit of failures to one.

Why it works: limits are read only from a configuration that is known to have the job's route; the machine that was refused accepts the job itself.

--- a/briarspread/batch/job.cc
+++ b/briarspread/batch/job.cc
@@ -110,6 +110,16 @@
   if (!account.value().empty()) json["account"] = account.value();
 }
 
+/// Sets the configuration that a job needs; omitted if it is not known.
+void SetConfiguration(forward::ConfigurationVersion version, Json& json) {
+  if (version.value() > 0) json["configuration"] = version.value();
+}
+
+forward::ConfigurationVersion ConfigurationFrom(const Json& json) {
+  return forward::ConfigurationVersion(
+      json.value("configuration", std::uint64_t{0}));
+}
+
 accounts::AccountId AccountFrom(const Json& json) {
   return accounts::AccountId(json.value("account", ""));
 }
@@ -134,6 +144,7 @@
                {"target_groups", spec.target_groups},
                {"items", std::move(items)}};
   SetAccount(spec.account, json);
+  SetConfiguration(spec.configuration, json);
   return ToBytes(json);
 }
 
@@ -152,6 +163,7 @@
       spec.items.push_back(ItemFrom(item));
     }
     spec.account = AccountFrom(json);
+    spec.configuration = ConfigurationFrom(json);
     return spec;
   });
 }
@@ -191,6 +203,7 @@
                {"home_key", record.home_key},
                {"ended", record.is_ended}};
   SetAccount(record.account, json);
+  SetConfiguration(record.configuration, json);
   if (!record.model.value().empty()) json["model"] = record.model.value();
   return ToBytes(json);
 }
@@ -210,6 +223,7 @@
     record.home_key = json.at("home_key").get<std::string>();
     record.is_ended = json.at("ended").get<bool>();
     record.account = AccountFrom(json);
+    record.configuration = ConfigurationFrom(json);
     record.model = ModelName(json.value("model", ""));
     return record;
   });
--- a/briarspread/batch/job.h
+++ b/briarspread/batch/job.h
@@ -11,6 +11,7 @@
 #include "briarspread/core/clock.h"
 #include "briarspread/core/ids.h"
 #include "briarspread/core/upstream.h"
+#include "briarspread/forward/configuration.h"
 #include "briarspread/proxy/http_message.h"
 
 namespace briarspread::batch {
@@ -54,6 +55,9 @@
   std::string host;
   /// The path that the job was submitted to.
   std::string path;
+  /// The configuration that an instance had when it took the submission. The
+  /// job's owner must have it or a later one. Zero in jobs of earlier builds.
+  forward::ConfigurationVersion configuration;
   std::uint64_t step = 0;
   ModelName model;
   /// The oldest weight version that may generate text of the job.
@@ -105,6 +109,8 @@
   bool is_ended = false;
   /// The model of the job's items; empty in records of earlier builds.
   ModelName model;
+  /// As in the job's specification.
+  forward::ConfigurationVersion configuration;
   /// The client account that the job belongs to; empty without accounts.
   accounts::AccountId account;
 };
--- a/briarspread/batch/job_gateway.cc
+++ b/briarspread/batch/job_gateway.cc
@@ -92,6 +92,7 @@
     }
     return;
   }
+  spec.configuration = runner_->configuration_version();
   const std::string home_key = HomeKeyOf(spec);
   std::vector<InstanceRecord> candidates = registry_.Peers();
   candidates.push_back(registry_.self());
--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -87,13 +87,12 @@
   StartPendingRewards();
 }
 
-const forward::Route* JobRunner::RouteOf(const OwnedJob& job,
-                                         std::size_t i) const {
-  const auto& configuration = context_.configuration.current();
-  if (configuration == nullptr) return nullptr;
+forward::RouteLookup JobRunner::FindRoute(const OwnedJob& job,
+                                          std::size_t i) const {
   const JobSpec& spec = job.ledger.spec();
-  return configuration->FindRoute(spec.host,
-                                  proxy::SplitTarget(spec.items[i].path).path);
+  return context_.configuration.FindRoute(
+      spec.host, proxy::SplitTarget(spec.items[i].path).path,
+      spec.configuration);
 }
 
 EngineViewCache::EngineTokens JobRunner::EstimateOwnTokens() const {
@@ -211,16 +210,17 @@
   // The end of its last run may have made the item final.
   if (job.ledger.item(i).phase != ItemPhase::kWaiting) return false;
   const JobId& id = job.ledger.spec().id;
-  const forward::Route* route = RouteOf(job, i);
-  if (route == nullptr) {
-    if (context_.configuration.current() == nullptr) return false;
+  const forward::RouteLookup lookup = FindRoute(job, i);
+  if (std::holds_alternative<forward::RouteUnknown>(lookup)) return false;
+  if (std::holds_alternative<forward::RouteAbsent>(lookup)) {
     job.ledger.GiveUp(i, context_.clock.Now());
     RecordGivenUpItem(job, i, "no_route");
     ScheduleListing(id, settings_.listing_delay);
     return true;
   }
+  const forward::Route& route = *std::get<const forward::Route*>(lookup);
   const std::uint64_t draw = StableHash(job.ledger.spec().items[i].id.value());
-  const auto chosen = ChooseEngine(job, i, ChooseBackend(*route, draw));
+  const auto chosen = ChooseEngine(job, i, ChooseBackend(route, draw));
   if (!chosen.has_value() || !IsRecordConfirmed(id, job)) return false;
   const UpstreamId& engine = *chosen;
   const forward::KnownUpstream* known = context_.directory.Find(engine);
--- a/briarspread/batch/job_ledger.h
+++ b/briarspread/batch/job_ledger.h
@@ -58,6 +58,8 @@
 
   const JobSpec& spec() const { return spec_; }
   const JobLimits& limits() const { return limits_; }
+  /// Replaces the limits, after the job's route has changed.
+  void SetLimits(const JobLimits& limits) { limits_ = limits; }
   std::size_t item_count() const { return spec_.items.size(); }
   const ItemState& item(std::size_t i) const { return states_[i]; }
   std::optional<std::size_t> FindItem(const ItemId& id) const;
@@ -125,7 +127,7 @@
   bool IsGroupComplete(const std::vector<std::size_t>& members) const;
 
   const JobSpec spec_;
-  const JobLimits limits_;
+  JobLimits limits_;
   std::vector<ItemState> states_;
   /// Mean of the expected output tokens, plus one so that it is never zero.
   double mean_tokens_ = 1;
--- a/briarspread/batch/job_listing.cc
+++ b/briarspread/batch/job_listing.cc
@@ -287,8 +287,8 @@
   }
   const auto it = jobs_.find(run.spec().job);
   if (it == jobs_.end()) return false;
-  const forward::Route* route = RouteOf(it->second, run.spec().item);
-  if (route == nullptr) return false;
+  const forward::RouteLookup lookup = FindRoute(it->second, run.spec().item);
+  if (!std::holds_alternative<const forward::Route*>(lookup)) return false;
   const forward::KnownUpstream* engine =
       context_.directory.Find(run.spec().engine);
   if (engine == nullptr) return false;
@@ -353,6 +353,7 @@
 
 void JobRunner::Review() {
   const TimePoint now = context_.clock.Now();
+  UpdateLimits();
   ReviewRuns(now);
   std::vector<JobId> all;
   for (const auto& [id, job] : jobs_) all.push_back(id);
--- a/briarspread/batch/job_rewards.cc
+++ b/briarspread/batch/job_rewards.cc
@@ -48,8 +48,10 @@
   if (!outcome.score.empty()) {
     ledger.SetScore(i, outcome.score, now);
   } else {
-    ledger.MarkRewardFailed(i, outcome.upstream_errors, outcome.max_attempts,
-                            now);
+    if (outcome.max_attempts.has_value()) {
+      ledger.MarkRewardFailed(i, outcome.upstream_errors, *outcome.max_attempts,
+                              now);
+    }
     LOG(INFO) << "event=reward_failed job=" << id
               << " item=" << ledger.spec().items[i].id
               << " request=" << ledger.spec().items[i].reward->id
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -49,34 +49,49 @@
   context_.limiter.SetOnItemPermit([this] { SchedulePlacement(); });
 }
 
-JobLimits JobRunner::LimitsOf(const JobSpec& spec,
-                              const JobRecord& record) const {
+Status JobRunner::CheckConfiguration(
+    const JobId& id, forward::ConfigurationVersion needed) const {
+  const forward::ConfigurationVersion version = configuration_version();
+  if (version.value() > 0 && version >= needed) return OkStatus();
+  LOG(WARNING) << "event=configuration_missing job=" << id
+               << " version=" << version << " needed=" << needed;
+  return Error{ErrorCode::kUnavailable, Verdict::kNotRun,
+               "the configuration that the job needs is not read yet"};
+}
+
+JobLimits JobRunner::LimitsOf(const JobSpec& spec, TimePoint submitted) const {
   JobLimits limits;
-  const TimePoint now = context_.clock.Now();
-  const Duration age =
-      std::clamp<Duration>(context_.clock.WallNow() - record.submitted,
-                           Duration(0), settings_.status_time);
-  const forward::Route* route = nullptr;
-  if (context_.configuration.current() != nullptr) {
-    route = context_.configuration.current()->FindRoute(
-        spec.host, proxy::SplitTarget(spec.path).path);
-  }
+  const forward::RouteLookup lookup = context_.configuration.FindRoute(
+      spec.host, proxy::SplitTarget(spec.path).path, spec.configuration);
+  const auto* route = std::get_if<const forward::Route*>(&lookup);
   if (route == nullptr) {
     // Items without a route are given up when they are placed.
-    limits.due = now;
-    limits.give_up_time = now + settings_.status_time;
+    limits.due = submitted;
+    limits.give_up_time = submitted + settings_.status_time;
     return limits;
   }
   const auto or_status_time = [this](milliseconds time) {
     return time.count() > 0 ? time : settings_.status_time;
   };
-  limits.due = now - age + or_status_time(route->due);
-  limits.give_up_time = now - age + or_status_time(route->item_time_to_live);
-  limits.max_attempts = std::max<std::uint32_t>(1, route->max_attempts);
-  limits.wants_single_version = route->wants_single_version;
+  limits.due = submitted + or_status_time((*route)->due);
+  limits.give_up_time = submitted + or_status_time((*route)->item_time_to_live);
+  limits.max_attempts = std::max<std::uint32_t>(1, (*route)->max_attempts);
+  limits.wants_single_version = (*route)->wants_single_version;
   return limits;
 }
 
+void JobRunner::UpdateLimits() {
+  if (limits_version_ == configuration_version()) return;
+  limits_version_ = configuration_version();
+  for (auto& [id, job] : jobs_) {
+    const JobSpec& spec = job.ledger.spec();
+    const bool has_route = std::holds_alternative<const forward::Route*>(
+        context_.configuration.FindRoute(
+            spec.host, proxy::SplitTarget(spec.path).path, spec.configuration));
+    if (has_route) job.ledger.SetLimits(LimitsOf(spec, job.submitted));
+  }
+}
+
 bool JobRunner::IsOwn(const JobRecord& record) const {
   return record.owner == self_.name && record.incarnation == self_.incarnation;
 }
@@ -88,6 +103,11 @@
     done(OkStatus());
     return;
   }
+  if (const Status known = CheckConfiguration(id, spec.configuration);
+      !IsOk(known)) {
+    done(known);
+    return;
+  }
   PendingAccept& acceptance =
       pending_accepts_.try_emplace(id, context_.loop).first->second;
   acceptance.callbacks.push_back(std::move(done));
@@ -100,6 +120,7 @@
   acceptance.record.home_key = home_key;
   acceptance.record.account = spec.account;
   acceptance.record.model = spec.model;
+  acceptance.record.configuration = spec.configuration;
   acceptance.spec = std::move(spec);
   acceptance.retry_deadline =
       context_.clock.Now() + settings_.accept_retry_timeout;
@@ -182,11 +203,14 @@
                                        const JobSpec& spec,
                                        TimePoint confirmed) {
   const TimePoint now = context_.clock.Now();
-  const JobLimits limits = LimitsOf(spec, stored.record);
-  const auto [it, is_new] =
-      jobs_.try_emplace(stored.id, context_.loop, spec, limits,
-                        settings_.events_per_checkpoint, now);
+  const Duration age =
+      std::clamp<Duration>(context_.clock.WallNow() - stored.record.submitted,
+                           Duration(0), settings_.status_time);
+  const auto [it, is_new] = jobs_.try_emplace(
+      stored.id, context_.loop, spec, LimitsOf(spec, now - age),
+      settings_.events_per_checkpoint, now);
   OwnedJob& job = it->second;
+  job.submitted = now - age;
   job.epoch = ++last_epoch_;
   job.record = stored.record;
   job.index = stored.index;
@@ -205,6 +229,12 @@
 
 void JobRunner::Adopt(const StoredRecord& stored, const JobHandover& handover,
                       Done<std::monostate> done) {
+  if (const Status known =
+          CheckConfiguration(stored.id, stored.record.configuration);
+      !IsOk(known)) {
+    done(known);
+    return;
+  }
   JobRecord record = stored.record;
   record.owner = self_.name;
   record.incarnation = self_.incarnation;
@@ -243,6 +273,13 @@
 
 void JobRunner::Load(const StoredRecord& stored, const JobHandover& handover,
                      const Done<std::monostate>& done) {
+  if (const Status known =
+          CheckConfiguration(stored.id, stored.record.configuration);
+      !IsOk(known)) {
+    listener_.OnJobRecord(stored);
+    done(known);
+    return;
+  }
   loading_.insert(stored.id);
   // Another instance may end the job while it is being loaded.
   const TimePoint confirmed = context_.clock.Now();
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -112,9 +112,15 @@
   /// Starts the periodic reviews of runs and jobs.
   void Start();
 
+  /// Version of the configuration in force; zero before the first.
+  forward::ConfigurationVersion configuration_version() const {
+    return context_.configuration.version();
+  }
+
   /// Accepts a job; succeeds as well if the store already knows it. `done` is
   /// called once the store holds the job. An error with the verdict `kNotRun`
-  /// means that no part of the job runs.
+  /// means that no part of the job runs. Fails so at once if this instance has
+  /// not read the configuration that the job needs, as `Adopt` does.
   void Accept(JobSpec spec, const std::string& home_key,
               Done<std::monostate> done);
   /// Takes ownership of a job whose owner is unreachable or hands it over.
@@ -232,6 +238,8 @@
     bool is_store_failing = false;
     /// When this instance became the owner.
     TimePoint owned_since{};
+    /// When the job was submitted, on this instance's steady clock.
+    TimePoint submitted{};
     /// Whether the number of groups that the trainer waits for is listed.
     bool is_target_reached = false;
     std::vector<Done<std::monostate>> end_callbacks;
@@ -272,7 +280,16 @@
   /// `confirmed` is the time at which the call was sent that gave the record.
   OwnedJob& AddJob(const StoredRecord& stored, const JobSpec& spec,
                    TimePoint confirmed);
-  JobLimits LimitsOf(const JobSpec& spec, const JobRecord& record) const;
+  /// Returns an error if this instance has not read the configuration that a
+  /// job needs, so that it knows nothing of the job's route.
+  Status CheckConfiguration(const JobId& id,
+                            forward::ConfigurationVersion needed) const;
+  /// Returns the limits of a job that was submitted at `submitted`: those of
+  /// its route or, without one, limits under which items may be given up.
+  JobLimits LimitsOf(const JobSpec& spec, TimePoint submitted) const;
+  /// Has the jobs follow the routes of a new configuration. A job whose route
+  /// is gone keeps its limits.
+  void UpdateLimits();
 
   void SchedulePlacement();
   void PlaceWaitingItems();
@@ -304,7 +321,7 @@
   void RequestPermits(const EngineRequirements& need,
                       const EngineViews& engines);
   EngineRequirements RequirementsOf(const OwnedJob& job, std::size_t i) const;
-  const forward::Route* RouteOf(const OwnedJob& job, std::size_t i) const;
+  forward::RouteLookup FindRoute(const OwnedJob& job, std::size_t i) const;
   /// Sets the account of the job in the headers of a run, whatever the
   /// submitter put there.
   void SetAccount(const JobSpec& spec, proxy::HeaderList& headers) const;
@@ -380,6 +397,8 @@
   std::map<JobId, OwnedJob> jobs_;
   /// Jobs that are being loaded, once for each load.
   std::multiset<JobId> loading_;
+  /// The configuration whose limits the jobs have.
+  forward::ConfigurationVersion limits_version_;
   /// Epoch of the job that became owned last.
   std::uint64_t last_epoch_ = 0;
   std::map<JobId, PendingAccept> pending_accepts_;
--- a/briarspread/batch/reward_run.cc
+++ b/briarspread/batch/reward_run.cc
@@ -22,17 +22,15 @@
 }
 
 void RewardRun::Start() {
-  const auto& configuration = context_.configuration.current();
-  const forward::Route* route =
-      configuration == nullptr
-          ? nullptr
-          : configuration->FindRoute(call_.host,
-                                     proxy::SplitTarget(call_.path).path);
-  if (route == nullptr) {
+  const forward::RouteLookup lookup = context_.configuration.FindRoute(
+      call_.host, proxy::SplitTarget(call_.path).path,
+      forward::ConfigurationVersion());
+  if (!std::holds_alternative<const forward::Route*>(lookup)) {
     timer_.After(milliseconds(0), [this] { Finish(); });
     return;
   }
-  outcome_.max_attempts = route->max_attempts;
+  const forward::Route& route = *std::get<const forward::Route*>(lookup);
+  outcome_.max_attempts = route.max_attempts;
   forward::LiveRequestSpec spec;
   spec.request.head.method = "POST";
   spec.request.head.target = call_.path;
@@ -41,10 +39,10 @@
   spec.request.body = call_.body;
   // As its item, the call is owed even if upstreams crash under it.
   spec.may_be_suspected = false;
-  spec.route = *route;
+  spec.route = route;
   spec.arrived = context_.clock.Now();
-  spec.deadline = spec.arrived + (route->timeout.count() > 0 ? route->timeout
-                                                             : kDefaultTimeout);
+  spec.deadline = spec.arrived +
+                  (route.timeout.count() > 0 ? route.timeout : kDefaultTimeout);
   request_ =
       std::make_shared<forward::LiveRequest>(context_, std::move(spec), *this);
   request_->Start();
--- a/briarspread/batch/reward_run.h
+++ b/briarspread/batch/reward_run.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "briarspread/batch/job.h"
@@ -16,8 +17,9 @@
   std::string score;
   /// Number of failures that upstreams answered with.
   std::uint32_t upstream_errors = 0;
-  /// Number of such failures after which the item may be given up.
-  std::uint32_t max_attempts = 1;
+  /// Number of such failures after which the item may be given up; nothing if
+  /// the call found no route.
+  std::optional<std::uint32_t> max_attempts;
 };
 
 /// Sends one reward call through the route of its host and path. The call is
--- a/briarspread/forward/configuration.cc
+++ b/briarspread/forward/configuration.cc
@@ -48,4 +48,13 @@
   return true;
 }
 
+RouteLookup ConfigurationHolder::FindRoute(std::string_view host,
+                                           std::string_view path,
+                                           ConfigurationVersion since) const {
+  if (current_ == nullptr || current_->version < since) return RouteUnknown{};
+  const Route* route = current_->FindRoute(host, path);
+  if (route == nullptr) return RouteAbsent{};
+  return route;
+}
+
 }  // namespace briarspread::forward
--- a/briarspread/forward/configuration.h
+++ b/briarspread/forward/configuration.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "briarspread/accounts/account_index.h"
@@ -116,6 +117,14 @@
 /// route has backends. Thread-safe.
 const ServiceName& ChooseBackend(const Route& route, std::uint64_t draw);
 
+/// Nothing is known of a route: no configuration that is new enough was read.
+struct RouteUnknown {};
+/// The configuration in force has no such route.
+struct RouteAbsent {};
+/// What an instance knows of a route. The pointer is not null, and is valid
+/// until the configuration changes.
+using RouteLookup = std::variant<RouteUnknown, RouteAbsent, const Route*>;
+
 /// Holds the configuration in force and never replaces it by an older one. Must
 /// be used on the event loop's thread only.
 class ConfigurationHolder final {
@@ -127,6 +136,15 @@
   const std::shared_ptr<const Configuration>& current() const {
     return current_;
   }
+  /// Returns the version in force; zero before the first.
+  ConfigurationVersion version() const {
+    return current_ == nullptr ? ConfigurationVersion() : current_->version;
+  }
+  /// Looks up the route of `host` and `path` for work that an instance took on
+  /// under the configuration `since`; zero if it is not known. An older
+  /// configuration says nothing of it: the route may have been added later.
+  RouteLookup FindRoute(std::string_view host, std::string_view path,
+                        ConfigurationVersion since) const;
 
  private:
   std::shared_ptr<const Configuration> current_;
