Only a status of three digits from 100 to 599 is an answer

Cause: the parser accepts any digits, and no reader of the number asked whether it is a status.

Evidence: broken_answer_test, "an answer whose status is none is not passed on", failed on (0 instead of 502).

Change: MessageReader rejects the response as malformed; a response head with such a status can't be serialized. RawUpstream moved to tests/support, and can reset a connection.

Why it works: every response, of upstreams, peers and the store, is read by this one reader.

Measured: proxy and platform tests pass.

--- a/briarspread/proxy/head_validation.cc
+++ b/briarspread/proxy/head_validation.cc
@@ -73,7 +73,8 @@
 }
 
 bool IsAcceptable(const ResponseHead& head) {
-  return HasValidText(head.headers) && IsFramingUnambiguous(head.headers);
+  return IsStatus(head.status) && HasValidText(head.headers) &&
+         IsFramingUnambiguous(head.headers);
 }
 
 }  // namespace briarspread::proxy
--- a/briarspread/proxy/http_message.h
+++ b/briarspread/proxy/http_message.h
@@ -53,6 +53,9 @@
 /// Whether two names are equal, ignoring ASCII case. Thread-safe.
 bool EqualsIgnoreCase(std::string_view a, std::string_view b);
 
+/// Whether a number is a status that a response may have. Thread-safe.
+constexpr bool IsStatus(int status) { return status >= 100 && status < 600; }
+
 /// Whether a response with this status reports success. Thread-safe.
 constexpr bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
--- a/briarspread/proxy/message_bytes.cc
+++ b/briarspread/proxy/message_bytes.cc
@@ -96,7 +96,7 @@
 std::optional<std::string> SerializeHead(const ResponseHead& head,
                                          Framing framing, std::size_t length,
                                          bool keep_alive) {
-  if (!MayBeSent(head.headers)) return std::nullopt;
+  if (!IsStatus(head.status) || !MayBeSent(head.headers)) return std::nullopt;
   std::string out = "HTTP/1.1 ";
   AppendNumber(out, static_cast<std::size_t>(head.status), 10);
   out.append(" ").append(ReasonOf(head.status)).append("\r\n");
--- a/briarspread/proxy/message_bytes.h
+++ b/briarspread/proxy/message_bytes.h
@@ -40,9 +40,10 @@
 /// How a message's body is delimited.
 enum class Framing { kNoBody, kLength, kChunked };
 
-/// Returns the bytes of a response's head; nothing if a header has text that is
-/// not allowed there, or if one delimits the body. `length` is the body's size
-/// in bytes, used with `Framing::kLength` only. Thread-safe.
+/// Returns the bytes of a response's head; nothing if it has no valid status,
+/// or if a header has text that is not allowed there or delimits the body.
+/// `length` is the body's size in bytes, used with `Framing::kLength` only.
+/// Thread-safe.
 std::optional<std::string> SerializeHead(const ResponseHead& head,
                                          Framing framing, std::size_t length,
                                          bool keep_alive);
--- a/briarspread/proxy/message_reader.cc
+++ b/briarspread/proxy/message_reader.cc
@@ -11,6 +11,9 @@
 
 /// Size of a body above which memory for the rest of it is allocated at once.
 constexpr std::size_t kLargeBodyBytes = std::size_t{128} * 1024;
+/// Where the status stands in the first line of a response, after the version.
+constexpr std::ptrdiff_t kStatusBegin = sizeof("HTTP/1.1 ") - 1;
+constexpr std::ptrdiff_t kStatusEnd = kStatusBegin + 3;
 /// Memory of a header line beyond its characters: the object, and the spare
 /// part of the growing list.
 constexpr std::size_t kLineOverheadBytes = 3 * sizeof(Header);
@@ -60,6 +63,7 @@
   if (error_ != ReadError::kNone || is_complete_ || bytes.empty()) return 0;
   has_started_ = true;
   const bool was_in_head = !has_head_;
+  if (was_in_head && kind_ == Kind::kResponse) KeepStatusLine(bytes);
   const std::size_t n =
       http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
   const http_errno ec = HTTP_PARSER_ERRNO(&parser_);
@@ -102,6 +106,7 @@
   is_reading_value_ = false;
   head_bytes_ = 0;
   body_bytes_ = 0;
+  status_line_.clear();
   last_byte_ = 0;
   line_bytes_ = 0;
   has_nonempty_line_ = false;
@@ -163,10 +168,28 @@
   return 0;
 }
 
+void MessageReader::KeepStatusLine(std::string_view bytes) {
+  for (const char c : bytes) {
+    if (status_line_.size() == kStatusEnd + 1) return;
+    // The parser skips line ends before the first line.
+    const bool is_line_end = c == '\r' || c == '\n';
+    if (!status_line_.empty() || !is_line_end) status_line_.push_back(c);
+  }
+}
+
+bool MessageReader::HasStatusOfThreeDigits() const {
+  if (status_line_.size() <= kStatusEnd) return false;
+  const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
+  const auto begin = status_line_.begin();
+  return std::all_of(begin + kStatusBegin, begin + kStatusEnd, is_digit) &&
+         !is_digit(status_line_[kStatusEnd]);
+}
+
 bool MessageReader::IsHeadAcceptable() const {
   if (parser_.http_major != 1) return false;
-  return kind_ == Kind::kRequest ? IsAcceptable(request_)
-                                 : IsAcceptable(response_);
+  return kind_ == Kind::kRequest
+             ? IsAcceptable(request_)
+             : HasStatusOfThreeDigits() && IsAcceptable(response_);
 }
 
 int MessageReader::OnHeadEnd(http_parser* parser) {
--- a/briarspread/proxy/message_reader.h
+++ b/briarspread/proxy/message_reader.h
@@ -84,6 +84,10 @@
   /// the line before it.
   bool HasAmbiguousLine(std::string_view bytes);
   bool IsHeadAcceptable() const;
+  /// Keeps the beginning of a response's first line up to its status.
+  void KeepStatusLine(std::string_view bytes);
+  /// Whether the status has exactly three digits; the parser accepts others.
+  bool HasStatusOfThreeDigits() const;
 
   const Kind kind_;
   const ReadLimits limits_;
@@ -96,6 +100,8 @@
   bool is_reading_value_ = false;
   std::size_t head_bytes_ = 0;
   std::size_t body_bytes_ = 0;
+  /// The beginning of a response's first line.
+  std::string status_line_;
   /// The last byte of the head received so far, used to detect line feeds
   /// without a carriage return.
   char last_byte_ = 0;
--- /dev/null
+++ b/tests/platform/broken_answer_test.cc
@@ -0,0 +1,80 @@
+// Answers of replicas that are none, or that break off: callers get a 502, and
+// another attempt is made only where the request allows it. They guard against
+// two reports of other operators (MIXED): a status of 000, and a 200 made of a
+// head that broke off.
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "tests/platform/edge_fixture.h"
+#include "tests/support/raw_upstream.h"
+
+namespace briarspread::platform {
+namespace {
+
+using briarspread::testing::RawUpstream;
+using Json = nlohmann::json;
+
+/// An instance whose only replica of the plain service sends given bytes.
+struct BrokenReplica {
+  explicit BrokenReplica(const std::string& answer)
+      : upstream(fixture.loop, {answer, answer, answer}) {
+    Json entry = Json::parse(fixture.replica.Registration("desk"));
+    entry["Address"] = "127.0.0.1:" + std::to_string(upstream.endpoint().port);
+    fixture.store.memory().Write("servers/desk", entry.dump());
+    edge.emplace(fixture, fixture.Settings("one"));
+  }
+
+  int StatusOf(const std::string& path) {
+    return fixture.Call(*edge->settings.frontend, "POST", path).head.status;
+  }
+
+  EdgeFixture fixture;
+  RawUpstream upstream;
+  std::optional<ReadyInstance> edge;
+};
+
+const std::string kSigned = "X-Attempt-Id: id-1\r\nX-Server-Stamp: sig\r\n";
+
+TEST_CASE("an answer whose status is none is not passed on") {
+  for (const char* status : {"000 Odd", "00", "099", "600 Odd", "0200 OK"}) {
+    for (const std::string path : {"/plain/x", "/once/x"}) {
+      INFO(status << " " << path);
+      BrokenReplica replica("HTTP/1.1 " + std::string(status) + "\r\n" +
+                            kSigned + "Content-Length: 2\r\n\r\nno");
+      REQUIRE(replica.StatusOf(path) == 502);
+      REQUIRE(replica.upstream.requests() == (path == "/once/x" ? 1 : 2));
+    }
+  }
+}
+
+TEST_CASE("an answer that breaks off in its head is not passed on") {
+  const std::string head = "HTTP/1.1 200 OK\r\n" + kSigned;
+  const std::vector<std::string> begins = {
+      "HTTP/1.1 200 OK\r\n",
+      head,
+      head + "Content-Le",
+      head + "Content-Length: 1",
+      head + "Content-Length: 10\r\n",
+      head + "Content-Length: 10\r\n\r",
+      head + "Transfer-Encoding: chunked\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\n" + head};
+  for (const std::string& begin : begins) {
+    for (const char end : {RawUpstream::kClose, RawUpstream::kReset}) {
+      for (const char* path : {"/plain/x", "/once/x", "/stream/x"}) {
+        INFO(begin << end << path);
+        BrokenReplica replica(begin + end);
+        REQUIRE(replica.StatusOf(path) == 502);
+      }
+    }
+  }
+}
+
+TEST_CASE("an answer without a length that is reset is not passed on") {
+  BrokenReplica replica("HTTP/1.1 200 OK\r\n" + kSigned + "\r\nhalf^");
+  REQUIRE(replica.StatusOf("/once/x") == 502);
+}
+
+}  // namespace
+}  // namespace briarspread::platform
--- a/tests/proxy/connection_test.cc
+++ b/tests/proxy/connection_test.cc
@@ -10,89 +10,14 @@
 #include "briarspread/proxy/http_call.h"
 #include "briarspread/proxy/http_listener.h"
 #include "tests/support/loop_runner.h"
+#include "tests/support/raw_upstream.h"
 
 namespace briarspread::proxy {
 namespace {
 
+using briarspread::testing::RawUpstream;
 using briarspread::testing::RunUntil;
 
-/// Test server that answers requests with the given bytes, one entry per
-/// request over all connections. An empty entry closes the connection; once the
-/// entries are used up, requests stay unanswered.
-class RawUpstream {
- public:
-  RawUpstream(asio::io_context& loop, std::deque<std::string> answers)
-      : acceptor_(loop, {asio::ip::address_v4::loopback(), 0}),
-        answers_(std::move(answers)) {
-    Accept();
-  }
-
-  Endpoint endpoint() const {
-    return Endpoint{"127.0.0.1", acceptor_.local_endpoint().port()};
-  }
-  int connections() const { return connections_; }
-  int requests() const { return requests_; }
-
- private:
-  struct Connection {
-    explicit Connection(asio::ip::tcp::socket s) : socket(std::move(s)) {}
-    asio::ip::tcp::socket socket;
-    std::array<char, 4096> buf{};
-    std::string held;
-  };
-
-  void Accept() {
-    acceptor_.async_accept(
-        [this](asio::error_code ec, asio::ip::tcp::socket socket) {
-          if (ec) return;
-          ++connections_;
-          Read(std::make_shared<Connection>(std::move(socket)));
-          Accept();
-        });
-  }
-
-  void Read(const std::shared_ptr<Connection>& connection) {
-    connection->socket.async_read_some(
-        asio::buffer(connection->buf),
-        [this, connection](asio::error_code ec, std::size_t n) {
-          if (ec) return;
-          connection->held.append(connection->buf.data(), n);
-          if (connection->held.find("\r\n\r\n") == std::string::npos) {
-            Read(connection);
-            return;
-          }
-          connection->held.clear();
-          ++requests_;
-          Answer(connection);
-        });
-  }
-
-  void Answer(const std::shared_ptr<Connection>& connection) {
-    if (answers_.empty()) {
-      Read(connection);
-      return;
-    }
-    const std::string bytes = answers_.front();
-    answers_.pop_front();
-    if (bytes.empty()) {
-      connection->socket.close();
-      return;
-    }
-    asio::write(connection->socket, asio::buffer(bytes));
-    // An entry that ends with `!` also closes the connection.
-    if (bytes.ends_with("!")) {
-      connection->socket.close();
-      return;
-    }
-    Read(connection);
-  }
-
-  asio::ip::tcp::acceptor acceptor_;
-  std::deque<std::string> answers_;
-  int connections_ = 0;
-  int requests_ = 0;
-};
-
 const std::string kOkResponse =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
@@ -140,7 +65,7 @@
   RawUpstream upstream(
       loop, {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: "
              "0\r\n\r\n",
-             "no answer\r\n\r\n", kOkResponse + "!"});
+             "no answer\r\n\r\n", kOkResponse + "!!"});
   Caller caller(loop);
   for (int i = 0; i < 3; ++i) caller.Call(upstream.endpoint());
   REQUIRE(caller.pool.closed().at("answer_said") == 2);
@@ -228,7 +153,7 @@
   REQUIRE(failure.fault == ExchangeFault::kNotConnected);
   REQUIRE(failure.verdict == Verdict::kNotRun);
 
-  RawUpstream closes(loop, {""});
+  RawUpstream closes(loop, {"!"});
   failure = std::get<ExchangeFailure>(caller.Call(closes.endpoint()));
   REQUIRE(failure.fault == ExchangeFault::kBroken);
   REQUIRE(failure.verdict == Verdict::kMayHaveRun);
--- a/tests/proxy/head_validation_test.cc
+++ b/tests/proxy/head_validation_test.cc
@@ -134,5 +134,39 @@
   }
 }
 
+// Guards against a report of other operators (MIXED): a caller got an answer
+// whose status was 000.
+TEST_CASE("only a status of three digits from 100 to 599 is an answer") {
+  const auto read = [](const std::string& status) {
+    return ErrorOf(Kind::kResponse,
+                   "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nno");
+  };
+  for (const char* status : {"200 OK", "200", "200 ", "599 Odd"}) {
+    INFO(status);
+    REQUIRE(read(status) == ReadError::kNone);
+  }
+  for (const char* status : {"000 Odd", "00", "0", "020 X", "099 X", "0200 OK",
+                             "600 Odd", "999", "20 X", " 200 OK"}) {
+    INFO(status);
+    REQUIRE(read(status) == ReadError::kMalformed);
+  }
+  for (const int status : {0, 20, 99, 600, 1000}) {
+    REQUIRE_FALSE(
+        SerializeHead(ResponseHead{status, {}}, Framing::kLength, 0, true)
+            .has_value());
+  }
+}
+
+TEST_CASE("a status is read wherever the bytes of its line are divided") {
+  const std::string bytes = "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t cut = 1; cut < bytes.size(); ++cut) {
+    MessageReader reader(Kind::kResponse, ReadLimits{});
+    reader.Feed(bytes.substr(0, cut));
+    reader.Feed(bytes.substr(cut));
+    REQUIRE(reader.is_complete());
+    REQUIRE(reader.response().status == 200);
+  }
+}
+
 }  // namespace
 }  // namespace briarspread::proxy
--- /dev/null
+++ b/tests/support/raw_upstream.h
@@ -0,0 +1,102 @@
+#ifndef TESTS_SUPPORT_RAW_UPSTREAM_H_
+#define TESTS_SUPPORT_RAW_UPSTREAM_H_
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "briarspread/core/upstream.h"
+
+namespace briarspread::testing {
+
+/// Test server that answers requests with the given bytes, one entry per
+/// request over all connections. An entry that ends with `kClose` or `kReset`
+/// ends the connection after the bytes before; once the entries are used up,
+/// requests stay unanswered. Not thread-safe.
+class RawUpstream {
+ public:
+  static constexpr char kClose = '!';
+  static constexpr char kReset = '^';
+
+  RawUpstream(asio::io_context& loop, std::deque<std::string> answers)
+      : acceptor_(loop, {asio::ip::address_v4::loopback(), 0}),
+        answers_(std::move(answers)) {
+    Accept();
+  }
+
+  Endpoint endpoint() const {
+    return Endpoint{"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+  int connections() const { return connections_; }
+  int requests() const { return requests_; }
+
+ private:
+  struct Connection {
+    explicit Connection(asio::ip::tcp::socket s) : socket(std::move(s)) {}
+    asio::ip::tcp::socket socket;
+    std::array<char, 4096> buf{};
+    std::string held;
+  };
+
+  void Accept() {
+    acceptor_.async_accept(
+        [this](asio::error_code ec, asio::ip::tcp::socket socket) {
+          if (ec) return;
+          ++connections_;
+          Read(std::make_shared<Connection>(std::move(socket)));
+          Accept();
+        });
+  }
+
+  void Read(const std::shared_ptr<Connection>& connection) {
+    connection->socket.async_read_some(
+        asio::buffer(connection->buf),
+        [this, connection](asio::error_code ec, std::size_t n) {
+          if (ec) return;
+          connection->held.append(connection->buf.data(), n);
+          if (connection->held.find("\r\n\r\n") == std::string::npos) {
+            Read(connection);
+            return;
+          }
+          connection->held.clear();
+          ++requests_;
+          Answer(connection);
+        });
+  }
+
+  void Answer(const std::shared_ptr<Connection>& connection) {
+    if (answers_.empty()) {
+      Read(connection);
+      return;
+    }
+    std::string bytes = answers_.front();
+    answers_.pop_front();
+    const bool resets = bytes.ends_with(kReset);
+    const bool closes = resets || bytes.ends_with(kClose);
+    if (closes) bytes.pop_back();
+    asio::write(connection->socket, asio::buffer(bytes));
+    if (!closes) {
+      Read(connection);
+      return;
+    }
+    if (resets) {
+      connection->socket.set_option(asio::socket_base::linger(true, 0));
+    }
+    connection->socket.close();
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  std::deque<std::string> answers_;
+  int connections_ = 0;
+  int requests_ = 0;
+};
+
+}  // namespace briarspread::testing
+
+#endif  // TESTS_SUPPORT_RAW_UPSTREAM_H_
