--- a/briarspread/batch/item_progress.cc
+++ b/briarspread/batch/item_progress.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "briarspread/batch/job.h"
+
 namespace briarspread::batch {
 
 ItemProgress::Outcome ItemProgress::Add(const proxy::StreamEvent& event,
@@ -10,6 +12,9 @@
   if (!event.id.has_value()) return Outcome::kGap;
   if (has_events() && *event.id <= last_event_id_) return Outcome::kRepeated;
   if (has_events() && *event.id != last_event_id_ + 1) return Outcome::kGap;
+  if (text_.size() + event.data.size() >= kMaxItemTextBytes) {
+    return Outcome::kOverlong;
+  }
   if (has_events()) {
     text_.push_back('\n');
   } else {
--- a/briarspread/batch/item_progress.h
+++ b/briarspread/batch/item_progress.h
@@ -22,6 +22,8 @@
     /// An event before this one is missing, or the event has no id: the run
     /// cannot be used.
     kGap,
+    /// With the event, the text would be longer than `kMaxItemTextBytes`.
+    kOverlong,
   };
 
   ItemProgress() = default;
--- a/briarspread/batch/job.h
+++ b/briarspread/batch/job.h
@@ -71,6 +71,10 @@
 /// little below the store's limit.
 inline constexpr std::size_t kMaxJobValueBytes = 900'000;
 
+/// Maximum bytes of an item's text. A longer text could not be written as a
+/// result.
+inline constexpr std::size_t kMaxItemTextBytes = 800'000;
+
 /// Final result of an item. Never changes once it is listed.
 struct ItemResult {
   ItemId id;
--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -306,8 +306,12 @@
   OwnedJob& job = it->second;
   const std::size_t i = run.spec().item;
   if (!IsSameSoftware(run)) return false;
-  if (job.ledger.AddEvent(i, event, version, run.spec().software) ==
-      ItemProgress::Outcome::kGap) {
+  const ItemProgress::Outcome added =
+      job.ledger.AddEvent(i, event, version, run.spec().software);
+  if (added == ItemProgress::Outcome::kGap) return false;
+  if (added == ItemProgress::Outcome::kOverlong) {
+    // The engine may be faulty, so its text is not gone on with elsewhere.
+    Restart(job, i, "overlong");
     return false;
   }
   return job.ledger.item(i).progress.Fits(
--- a/briarspread/batch/reward_run.cc
+++ b/briarspread/batch/reward_run.cc
@@ -7,6 +7,8 @@
 
 /// Timeout of a reward call whose route sets none.
 constexpr milliseconds kDefaultTimeout{4000};
+/// Time after the deadline in which the request ends by itself.
+constexpr milliseconds kEndMargin{200};
 
 }  // namespace
 
@@ -41,13 +43,22 @@
   spec.may_be_suspected = false;
   spec.route = route;
   spec.arrived = context_.clock.Now();
-  spec.deadline = spec.arrived +
-                  (route.timeout.count() > 0 ? route.timeout : kDefaultTimeout);
+  const milliseconds timeout =
+      route.timeout.count() > 0 ? route.timeout : kDefaultTimeout;
+  spec.deadline = spec.arrived + timeout;
   request_ =
       std::make_shared<forward::LiveRequest>(context_, std::move(spec), *this);
+  // A long response may go on after the deadline as long as bytes arrive.
+  timer_.After(timeout + kEndMargin, [this] { Abandon(); });
   request_->Start();
 }
 
+void RewardRun::Abandon() {
+  request_->Cancel();
+  outcome_.score.clear();
+  Finish();
+}
+
 void RewardRun::OnResponse(proxy::Response answer) {
   const std::string* signature =
       answer.head.headers.Find(context_.headers.signature);
--- a/briarspread/batch/reward_run.h
+++ b/briarspread/batch/reward_run.h
@@ -46,6 +46,8 @@
 
  private:
   void Finish();
+  /// Ends a call whose response does not end.
+  void Abandon();
 
   forward::ForwardContext& context_;
   const RewardCall call_;
--- a/briarspread/proxy/upstream_connection.cc
+++ b/briarspread/proxy/upstream_connection.cc
@@ -72,6 +72,7 @@
   request_ = std::move(request);
   listener_ = &listener;
   interim_count_ = 0;
+  body_bytes_ = 0;
   if (!request_.echo_value.empty()) {
     recent_echoes_.push_back(request_.echo_value);
     if (recent_echoes_.size() > kMaxRecentEchoes) recent_echoes_.pop_front();
@@ -272,6 +273,11 @@
 void UpstreamConnection::DeliverBody() {
   if (listener_ == nullptr || reader_.body().empty()) return;
   const std::string data = std::exchange(reader_.body(), {});
+  body_bytes_ += data.size();
+  if (request_.max_body_bytes > 0 && body_bytes_ > request_.max_body_bytes) {
+    Fail(ExchangeFault::kGarbled, Verdict::kMayHaveRun);
+    return;
+  }
   listener_->OnBody(data);
 }
 
--- a/briarspread/proxy/upstream_connection.h
+++ b/briarspread/proxy/upstream_connection.h
@@ -69,6 +69,8 @@
   bool is_head_request = false;
   /// Maximum time until the response is complete; zero for no limit.
   milliseconds timeout{0};
+  /// Maximum size of the response's body; zero for the connection's limit.
+  std::size_t max_body_bytes = 0;
   /// Name and value of the header that the response must repeat unchanged, so
   /// that it is matched to its request; empty for none.
   std::string echo_name;
@@ -137,6 +139,8 @@
   std::deque<std::string> recent_echoes_;
   /// Number of interim responses to the current request.
   std::size_t interim_count_ = 0;
+  /// Bytes of the current response's body.
+  std::size_t body_bytes_ = 0;
   /// Listener of the exchange in flight; null while idle.
   ExchangeListener* listener_ = nullptr;
   std::array<char, 16384> buf_{};
--- a/tests/proxy/endless_bytes_test.cc
+++ b/tests/proxy/endless_bytes_test.cc
@@ -199,6 +199,34 @@
   }
 }
 
+// Guards against the report of machines that ran out of memory by answers
+// without end: 32 MB of an order's or a report's answer were kept.
+TEST_CASE("an exchange may limit its response's body further") {
+  for (const EndlessCase& each : EndlessCases()) {
+    if (each.name != std::string("chunks") &&
+        each.name != std::string("a body without length")) {
+      continue;
+    }
+    INFO(each.name);
+    asio::io_context loop;
+    EndlessUpstream upstream(loop, each.begin, each.piece);
+    ConnectionPool pool(loop, UpstreamConnectionSettings{});
+    std::optional<CallResult> result;
+    ExchangeRequest request;
+    request.to = upstream.endpoint();
+    request.bytes = RequestBytes::Parse("GET / HTTP/1.1\r\n\r\n");
+    request.max_body_bytes = std::size_t{64} * 1024;
+    StartCall(pool, std::move(request),
+              [&result](CallResult got) { result = std::move(got); });
+    REQUIRE(RunUntil(loop, [&] { return result.has_value(); }));
+    REQUIRE(std::get<ExchangeFailure>(*result).fault ==
+            ExchangeFault::kGarbled);
+    REQUIRE(RunUntil(loop, [&] { return upstream.closed() == 1; }));
+    // What is beyond the limit is in the sockets' buffers.
+    REQUIRE(upstream.sent() < std::size_t{16} * 1024 * 1024);
+  }
+}
+
 TEST_CASE("bytes between two responses close the connection") {
   asio::io_context loop;
   EndlessUpstream upstream(
