A planned stop takes only requests that probably end, and cuts none silently

Cause: an instance that stops took whatever came and closed busy connections 0.8 s before the end with no response.

Change: forward::StopSchedule takes a request by its deadline or by 5/4 of the time that its service has shown; others get 503 at once, with Retry-After 0.01. 0.6 s before the end, requests without a response get 504; connections are cut 0.3 s before the end.

Why it works: what is refused in time has not run and is served elsewhere; what was taken and does not end gets a response that says so.

--- a/briarspread/forward/caller_gateway.cc
+++ b/briarspread/forward/caller_gateway.cc
@@ -10,6 +10,8 @@
 
 /// Timeout of a request that names no deadline and whose route has no limit.
 constexpr milliseconds kDefaultTimeout{30000};
+/// Retry-After time of requests that an instance which stops does not take.
+constexpr milliseconds kStoppingRetryAfter{10};
 
 /// Sends the response of a forwarded request to its caller.
 class CallerSink final : public ResponseSink {
@@ -82,6 +84,10 @@
   if (account.has_value() && account->priority.has_value()) {
     spec.route.priority = *account->priority;
   }
+  if (!CanTake(spec)) {
+    RefuseStopping(request, *responder);
+    return;
+  }
   spec.request = std::move(request);
   const auto exchange = std::make_shared<CallerExchange>(responder);
   exchange->request =
@@ -93,6 +99,17 @@
   exchange->request->Start();
 }
 
+bool CallerGateway::CanTake(const LiveRequestSpec& spec) const {
+  const Route& route = spec.route;
+  LateRequest request{route.is_idempotent(), spec.deadline, std::nullopt};
+  if (!route.backends.empty()) {
+    request.expected =
+        EstimateRequestTime(context_.directory.table(),
+                            route.backends.front().service, spec.arrived);
+  }
+  return stop_.CanTake(request, spec.arrived);
+}
+
 void CallerGateway::LogRefusal(const proxy::Request& request,
                                std::string_view reason) {
   ++context_.metrics.refusals[std::string(reason)];
@@ -113,6 +130,16 @@
   responder.Send(response);
 }
 
+void CallerGateway::RefuseStopping(const proxy::Request& request,
+                                   proxy::Responder& responder) {
+  LogRefusal(request, "stopping");
+  proxy::Response response =
+      proxy::MakeResponse(503, "{\"error\":\"stopping\"}");
+  // Another instance may take the request at once.
+  proxy::SetRetryAfter(response, kStoppingRetryAfter);
+  responder.Send(response);
+}
+
 void CallerGateway::RefuseUnauthorized(const proxy::Request& request,
                                        proxy::Responder& responder) {
   LogRefusal(request, "unauthorized");
--- a/briarspread/forward/caller_gateway.h
+++ b/briarspread/forward/caller_gateway.h
@@ -7,6 +7,7 @@
 #include "briarspread/forward/forward_context.h"
 #include "briarspread/forward/live_request.h"
 #include "briarspread/forward/request_authorizer.h"
+#include "briarspread/forward/stop_schedule.h"
 #include "briarspread/proxy/request_handler.h"
 
 namespace briarspread::forward {
@@ -28,6 +29,9 @@
   /// may go on, and its client account. Precondition: `has_configuration()`.
   Authorization Authorize(const proxy::Request& request,
                           const Route* route) const;
+  /// Begins a planned stop: from now on, requests that probably don't end
+  /// before `end` are refused. Responses not complete at `end` are cut.
+  void BeginStop(TimePoint end) { stop_.Begin(end); }
   /// Forwards a request of `account`, if it has one, to an upstream of `route`
   /// and sends the response, or a refusal, through `responder`.
   void Forward(proxy::Request request, const Route& route,
@@ -45,9 +49,16 @@
                       proxy::Responder& responder);
 
  private:
+  /// Whether a request is taken at this moment; see `StopSchedule`.
+  bool CanTake(const LiveRequestSpec& spec) const;
+  /// Responds with status 503, for a request that would be cut at the end of a
+  /// planned stop. The request did not run.
+  void RefuseStopping(const proxy::Request& request,
+                      proxy::Responder& responder);
   void LogRefusal(const proxy::Request& request, std::string_view reason);
 
   ForwardContext& context_;
+  StopSchedule stop_;
 };
 
 }  // namespace briarspread::forward
--- a/briarspread/proxy/http_listener.cc
+++ b/briarspread/proxy/http_listener.cc
@@ -191,6 +191,14 @@
   for (const auto& connection : all) connection->CloseWhenIdle();
 }
 
+void HttpListener::AnswerUnfinished() {
+  std::vector<std::shared_ptr<ServerConnection>> all;
+  for (const auto& [key, entry] : connections_) {
+    all.push_back(entry.connection);
+  }
+  for (const auto& connection : all) connection->AnswerUnfinished();
+}
+
 void HttpListener::Stop() {
   asio::error_code ec;
   acceptor_.close(ec);
--- a/briarspread/proxy/http_listener.h
+++ b/briarspread/proxy/http_listener.h
@@ -38,6 +38,10 @@
   /// Closes each connection, including later ones, after its next response. New
   /// connections are still accepted.
   void CloseConnectionsAfterResponse();
+  /// Answers each request whose response has not begun with status 504, and
+  /// closes its connection: the request may have run. Its responder has no
+  /// effect then.
+  void AnswerUnfinished();
   /// Stops listening and closes all connections immediately.
   void Stop();
 
--- a/briarspread/proxy/server_connection.cc
+++ b/briarspread/proxy/server_connection.cc
@@ -66,6 +66,7 @@
     const auto length = out.headers.FindNumber("Content-Length");
     out.headers.RemoveHopByHop();
     is_chunked_ = !length.has_value();
+    has_begun_ = true;
     const auto bytes =
         SerializeHead(out, is_chunked_ ? Framing::kChunked : Framing::kLength,
                       length.value_or(0), !connection_->closes_after_response_);
@@ -106,6 +107,8 @@
     on_disconnect_ = std::move(on_disconnect);
   }
 
+  /// Whether the head of a response that arrives in parts was sent.
+  bool has_begun() const { return has_begun_; }
   /// Called when the connection is closed before the response has ended.
   void OnClose() {
     connection_ = nullptr;
@@ -135,6 +138,7 @@
   std::shared_ptr<ServerConnection> connection_;
   const bool is_head_request_;
   bool is_chunked_ = false;
+  bool has_begun_ = false;
   std::function<void()> on_disconnect_;
   std::function<void()> on_drained_;
 };
@@ -199,6 +203,12 @@
   }
 }
 
+void ServerConnection::AnswerUnfinished() {
+  if (is_closed_ || responder_ == nullptr || responder_->has_begun()) return;
+  closes_after_response_ = true;
+  responder_->Send(MakeResponse(504, "{\"error\":\"stopping\"}"));
+}
+
 void ServerConnection::Close() {
   if (is_closed_) return;
   is_closed_ = true;
--- a/briarspread/proxy/server_connection.h
+++ b/briarspread/proxy/server_connection.h
@@ -64,6 +64,9 @@
   void CloseAfterResponse() { closes_after_response_ = true; }
   /// Closes the connection immediately.
   void Close();
+  /// Ends a request whose response has not begun; see
+  /// `HttpListener::AnswerUnfinished`.
+  void AnswerUnfinished();
   bool is_busy() const { return responder_ != nullptr; }
   /// Whether reading is paused for want of memory.
   bool is_paused() const { return paused_since_.has_value() && !is_closed_; }
