An owner whose clock is ahead no longer gives items up too soon

What callers saw: nothing yet; found by the review in reading.

Cause: LimitsOf took the job's age from the time of day of the instance that accepted the job and of the new owner, which may differ.

Change: the time to live begins when an instance becomes the owner, on its steady clock. The due time, which only orders the work, is taken as before.

--- a/briarspread/batch/job_listing.cc
+++ b/briarspread/batch/job_listing.cc
@@ -154,7 +154,7 @@
   if (job.ledger.CountCompleteGroups() < wanted) return;
   job.is_target_reached = true;
   metrics_.trainer_wait.Record(
-      SecondsOf(context_.clock.Now() - job.owned_since));
+      SecondsOf(context_.clock.Now() - job.times.owned_since));
 }
 
 void JobRunner::DropRefusedWrite(OwnedJob& job, const Error& error) {
--- a/briarspread/batch/job_runner.cc
+++ b/briarspread/batch/job_runner.cc
@@ -59,22 +59,25 @@
                "the configuration that the job needs is not read yet"};
 }
 
-JobLimits JobRunner::LimitsOf(const JobSpec& spec, TimePoint submitted) const {
+JobLimits JobRunner::LimitsOf(const JobSpec& spec,
+                              const JobTimes& times) const {
   JobLimits limits;
   const forward::RouteLookup lookup = context_.configuration.FindRoute(
       spec.host, proxy::SplitTarget(spec.path).path, spec.configuration);
   const auto* route = std::get_if<const forward::Route*>(&lookup);
   if (route == nullptr) {
     // Items without a route are given up when they are placed.
-    limits.due = submitted;
-    limits.give_up_time = submitted + settings_.status_time;
+    limits.due = times.submitted;
+    limits.give_up_time = times.owned_since + settings_.status_time;
     return limits;
   }
   const auto or_status_time = [this](milliseconds time) {
     return time.count() > 0 ? time : settings_.status_time;
   };
-  limits.due = submitted + or_status_time((*route)->due);
-  limits.give_up_time = submitted + or_status_time((*route)->item_time_to_live);
+  limits.due = times.submitted + or_status_time((*route)->due);
+  // Items may be given up then, and never too soon because of two clocks.
+  limits.give_up_time =
+      times.owned_since + or_status_time((*route)->item_time_to_live);
   limits.max_attempts = std::max<std::uint32_t>(1, (*route)->max_attempts);
   limits.wants_single_version = (*route)->wants_single_version;
   return limits;
@@ -88,7 +91,7 @@
     const bool has_route = std::holds_alternative<const forward::Route*>(
         context_.configuration.FindRoute(
             spec.host, proxy::SplitTarget(spec.path).path, spec.configuration));
-    if (has_route) job.ledger.SetLimits(LimitsOf(spec, job.submitted));
+    if (has_route) job.ledger.SetLimits(LimitsOf(spec, job.times));
   }
 }
 
@@ -206,15 +209,15 @@
   const Duration age =
       std::clamp<Duration>(context_.clock.WallNow() - stored.record.submitted,
                            Duration(0), settings_.status_time);
-  const auto [it, is_new] = jobs_.try_emplace(
-      stored.id, context_.loop, spec, LimitsOf(spec, now - age),
-      settings_.events_per_checkpoint, now);
+  const JobTimes times{now - age, now};
+  const auto [it, is_new] =
+      jobs_.try_emplace(stored.id, context_.loop, spec, LimitsOf(spec, times),
+                        settings_.events_per_checkpoint, now);
   OwnedJob& job = it->second;
-  job.submitted = now - age;
+  job.times = times;
   job.epoch = ++last_epoch_;
   job.record = stored.record;
   job.index = stored.index;
-  job.owned_since = now;
   job.record_confirmed = confirmed;
   job.delete_after = now + kUnendedJobRetentionFactor * settings_.status_time;
   const auto& items = job.ledger.spec().items;
@@ -339,7 +342,7 @@
   Duration oldest{0};
   for (const JobId& id : OpenJobs()) {
     oldest = std::max<Duration>(
-        oldest, context_.clock.Now() - jobs_.at(id).owned_since);
+        oldest, context_.clock.Now() - jobs_.at(id).times.owned_since);
   }
   return oldest;
 }
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -197,6 +197,15 @@
     Done<ResultPage> done;
   };
 
+  /// When a job's times begin, on this instance's steady clock.
+  struct JobTimes {
+    /// When the job was submitted, by the clocks of the instance that accepted
+    /// it and of this one, which may differ.
+    TimePoint submitted{};
+    /// When this instance became the owner.
+    TimePoint owned_since{};
+  };
+
   /// State of a job that this instance runs.
   struct OwnedJob {
     OwnedJob(asio::io_context& loop, JobSpec spec, const JobLimits& limits,
@@ -236,10 +245,7 @@
     /// Whether the last call about the job failed. Items start without a
     /// confirmation then, since an outage of the store must not stop them.
     bool is_store_failing = false;
-    /// When this instance became the owner.
-    TimePoint owned_since{};
-    /// When the job was submitted, on this instance's steady clock.
-    TimePoint submitted{};
+    JobTimes times;
     /// Whether the number of groups that the trainer waits for is listed.
     bool is_target_reached = false;
     std::vector<Done<std::monostate>> end_callbacks;
@@ -284,9 +290,9 @@
   /// job needs, so that it knows nothing of the job's route.
   Status CheckConfiguration(const JobId& id,
                             forward::ConfigurationVersion needed) const;
-  /// Returns the limits of a job that was submitted at `submitted`: those of
-  /// its route or, without one, limits under which items may be given up.
-  JobLimits LimitsOf(const JobSpec& spec, TimePoint submitted) const;
+  /// Returns the limits of a job: those of its route or, without one, limits
+  /// under which items may be given up.
+  JobLimits LimitsOf(const JobSpec& spec, const JobTimes& times) const;
   /// Has the jobs follow the routes of a new configuration. A job whose route
   /// is gone keeps its limits.
   void UpdateLimits();
