--- a/briarspread/proxy/server_connection.cc
+++ b/briarspread/proxy/server_connection.cc
@@ -8,6 +8,7 @@
 #include <exception>
 #include <utility>
 
+#include "briarspread/proxy/connection_responder.h"
 #include "briarspread/proxy/message_bytes.h"
 
 namespace briarspread::proxy {
@@ -31,118 +32,8 @@
 /// Retry-After time of requests that are rejected for want of memory.
 constexpr milliseconds kMemoryRetryAfter{1000};
 
-bool HasStatusWithoutBody(int status) { return status == 204 || status == 304; }
-
 }  // namespace
 
-/// Responder for one request of the connection.
-class ServerConnection::ConnectionResponder final : public Responder {
- public:
-  ConnectionResponder(std::shared_ptr<ServerConnection> connection,
-                      bool is_head_request)
-      : connection_(std::move(connection)), is_head_request_(is_head_request) {}
-
-  void Send(const Response& response) override {
-    if (connection_ == nullptr) return;
-    const bool keep_alive = !connection_->closes_after_response_;
-    const bool has_no_body = HasStatusWithoutBody(response.head.status);
-    ResponseHead head = response.head;
-    head.headers.RemoveHopByHop();
-    auto bytes =
-        SerializeHead(head, has_no_body ? Framing::kNoBody : Framing::kLength,
-                      response.body.size(), keep_alive);
-    if (!bytes.has_value()) {
-      AbortInvalid(head.status);
-      return;
-    }
-    if (!is_head_request_ && !has_no_body) *bytes += response.body;
-    connection_->Queue(*bytes);
-    Finish();
-  }
-
-  void Start(const ResponseHead& head) override {
-    if (connection_ == nullptr) return;
-    ResponseHead out = head;
-    const auto length = out.headers.FindNumber("Content-Length");
-    out.headers.RemoveHopByHop();
-    is_chunked_ = !length.has_value();
-    has_begun_ = true;
-    const auto bytes =
-        SerializeHead(out, is_chunked_ ? Framing::kChunked : Framing::kLength,
-                      length.value_or(0), !connection_->closes_after_response_);
-    if (!bytes.has_value()) {
-      AbortInvalid(out.status);
-      return;
-    }
-    connection_->Queue(*bytes);
-  }
-
-  void Write(std::string_view data) override {
-    if (connection_ == nullptr || data.empty()) return;
-    connection_->Queue(is_chunked_ ? SerializeChunk(data) : std::string(data));
-  }
-
-  void End() override {
-    if (connection_ == nullptr) return;
-    if (is_chunked_) connection_->Queue(SerializeChunk({}));
-    Finish();
-  }
-
-  void Abort() override {
-    if (connection_ == nullptr) return;
-    const auto connection = std::exchange(connection_, nullptr);
-    on_disconnect_ = nullptr;
-    connection->responder_ = nullptr;
-    connection->Close();
-  }
-
-  std::size_t unsent() const override {
-    if (connection_ == nullptr) return 0;
-    return connection_->out_.size() + connection_->writing_.size();
-  }
-  void SetOnDrained(std::function<void()> on_drained) override {
-    on_drained_ = std::move(on_drained);
-  }
-  void SetOnDisconnect(std::function<void()> on_disconnect) override {
-    on_disconnect_ = std::move(on_disconnect);
-  }
-
-  /// Whether the head of a response that arrives in parts was sent.
-  bool has_begun() const { return has_begun_; }
-  /// Called when the connection is closed before the response has ended.
-  void OnClose() {
-    connection_ = nullptr;
-    on_drained_ = nullptr;
-    const auto on_disconnect = std::exchange(on_disconnect_, nullptr);
-    if (on_disconnect) on_disconnect();
-  }
-  void OnDrained() {
-    if (const auto on_drained = on_drained_) on_drained();
-  }
-
- private:
-  /// Closes the connection in place of a response that must not be sent.
-  void AbortInvalid(int status) {
-    LOG(ERROR) << "event=response_invalid status=" << status;
-    Abort();
-  }
-
-  void Finish() {
-    const auto connection = std::exchange(connection_, nullptr);
-    on_disconnect_ = nullptr;
-    on_drained_ = nullptr;
-    connection->FinishResponse();
-  }
-
-  /// Null once the response has ended or the connection is closed.
-  std::shared_ptr<ServerConnection> connection_;
-  const bool is_head_request_;
-  bool is_chunked_ = false;
-  bool has_begun_ = false;
-  std::function<void()> on_disconnect_;
-  std::function<void()> on_drained_;
-};
-
 ServerConnection::ServerConnection(asio::ip::tcp::socket socket,
                                    const ServerSettings& settings,
                                    RequestHandler& handler, OnClosed on_closed,
