The time of a request is estimated only during a planned stop

Cause: CanTake looked at all upstreams of the table for each request, also while the instance doesn't stop; found in reading the diff.

Change: the schedule is asked first whether the stop has begun.

Measured: planned_stop_test and stop_schedule_test pass.

--- a/briarspread/forward/caller_gateway.cc
+++ b/briarspread/forward/caller_gateway.cc
@@ -100,6 +100,8 @@
 }
 
 bool CallerGateway::CanTake(const LiveRequestSpec& spec) const {
+  // The estimate below looks at all upstreams.
+  if (!stop_.has_begun()) return true;
   const Route& route = spec.route;
   LateRequest request{route.is_idempotent(), spec.deadline, std::nullopt};
   if (!route.backends.empty()) {
--- a/briarspread/forward/stop_schedule.h
+++ b/briarspread/forward/stop_schedule.h
@@ -34,6 +34,8 @@
   /// Begins the stop. Responses that are not complete at `end` are cut.
   void Begin(TimePoint end) { end_ = end; }
 
+  bool has_begun() const { return end_.has_value(); }
+
   /// Whether a request that arrives at `now` is taken. Always true before the
   /// stop.
   bool CanTake(const LateRequest& request, TimePoint now) const;
