Doc comments of the planned stop and of job limits, read once more

Cause: the comments said that responses are cut at the end of a stop, while requests without one get 504 first, and two sentences were hard to read.

Change: comments only, no line of code.

--- a/briarspread/batch/job_items.cc
+++ b/briarspread/batch/job_items.cc
@@ -280,7 +280,7 @@
     head.headers.Set(line.name, line.value);
   }
   head.headers.RemoveHopByHop();
-  // The resume position is this instance's to say.
+  // This instance sets the resume position itself, from the item's progress.
   head.headers.Remove(context_.headers.last_event_id);
   head.headers.Set("Host", spec.host);
   head.headers.Set(context_.headers.attempt_id, item.id.value());
@@ -310,7 +310,7 @@
       job.ledger.AddEvent(i, event, version, run.spec().software);
   if (added == ItemProgress::Outcome::kGap) return false;
   if (added == ItemProgress::Outcome::kOverlong) {
-    // The engine may be faulty, so its text is not gone on with elsewhere.
+    // The engine may be faulty, so no other engine resumes its text.
     Restart(job, i, "overlong");
     return false;
   }
--- a/briarspread/batch/job_runner.h
+++ b/briarspread/batch/job_runner.h
@@ -293,8 +293,8 @@
   /// Returns the limits of a job: those of its route or, without one, limits
   /// under which items may be given up.
   JobLimits LimitsOf(const JobSpec& spec, const JobTimes& times) const;
-  /// Has the jobs follow the routes of a new configuration. A job whose route
-  /// is gone keeps its limits.
+  /// Updates the limits of all jobs after the configuration has changed. A job
+  /// whose route is gone keeps its limits.
   void UpdateLimits();
 
   void SchedulePlacement();
--- a/briarspread/forward/caller_gateway.h
+++ b/briarspread/forward/caller_gateway.h
@@ -30,7 +30,7 @@
   Authorization Authorize(const proxy::Request& request,
                           const Route* route) const;
   /// Begins a planned stop: from now on, requests that probably don't end
-  /// before `end` are refused. Responses not complete at `end` are cut.
+  /// before `end` are refused. Precondition: called once.
   void BeginStop(TimePoint end) { stop_.Begin(end); }
   /// Forwards a request of `account`, if it has one, to an upstream of `route`
   /// and sends the response, or a refusal, through `responder`.
--- a/briarspread/forward/stop_schedule.h
+++ b/briarspread/forward/stop_schedule.h
@@ -19,7 +19,7 @@
 
 /// A request that arrives at an instance that stops.
 struct LateRequest {
-  /// Whether the caller may send it again wherever it was cut.
+  /// Whether the caller may send it again after it was cut.
   bool is_idempotent = false;
   TimePoint deadline{};
   /// How long it takes, as far as that is known.
@@ -31,9 +31,11 @@
 /// the end loses it, if the request must run at most once. Not thread-safe.
 class StopSchedule final {
  public:
-  /// Begins the stop. Responses that are not complete at `end` are cut.
+  /// Begins the stop. At `end`, requests without a response get one that says
+  /// so; responses that have begun are cut soon after.
   void Begin(TimePoint end) { end_ = end; }
 
+  /// Whether the stop has begun.
   bool has_begun() const { return end_.has_value(); }
 
   /// Whether a request that arrives at `now` is taken. Always true before the
