A reset that the write of a request took no longer ends an answer as whole

Cause: the system reports a reset once, to the call on the socket that comes first. That was the outstanding write; its error was dropped once an answer had begun. The read then ended as after a regular close, which delimits a body without a length.

Evidence: the new log line request_not_written says "Connection reset by peer"; a trace of system calls shows ECONNRESET at the write and 0 bytes at the next read. The same answer to a request that is written was refused.

Change: UpstreamConnection remembers that a write lost the connection, and its end then delimits no answer. The fault is that the loss was forgotten, so remembering it where all answers are read mends every way.

--- a/briarspread/proxy/upstream_connection.cc
+++ b/briarspread/proxy/upstream_connection.cc
@@ -1,5 +1,7 @@
 #include "briarspread/proxy/upstream_connection.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
@@ -79,6 +81,7 @@
   }
   is_head_processed_ = false;
   is_paused_ = false;
+  has_lost_connection_ = false;
   started_ = std::chrono::steady_clock::now();
   if (request_.is_head_request) reader_.ExpectNoBody();
   if (is_connected_) {
@@ -159,19 +162,27 @@
       body == nullptr ? asio::const_buffer() : asio::buffer(*body)};
   asio::async_write(
       socket_, all,
-      [self = shared_from_this(), bytes, body](asio::error_code ec,
-                                               std::size_t) {
-        self->is_writing_ = false;
-        // A response may arrive before the request is sent completely. After a
-        // failed write the read side then determines how the exchange ends.
-        if (ec && !self->is_closed_ && self->listener_ != nullptr &&
-            !self->reader_.has_started()) {
-          self->Fail(ExchangeFault::kBroken, Verdict::kMayHaveRun);
-        }
-      });
+      [self = shared_from_this(), bytes, body](
+          asio::error_code ec, std::size_t) { self->OnWritten(ec); });
   Read();
 }
 
+void UpstreamConnection::OnWritten(asio::error_code ec) {
+  is_writing_ = false;
+  if (!ec || is_closed_ || listener_ == nullptr) return;
+  LOG(WARNING) << "event=request_not_written to=" << to_.host << ":" << to_.port
+               << " request=" << request_.echo_value
+               << " answer_begun=" << reader_.has_started()
+               << " error=" << ec.message();
+  // After a regular close by the upstream, a write fails with a broken pipe.
+  has_lost_connection_ = ec != asio::error::broken_pipe;
+  // A response may arrive before the request is sent completely. After a failed
+  // write the read side then determines how the exchange ends.
+  if (!reader_.has_started()) {
+    Fail(ExchangeFault::kBroken, Verdict::kMayHaveRun);
+  }
+}
+
 void UpstreamConnection::SetPaused(bool is_paused) {
   is_paused_ = is_paused;
   if (!is_paused) Read();
@@ -202,7 +213,8 @@
   }
   // Only a regular close can delimit a response; after a reset the response
   // counts as truncated.
-  if (ec == asio::error::eof && reader_.FeedEnd() && ProcessHead()) {
+  const bool is_regular_close = ec == asio::error::eof && !has_lost_connection_;
+  if (is_regular_close && reader_.FeedEnd() && ProcessHead()) {
     DeliverBody();
     Finish();
     return;
--- a/briarspread/proxy/upstream_connection.h
+++ b/briarspread/proxy/upstream_connection.h
@@ -112,6 +112,7 @@
  private:
   void Connect();
   void Send();
+  void OnWritten(asio::error_code ec);
   void Read();
   void OnRead(asio::error_code ec, std::size_t n);
   void ProcessBytes(std::string_view bytes);
@@ -150,6 +151,9 @@
   bool is_connected_ = false;
   /// Whether the current request is being written.
   bool is_writing_ = false;
+  /// Whether a write reported a reset or another loss of the connection. The
+  /// system reports it once; reads then end as after a regular close.
+  bool has_lost_connection_ = false;
   bool is_reused_ = false;
   bool is_head_processed_ = false;
   bool is_reading_ = false;
--- a/tests/batch/endless_answer_test.cc
+++ b/tests/batch/endless_answer_test.cc
@@ -53,15 +53,7 @@
 
 TEST_CASE("a reward call whose answer does not end is ended") {
   JobRunnerFixture fixture;
-  auto made = std::make_shared<forward::Configuration>(
-      *fixture.configuration.current());
-  made->version = forward::ConfigurationVersion(2);
-  forward::Route route = made->routes[0];
-  route.prefix = "/reward/";
-  route.kind = forward::RouteKind::kIdempotent;
-  route.timeout = milliseconds(1000);
-  made->routes.push_back(route);
-  fixture.configuration.UpdateIfNewer(made);
+  fixture.AddIdempotentRoute("/reward/", milliseconds(1000));
   const auto endless = forward::RespondEndlessly(
       fixture.loop, fixture.EngineHead(200), std::string(1'000, 'x'));
   FakeUpstream rewards(fixture.loop, endless);
--- a/tests/batch/job_runner_fixture.h
+++ b/tests/batch/job_runner_fixture.h
@@ -105,6 +105,24 @@
     Add(id, engine, {{kModel, WeightVersion(version)}}, 8, software);
   }
 
+  /// Registers an engine at an endpoint of the test's own.
+  void AddEngineAt(const std::string& id, const Endpoint& endpoint) {
+    AddAt(id, endpoint, {{kModel, WeightVersion(2)}});
+  }
+
+  /// Adds a route of idempotent requests, such as reward calls, with a prefix.
+  void AddIdempotentRoute(const std::string& prefix, milliseconds timeout) {
+    auto made =
+        std::make_shared<forward::Configuration>(*configuration.current());
+    made->version = forward::ConfigurationVersion(made->version.value() + 1);
+    forward::Route route = made->routes[0];
+    route.prefix = prefix;
+    route.kind = forward::RouteKind::kIdempotent;
+    route.timeout = timeout;
+    made->routes.push_back(route);
+    configuration.UpdateIfNewer(made);
+  }
+
   /// Returns the head of an engine's response, which names weight version 2.
   proxy::ResponseHead EngineHead(int status) const {
     proxy::ResponseHead head;
--- a/tests/forward/forward_fixture.h
+++ b/tests/forward/forward_fixture.h
@@ -78,10 +78,17 @@
   void Add(const std::string& id, const FakeUpstream& upstream,
            const std::vector<LoadedModel>& models = {}, std::uint32_t slots = 8,
            const std::string& software = "v1") {
+    AddAt(id, upstream.endpoint(), models, slots, software);
+  }
+
+  /// Registers an upstream of service `s` at an endpoint.
+  void AddAt(const std::string& id, const Endpoint& endpoint,
+             const std::vector<LoadedModel>& models = {},
+             std::uint32_t slots = 8, const std::string& software = "v1") {
     DiscoveredUpstream listed;
     listed.id = UpstreamId(id);
     listed.service = ServiceName("s");
-    listed.endpoint = upstream.endpoint();
+    listed.endpoint = endpoint;
     listed.models = models;
     listed.slots = slots;
     listed.software = SoftwareVersion(software);
--- a/tests/forward/relayed_exchange_test.cc
+++ b/tests/forward/relayed_exchange_test.cc
@@ -7,12 +7,14 @@
 
 #include "briarspread/forward/relay_handler.h"
 #include "tests/forward/forward_fixture.h"
+#include "tests/support/broken_answers.h"
 #include "tests/support/free_port.h"
 #include "tests/support/manual_clock.h"
 
 namespace briarspread::forward {
 namespace {
 
+using briarspread::testing::RawUpstream;
 using ResponderPtr = std::shared_ptr<proxy::Responder>;
 
 /// An instance that relays for others, with its own event loop.
@@ -82,19 +84,28 @@
     }
   }
 
-  void Start(const std::string& method = "POST") {
+  void Start(const std::string& method = "POST",
+             const std::string& body = "body") {
     proxy::RequestHead head;
     head.method = method;
     head.target = "/x";
     head.headers.Add("Host", "h");
     proxy::ExchangeRequest request;
-    request.to = upstream.endpoint();
-    request.bytes = proxy::RequestBytes::Make(head, "body");
+    request.to = origin.directory.Find(UpstreamId("u"))->listed.endpoint;
+    request.bytes = proxy::RequestBytes::Make(head, body);
     request.is_head_request = method == "HEAD";
     exchange = origin.upstreams.Start({UpstreamId("u"), 0}, std::move(request),
                                       listener);
   }
 
+  /// Replaces the upstream by another one, at all instances.
+  void MoveUpstream(const Endpoint& to) {
+    DiscoveredUpstream listed = origin.directory.Find(UpstreamId("u"))->listed;
+    listed.endpoint = to;
+    origin.directory.Put(listed);
+    for (Peer& peer : peers) peer.fixture.directory.Put(listed);
+  }
+
   template <typename IsDone>
   void Await(const IsDone& is_done) {
     origin.Await([&] {
@@ -173,6 +184,18 @@
   REQUIRE(site.listener.failure->verdict == Verdict::kMayHaveRun);
 }
 
+TEST_CASE("a relayed response that the upstream resets is not complete") {
+  Site site(RespondWith(200, ""));
+  RawUpstream upstream(site.peers[0].fixture.loop,
+                       {briarspread::testing::MakeResetAnswer("", "part")});
+  site.MoveUpstream(upstream.endpoint());
+  site.Start("POST", std::string(briarspread::testing::kLongBodyBytes, 'b'));
+  site.AwaitEnd();
+  REQUIRE(site.peers[0].requests + site.peers[1].requests == 1);
+  REQUIRE(site.listener.failure.has_value());
+  REQUIRE(site.listener.failure->verdict == Verdict::kMayHaveRun);
+}
+
 TEST_CASE("a relayed request is not run if the peer cannot connect either") {
   Site site(RespondWith(200, ""));
   const Endpoint dead{"127.0.0.1", briarspread::testing::FreePort()};
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -1,32 +1,35 @@
 // Answers of replicas that are none, or that break off: callers get a 502, and
 // another attempt is made only where the request allows it. They guard against
-// two reports of other operators (MIXED): a status of 000, and a 200 made of a
-// head that broke off.
+// reports of operators (MIXED): a status of 000, a 200 made of a head that
+// broke off, and a 200 without a length that was reset while its request was
+// written.
 
 #include <catch2/catch.hpp>
 #include <vector>
 
 #include "tests/platform/edge_fixture.h"
-#include "tests/support/raw_upstream.h"
+#include "tests/support/broken_answers.h"
 
 namespace briarspread::platform {
 namespace {
 
+using briarspread::testing::kLongBodyBytes;
 using briarspread::testing::RawUpstream;
 using Json = nlohmann::json;
 
 /// An instance whose only replica of the plain service sends given bytes.
 struct BrokenReplica {
   explicit BrokenReplica(const std::string& answer)
-      : upstream(fixture.loop, {answer, answer, answer}) {
+      : upstream(fixture.loop, briarspread::testing::Repeat(answer)) {
     Json entry = Json::parse(fixture.replica.Registration("desk"));
     entry["Address"] = "127.0.0.1:" + std::to_string(upstream.endpoint().port);
     fixture.store.memory().Write("servers/desk", entry.dump());
     edge.emplace(fixture, fixture.Settings("one"));
   }
 
-  int StatusOf(const std::string& path) {
-    return fixture.Call(*edge->settings.frontend, "POST", path).head.status;
+  int StatusOf(const std::string& path, const std::string& body = "") {
+    return fixture.Call(*edge->settings.frontend, "POST", path, body)
+        .head.status;
   }
 
   EdgeFixture fixture;
@@ -72,8 +75,26 @@
 }
 
 TEST_CASE("an answer without a length that is reset is not passed on") {
-  BrokenReplica replica("HTTP/1.1 200 OK\r\n" + kSigned + "\r\nhalf^");
-  REQUIRE(replica.StatusOf("/once/x") == 502);
+  const std::string answer =
+      briarspread::testing::MakeResetAnswer(kSigned, "half");
+  for (const std::size_t body_bytes : {std::size_t{0}, kLongBodyBytes}) {
+    for (const std::string path : {"/plain/x", "/once/x"}) {
+      INFO(path << " " << body_bytes);
+      BrokenReplica replica(answer);
+      REQUIRE(replica.StatusOf(path, std::string(body_bytes, 'b')) == 502);
+      REQUIRE(replica.upstream.requests() == (path == "/once/x" ? 1 : 2));
+    }
+  }
+}
+
+TEST_CASE("a stream without a length that is reset does not look complete") {
+  const std::string lines = kSigned + "Content-Type: text/event-stream\r\n";
+  BrokenReplica replica(
+      briarspread::testing::MakeResetAnswer(lines, "id: 1\ndata: a\n\n"));
+  const proxy::CallResult result = replica.fixture.TryCall(
+      *replica.edge->settings.frontend, "POST", "/stream/x",
+      std::string(kLongBodyBytes, 'b'), "id-1");
+  REQUIRE(std::holds_alternative<proxy::ExchangeFailure>(result));
 }
 
 }  // namespace
--- a/tests/platform/edge_fixture.h
+++ b/tests/platform/edge_fixture.h
@@ -179,6 +179,17 @@
                        const std::string& target, const std::string& body = "",
                        const std::string& id = "id-1",
                        const std::vector<proxy::Header>& more = {}) {
+    const proxy::CallResult result =
+        TryCall(to, method, target, body, id, more);
+    REQUIRE(std::holds_alternative<proxy::Response>(result));
+    return std::get<proxy::Response>(result);
+  }
+
+  /// Like `Call`, but the answer may also break off.
+  proxy::CallResult TryCall(const Endpoint& to, const std::string& method,
+                            const std::string& target, const std::string& body,
+                            const std::string& id,
+                            const std::vector<proxy::Header>& more = {}) {
     proxy::RequestHead head;
     head.method = method;
     head.target = target;
@@ -194,8 +205,7 @@
     proxy::StartCall(pool, std::move(request),
                      [&](proxy::CallResult got) { result = std::move(got); });
     Await([&] { return result.has_value(); });
-    REQUIRE(std::holds_alternative<proxy::Response>(*result));
-    return std::get<proxy::Response>(*result);
+    return *result;
   }
 
   /// Polls job `job-1` until it has `n` results, and returns the page.
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "tests/platform/store_stand_in.h"
+#include "tests/support/broken_answers.h"
 #include "tests/support/loop_runner.h"
 
 namespace briarspread::platform {
@@ -53,6 +54,24 @@
   REQUIRE(ErrorOf(refused).verdict == Verdict::kNotRun);
 }
 
+TEST_CASE("an answer of the store that is reset commits nothing") {
+  StoreClientFixture fixture;
+  briarspread::testing::RawUpstream store(
+      fixture.loop,
+      {briarspread::testing::MakeResetAnswer("", R"({"Revision":7})")});
+  StoreTransport path(fixture.loop, store.endpoint(), fixture.peers,
+                      fixture.clock, fixture.random, {});
+  StoreClient client(path);
+  StoreTransaction put;
+  put.writes.push_back({"p/a",
+                        std::string(briarspread::testing::kLongBodyBytes, 'v'),
+                        StoreLeaseId()});
+  const auto result = fixture.Await<StoreOutcome>(
+      [&](auto done) { client.Commit(std::move(put), std::move(done)); });
+  REQUIRE_FALSE(IsOk(result));
+  REQUIRE(ErrorOf(result).verdict == Verdict::kMayHaveRun);
+}
+
 TEST_CASE("keys are written conditionally, read, listed and watched") {
   StoreClientFixture fixture;
   const std::string bytes("\x00\xff\n", 3);
--- a/tests/support/raw_upstream.h
+++ b/tests/support/raw_upstream.h
@@ -5,7 +5,9 @@
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <chrono>
 #include <deque>
 #include <memory>
 #include <string>
@@ -17,16 +19,24 @@
 
 /// Test server that answers requests with the given bytes, one entry per
 /// request over all connections. An entry that ends with `kClose` or `kReset`
-/// ends the connection after the bytes before; once the entries are used up,
-/// requests stay unanswered. Not thread-safe.
+/// ends the connection after the bytes before, one that ends with `kResetLater`
+/// or `kCloseAndResetLater` once these bytes have arrived. Of a request it
+/// reads the head and no more than came with it, so that a long body stays in
+/// part unsent. Once the entries are used up, requests stay unanswered. Not
+/// thread-safe.
 class RawUpstream {
  public:
   static constexpr char kClose = '!';
   static constexpr char kReset = '^';
+  static constexpr char kResetLater = '~';
+  /// Ends the response with a regular close, and resets the connection then.
+  static constexpr char kCloseAndResetLater = '|';
 
   RawUpstream(asio::io_context& loop, std::deque<std::string> answers)
       : acceptor_(loop, {asio::ip::address_v4::loopback(), 0}),
         answers_(std::move(answers)) {
+    // Connections inherit it; the system would hold megabytes otherwise.
+    acceptor_.set_option(asio::socket_base::receive_buffer_size(8192));
     Accept();
   }
 
@@ -77,18 +87,36 @@
     }
     std::string bytes = answers_.front();
     answers_.pop_front();
-    const bool resets = bytes.ends_with(kReset);
-    const bool closes = resets || bytes.ends_with(kClose);
-    if (closes) bytes.pop_back();
+    const char end = bytes.empty() ? '\0' : bytes.back();
+    const bool ends = end == kClose || end == kReset || end == kResetLater ||
+                      end == kCloseAndResetLater;
+    if (ends) bytes.pop_back();
     asio::write(connection->socket, asio::buffer(bytes));
-    if (!closes) {
+    if (!ends) {
       Read(connection);
-      return;
+    } else if (end == kClose || end == kReset) {
+      End(*connection, end);
+    } else {
+      EndLater(connection, end);
+    }
+  }
+
+  static void EndLater(const std::shared_ptr<Connection>& connection,
+                       char end) {
+    const auto timer = std::make_shared<asio::steady_timer>(
+        connection->socket.get_executor(), std::chrono::milliseconds(20));
+    timer->async_wait(
+        [connection, timer, end](asio::error_code) { End(*connection, end); });
+  }
+
+  static void End(Connection& connection, char end) {
+    if (end == kCloseAndResetLater) {
+      connection.socket.shutdown(asio::socket_base::shutdown_send);
     }
-    if (resets) {
-      connection->socket.set_option(asio::socket_base::linger(true, 0));
+    if (end != kClose) {
+      connection.socket.set_option(asio::socket_base::linger(true, 0));
     }
-    connection->socket.close();
+    connection.socket.close();
   }
 
   asio::ip::tcp::acceptor acceptor_;
