A head with a blank or a control byte at the begin of a line is no head

Cause: names were checked as the parser reports them, but three lines have none. One that begins with a blank or a tab is joined to the field before it: a Content-Length was passed on in another field's value and the body lost its length. One that begins with a carriage return or a line feed ends the head, and the rest of the head became the body. MessageReader looked for such lines in requests only, and there not for the carriage return.

Evidence: each byte from 0 to blank, and 0x7f, at the begin, in the middle and at the end of a name: accepted were tab, blank, carriage return and line feed at the begin.

Change: the lines of every head are checked, and a carriage return and a line feed stand only together.

Tests, each failed before: proxy (accepted), plain requests and streams (200 instead of 502), an item (text "e1" instead of "e1, e2"), a reward call (a score), a relayed request (no failure), and on the request side hidden_request_test (a second request ran).

--- a/briarspread/proxy/message_reader.cc
+++ b/briarspread/proxy/message_reader.cc
@@ -45,7 +45,8 @@
 bool MessageReader::HasAmbiguousLine(std::string_view bytes) {
   for (const char c : bytes) {
     if (is_head_scanned_) return false;
-    if (c == '\n' && last_byte_ != '\r') return true;
+    const bool is_after_return = last_byte_ == '\r';
+    if ((c == '\n') != is_after_return) return true;
     if ((c == ' ' || c == '\t') && last_byte_ == '\n') return true;
     if (c == '\n') {
       is_head_scanned_ = has_nonempty_line_ && line_bytes_ == 0;
@@ -68,9 +69,9 @@
       http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
   const http_errno ec = HTTP_PARSER_ERRNO(&parser_);
   if (was_in_head) {
-    // Only the lines of a request's head are checked: no second parser reads a
-    // response's head after this one, so the parser's own checks suffice there.
-    if (kind_ == Kind::kRequest && HasAmbiguousLine(bytes)) {
+    // The parser ends a head at a line that begins with a carriage return or a
+    // line feed, whatever follows.
+    if (HasAmbiguousLine(bytes)) {
       error_ = ReadError::kMalformed;
       return 0;
     }
--- a/briarspread/proxy/message_reader.h
+++ b/briarspread/proxy/message_reader.h
@@ -23,8 +23,8 @@
 /// Incremental HTTP/1.1 parser for the successive messages of one connection.
 /// Rejects messages that two parsers could interpret differently: heads that
 /// are not `IsAcceptable`, both `Content-Length` and `Transfer-Encoding`,
-/// malformed chunks and, in a request's head, bare line feeds and continued
-/// lines. Not thread-safe.
+/// malformed chunks and, in a head, continued lines and carriage returns or
+/// line feeds that are not a line end together. Not thread-safe.
 class MessageReader {
  public:
   enum class Kind { kRequest, kResponse };
@@ -80,8 +80,8 @@
   /// as it grows. Its pages are used only once bytes arrive.
   void ReserveBody(std::size_t n);
   HeaderList& headers();
-  /// Whether a line of the head ends without a carriage return, or continues
-  /// the line before it.
+  /// Whether a line of the head has a carriage return or a line feed without
+  /// the other, or continues the line before it.
   bool HasAmbiguousLine(std::string_view bytes);
   bool IsHeadAcceptable() const;
   /// Keeps the beginning of a response's first line up to its status.
@@ -102,8 +102,7 @@
   std::size_t body_bytes_ = 0;
   /// The beginning of a response's first line.
   std::string status_line_;
-  /// The last byte of the head received so far, used to detect line feeds
-  /// without a carriage return.
+  /// The last byte of the head received so far, used to detect half line ends.
   char last_byte_ = 0;
   /// Bytes of the head's current line, excluding the line end.
   std::size_t line_bytes_ = 0;
--- a/tests/batch/broken_answer_test.cc
+++ b/tests/batch/broken_answer_test.cc
@@ -60,5 +60,33 @@
       RunRewardCall(MakeResetAnswer(kSigned, "half"), kLongBodyBytes).empty());
 }
 
+/// Answers that are none for another reason than their end.
+std::vector<std::string> MakeInvalidAnswers(const std::string& lines,
+                                            const std::string& body) {
+  std::vector<std::string> answers = {"HTTP/1.1 000 Odd\r\n" + lines + "\r\n" +
+                                      body + RawUpstream::kClose};
+  for (const std::string& name : briarspread::testing::kInvalidNames) {
+    answers.push_back(
+        briarspread::testing::MakeAnswerWithName(lines, name, body));
+  }
+  return answers;
+}
+
+TEST_CASE("an item's text is not completed by an answer that is none") {
+  const std::string type = "Content-Type: text/event-stream\r\n";
+  for (const std::string& answer :
+       MakeInvalidAnswers(kSigned + type, "id: 1\ndata: e1\n\n")) {
+    CAPTURE(answer);
+    REQUIRE(RunItem(answer, 0) == "e1\ne2");
+  }
+}
+
+TEST_CASE("a reward call has no score from an answer that is none") {
+  for (const std::string& answer : MakeInvalidAnswers(kSigned, "no")) {
+    CAPTURE(answer);
+    REQUIRE(RunRewardCall(answer, 0).empty());
+  }
+}
+
 }  // namespace
 }  // namespace briarspread::batch
--- a/tests/forward/relayed_exchange_test.cc
+++ b/tests/forward/relayed_exchange_test.cc
@@ -196,6 +196,24 @@
   REQUIRE(site.listener.failure->verdict == Verdict::kMayHaveRun);
 }
 
+TEST_CASE("a response that is none is not relayed") {
+  for (const std::string& answer :
+       {std::string("HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nno"),
+        briarspread::testing::MakeAnswerWithName("X: y\r\n", " Y", "no"),
+        briarspread::testing::MakeAnswerWithName("X: y\r\n", "\rY", "no"),
+        briarspread::testing::MakeAnswerWithName("X: y\r\n", "Y Z", "no")}) {
+    CAPTURE(answer);
+    Site site(RespondWith(200, ""));
+    RawUpstream upstream(site.peers[0].fixture.loop, {answer});
+    site.MoveUpstream(upstream.endpoint());
+    site.Start();
+    site.AwaitEnd();
+    REQUIRE(site.listener.failure.has_value());
+    REQUIRE(site.listener.failure->fault == proxy::ExchangeFault::kGarbled);
+    REQUIRE(site.listener.failure->verdict == Verdict::kMayHaveRun);
+  }
+}
+
 TEST_CASE("a relayed request is not run if the peer cannot connect either") {
   Site site(RespondWith(200, ""));
   const Endpoint dead{"127.0.0.1", briarspread::testing::FreePort()};
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -51,6 +51,18 @@
   }
 }
 
+TEST_CASE(
+    "an answer with a blank or a control byte in a name is not passed on") {
+  for (const std::string& name : briarspread::testing::kInvalidNames) {
+    for (const std::string path : {"/plain/x", "/once/x", "/stream/x"}) {
+      CAPTURE(name, path);
+      BrokenReplica replica(
+          briarspread::testing::MakeAnswerWithName(kSigned, name, "no"));
+      REQUIRE(replica.StatusOf(path) == 502);
+    }
+  }
+}
+
 TEST_CASE("an answer that breaks off in its head is not passed on") {
   const std::string head = "HTTP/1.1 200 OK\r\n" + kSigned;
   const std::vector<std::string> begins = {
--- a/tests/platform/hidden_request_test.cc
+++ b/tests/platform/hidden_request_test.cc
@@ -87,6 +87,7 @@
        {"CONNECT h:80 HTTP/1.1\r\nHost: h\r\n" + length,
         std::string("CONNECT h:80 HTTP/1.1\r\nHost: h\r\n"
                     "Transfer-Encoding: chunked\r\n\r\n"),
+        std::string("POST /plain/1 HTTP/1.1\r\nHost: h\r\n\rX"),
         "POST /plain/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n" +
             length}) {
     INFO(head);
--- a/tests/proxy/head_validation_test.cc
+++ b/tests/proxy/head_validation_test.cc
@@ -9,6 +9,7 @@
 
 #include "briarspread/proxy/message_bytes.h"
 #include "briarspread/proxy/message_reader.h"
+#include "tests/support/broken_answers.h"
 
 namespace briarspread::proxy {
 namespace {
@@ -140,6 +141,28 @@
   }
 }
 
+// Guards against a report of operators (MIXED): a caller got an answer in whose
+// head the name of a field held a blank or a control byte, with that line or
+// with a body that was not the upstream's.
+TEST_CASE("a head with a blank or a control byte in a name is no head") {
+  for (const std::string& name : briarspread::testing::MakeAllInvalidNames()) {
+    for (const std::string before : {"", "X: y\r\n"}) {
+      const std::string lines = before + name + ": 2\r\n\r\n";
+      const std::string answer = "HTTP/1.1 200 OK\r\n" + lines + "no";
+      CAPTURE(answer);
+      REQUIRE(ErrorOf(Kind::kResponse, answer) == ReadError::kMalformed);
+      REQUIRE(ErrorOf(Kind::kResponse, "HTTP/1.1 103 Hints\r\n" + lines) ==
+              ReadError::kMalformed);
+      REQUIRE(ErrorOf(Kind::kRequest, "POST / HTTP/1.1\r\n" + lines + "no") ==
+              ReadError::kMalformed);
+      // However its bytes are divided.
+      MessageReader reader(Kind::kResponse, ReadLimits{});
+      for (const char c : answer) reader.Feed(std::string_view(&c, 1));
+      REQUIRE(reader.error() == ReadError::kMalformed);
+    }
+  }
+}
+
 // Guards against a report of other operators (MIXED): a caller got an answer
 // whose status was 000.
 TEST_CASE("only a status of three digits from 100 to 599 is an answer") {
--- a/tests/support/broken_answers.h
+++ b/tests/support/broken_answers.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <string>
+#include <vector>
 
 #include "tests/support/raw_upstream.h"
 
@@ -20,7 +21,38 @@
          RawUpstream::kResetLater;
 }
 
-/// Returns as many such answers as any request of the tests takes attempts.
+/// Names of a field that hold a blank or a control byte: one for each way in
+/// which a reader may take its line for something else.
+inline const std::vector<std::string> kInvalidNames = {
+    " Content-Length", "\tX", "\rX", "\nX", "X Y", "X\x01"};
+
+/// Returns a field's name with each blank or control byte at its begin, within
+/// it and at its end.
+inline std::vector<std::string> MakeAllInvalidNames() {
+  std::vector<std::string> names;
+  const std::string name = "Content-Length";
+  constexpr char kDelete = 0x7f;
+  for (char byte = 0; byte <= ' '; ++byte) {
+    for (const std::size_t at :
+         {std::size_t{0}, name.size() / 2, name.size()}) {
+      names.push_back(name);
+      names.back().insert(at, 1, byte);
+    }
+  }
+  names.push_back(name + kDelete);
+  return names;
+}
+
+/// Returns an answer for `RawUpstream` with these header lines and one whose
+/// name is `name`, that ends with a regular close.
+inline std::string MakeAnswerWithName(const std::string& lines,
+                                      const std::string& name,
+                                      const std::string& body) {
+  return "HTTP/1.1 200 OK\r\n" + lines + name + ": 2\r\n\r\n" + body +
+         RawUpstream::kClose;
+}
+
+/// Returns an answer as often as any request of the tests takes attempts.
 inline std::deque<std::string> Repeat(const std::string& answer) {
   constexpr std::size_t kAttempts = 8;
   return std::deque<std::string>(kAttempts, answer);
