Status 000 and broken names on streams and at the store: tests

Nothing of the product is changed.

Change: one check of the fixture for the status and the number of attempts, in all cases; the store's case takes each kind of broken answer.

--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -27,9 +27,15 @@
     edge.emplace(fixture, fixture.Settings("one"));
   }
 
-  int StatusOf(const std::string& path, const std::string& body = "") {
-    return fixture.Call(*edge->settings.frontend, "POST", path, body)
-        .head.status;
+  /// Sends a request, which must be answered 502 after as many attempts as its
+  /// route makes if each may have run.
+  void RequireBadGateway(const std::string& path,
+                         const std::string& body = "") {
+    const int attempts = path == "/once/x" ? 1 : path == "/plain/x" ? 2 : 3;
+    const auto answer =
+        fixture.Call(*edge->settings.frontend, "POST", path, body);
+    REQUIRE(answer.head.status == 502);
+    REQUIRE(upstream.requests() == attempts);
   }
 
   EdgeFixture fixture;
@@ -41,12 +47,11 @@
 
 TEST_CASE("an answer whose status is none is not passed on") {
   for (const char* status : {"000 Odd", "00", "099", "600 Odd", "0200 OK"}) {
-    for (const std::string path : {"/plain/x", "/once/x"}) {
+    for (const std::string path : {"/plain/x", "/once/x", "/stream/x"}) {
       INFO(status << " " << path);
       BrokenReplica replica("HTTP/1.1 " + std::string(status) + "\r\n" +
                             kSigned + "Content-Length: 2\r\n\r\nno");
-      REQUIRE(replica.StatusOf(path) == 502);
-      REQUIRE(replica.upstream.requests() == (path == "/once/x" ? 1 : 2));
+      replica.RequireBadGateway(path);
     }
   }
 }
@@ -58,7 +63,7 @@
       CAPTURE(name, path);
       BrokenReplica replica(
           briarspread::testing::MakeAnswerWithName(kSigned, name, "no"));
-      REQUIRE(replica.StatusOf(path) == 502);
+      replica.RequireBadGateway(path);
     }
   }
 }
@@ -80,7 +85,7 @@
       for (const char* path : {"/plain/x", "/once/x", "/stream/x"}) {
         INFO(begin << end << path);
         BrokenReplica replica(begin + end);
-        REQUIRE(replica.StatusOf(path) == 502);
+        replica.RequireBadGateway(path);
       }
     }
   }
@@ -93,8 +98,7 @@
     for (const std::string path : {"/plain/x", "/once/x"}) {
       INFO(path << " " << body_bytes);
       BrokenReplica replica(answer);
-      REQUIRE(replica.StatusOf(path, std::string(body_bytes, 'b')) == 502);
-      REQUIRE(replica.upstream.requests() == (path == "/once/x" ? 1 : 2));
+      replica.RequireBadGateway(path, std::string(body_bytes, 'b'));
     }
   }
 }
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -54,22 +54,30 @@
   REQUIRE(ErrorOf(refused).verdict == Verdict::kNotRun);
 }
 
-TEST_CASE("an answer of the store that is reset commits nothing") {
-  StoreClientFixture fixture;
-  briarspread::testing::RawUpstream store(
-      fixture.loop,
-      {briarspread::testing::MakeResetAnswer("", R"({"Revision":7})")});
-  StoreTransport path(fixture.loop, store.endpoint(), fixture.peers,
-                      fixture.clock, fixture.random, {});
-  StoreClient client(path);
-  StoreTransaction put;
-  put.writes.push_back({"p/a",
-                        std::string(briarspread::testing::kLongBodyBytes, 'v'),
-                        StoreLeaseId()});
-  const auto result = fixture.Await<StoreOutcome>(
-      [&](auto done) { client.Commit(std::move(put), std::move(done)); });
-  REQUIRE_FALSE(IsOk(result));
-  REQUIRE(ErrorOf(result).verdict == Verdict::kMayHaveRun);
+TEST_CASE("a broken answer of the store commits nothing") {
+  const std::string committed = R"({"Revision":7})";
+  std::vector<std::string> answers = {
+      briarspread::testing::MakeResetAnswer("", committed),
+      "HTTP/1.1 000 Odd\r\nContent-Length: 14\r\n\r\n" + committed};
+  for (const std::string& name : briarspread::testing::kInvalidNames) {
+    answers.push_back(
+        briarspread::testing::MakeAnswerWithName("X: y\r\n", name, committed));
+  }
+  for (const std::string& answer : answers) {
+    CAPTURE(answer);
+    StoreClientFixture fixture;
+    briarspread::testing::RawUpstream store(fixture.loop, {answer});
+    StoreTransport path(fixture.loop, store.endpoint(), fixture.peers,
+                        fixture.clock, fixture.random, {});
+    StoreClient client(path);
+    const std::string value(briarspread::testing::kLongBodyBytes, 'v');
+    StoreTransaction put;
+    put.writes.push_back({"p/a", value, StoreLeaseId()});
+    const auto result = fixture.Await<StoreOutcome>(
+        [&](auto done) { client.Commit(std::move(put), std::move(done)); });
+    REQUIRE_FALSE(IsOk(result));
+    REQUIRE(ErrorOf(result).verdict == Verdict::kMayHaveRun);
+  }
 }
 
 TEST_CASE("keys are written conditionally, read, listed and watched") {
