The entry instance and the clients read answers by the one strict reader

Cause: HttpUpstreamClient read answers with the HTTP library of its server, which takes any three digits for a status and any bytes before a colon for a name, and drops lines that it can't read. The checks of MessageReader didn't reach it.

Change: HttpUpstreamClient calls through ConnectionPool on a thread of its own; PendingExchange hands what arrives to the thread that waits. An exchange may set its time to connect and refuse an idle connection. A check after the library's parser would not see the lines that it drops.

--- a/briarspread/core/upstream_client.h
+++ b/briarspread/core/upstream_client.h
@@ -48,7 +48,8 @@
   kSent,
   /// The response head arrived, but not the whole response.
   kAnswering,
-  /// The whole response arrived, as its length or last chunk shows.
+  /// The whole response arrived, as its length, its last chunk or, without
+  /// either, a regular close shows.
   kEnded,
 };
 
--- a/briarspread/gateway/entry.cc
+++ b/briarspread/gateway/entry.cc
@@ -98,7 +98,6 @@
       random_(std::random_device{}()),
       tracer_(settings.instance.value(), clock_, random_),
       context_{settings.instance, state_, clock_, random_, metrics_, tracer_},
-      client_(HttpUpstreamClientSettings{}, clock_),
       store_(PlatformSettings(settings), client_),
       list_(PlatformSettings(settings), client_),
       peers_(settings.instance, PeerKey(settings), clock_),
--- a/briarspread/proxy/connection_pool.cc
+++ b/briarspread/proxy/connection_pool.cc
@@ -80,7 +80,8 @@
     return std::make_unique<UnsentExchange>(
         loop_.get_executor(), ExchangeFault::kInvalidRequest, listener);
   }
-  Connection connection = TakeIdle(request);
+  Connection connection;
+  if (request.may_reuse_connection) connection = TakeIdle(request);
   if (connection == nullptr) connection = Open(request.to);
   connection->Run(std::move(request), listener);
   return std::make_unique<PooledExchange>(connection);
--- a/briarspread/proxy/upstream_connection.cc
+++ b/briarspread/proxy/upstream_connection.cc
@@ -107,7 +107,9 @@
     });
     return;
   }
-  milliseconds limit = settings_.connect_timeout;
+  milliseconds limit = request_.connect_timeout.count() > 0
+                           ? request_.connect_timeout
+                           : settings_.connect_timeout;
   if (request_.timeout.count() > 0) limit = std::min(limit, request_.timeout);
   SetTimer(limit, ExchangeFault::kNotConnected, Verdict::kNotRun);
   socket_.async_connect(
--- a/briarspread/proxy/upstream_connection.h
+++ b/briarspread/proxy/upstream_connection.h
@@ -67,6 +67,10 @@
   /// Whether the method is `HEAD`, so that the response has no body whatever
   /// its head says.
   bool is_head_request = false;
+  /// Maximum time to establish a connection; zero for the connection's limit.
+  milliseconds connect_timeout{0};
+  /// Whether an idle connection may carry the request.
+  bool may_reuse_connection = true;
   /// Maximum time until the response is complete; zero for no limit.
   milliseconds timeout{0};
   /// Maximum size of the response's body; zero for the connection's limit.
--- a/briarspread/transport/http_upstream_client.cc
+++ b/briarspread/transport/http_upstream_client.cc
@@ -1,141 +1,158 @@
 #include "briarspread/transport/http_upstream_client.h"
 
-#include <httplib.h>
-
 #include <algorithm>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <memory>
+#include <optional>
 #include <utility>
 
 #include "briarspread/transport/connect_probe.h"
+#include "briarspread/transport/pending_exchange.h"
 
 namespace briarspread {
 namespace {
 
-std::vector<Header> CopyHeaders(const httplib::Headers& headers) {
-  std::vector<Header> copied;
-  copied.reserve(headers.size());
-  for (const auto& [name, value] : headers) copied.push_back({name, value});
-  return copied;
+using asio::ip::tcp;
+
+/// Returns the address of an endpoint whose host may be a name; nothing if it
+/// can't be resolved.
+std::optional<Endpoint> Resolve(const Endpoint& endpoint) {
+  asio::error_code ec;
+  asio::ip::make_address(endpoint.host, ec);
+  if (!ec) return endpoint;
+  asio::io_context loop;
+  tcp::resolver resolver(loop);
+  const auto found = resolver.resolve(endpoint.host, "", ec);
+  if (ec || found.empty()) return std::nullopt;
+  return Endpoint{found.begin()->endpoint().address().to_string(),
+                  endpoint.port};
 }
 
-httplib::Request MakeRequest(const UpstreamRequest& request) {
-  httplib::Request http_request;
-  http_request.method = request.method;
-  http_request.path = request.path;
-  for (const Header& header : request.headers) {
-    http_request.set_header(header.name, header.value);
-  }
-  if (!request.body.empty()) {
-    http_request.body = request.body;
-    http_request.set_header("Content-Type", request.content_type);
+/// Percent-encodes what may not stand in a target. A plus sign is encoded too:
+/// in a query it would be read as a blank.
+std::string EncodeTarget(const std::string& path) {
+  std::string target;
+  for (const char c : path) {
+    const bool is_kept = c > ' ' && c < '\x7f' && c != '+';
+    target += is_kept ? std::string(1, c)
+                      : proxy::EncodeParameter(std::string_view(&c, 1));
   }
-  return http_request;
+  return target;
 }
 
-/// Returns the stage that an exchange reached, derived from the library's error
-/// and whether the response head was received.
-ExchangeStage StageOf(httplib::Error error, bool head_arrived) {
-  if (error == httplib::Error::Success) return ExchangeStage::kEnded;
-  if (head_arrived) return ExchangeStage::kAnswering;
-  switch (error) {
-    case httplib::Error::Connection:
-    case httplib::Error::ConnectionTimeout:
-    case httplib::Error::BindIPAddress:
-    case httplib::Error::SSLConnection:
-    case httplib::Error::SSLLoadingCerts:
-    case httplib::Error::SSLServerVerification:
-      return ExchangeStage::kConnecting;
-    case httplib::Error::Write:
-      return ExchangeStage::kSending;
-    default:
-      return ExchangeStage::kSent;
+proxy::RequestHead MakeHead(const UpstreamRequest& request) {
+  proxy::RequestHead head;
+  head.method = request.method;
+  head.target = EncodeTarget(request.path);
+  head.headers.Add("Host", request.endpoint.host + ":" +
+                               std::to_string(request.endpoint.port));
+  for (const Header& line : request.headers) {
+    head.headers.Add(line.name, line.value);
+  }
+  if (!request.body.empty()) {
+    head.headers.Set("Content-Type", request.content_type);
   }
+  if (!request.may_reuse_connection) head.headers.Set("Connection", "close");
+  return head;
 }
 
-}  // namespace
-
-HttpUpstreamClient::HttpUpstreamClient(
-    const HttpUpstreamClientSettings& settings, const Clock& clock)
-    : settings_(settings), clock_(clock) {}
+proxy::ExchangeRequest MakeExchangeRequest(const UpstreamRequest& request,
+                                           const Endpoint& address) {
+  proxy::ExchangeRequest made;
+  made.to = address;
+  made.bytes = proxy::RequestBytes::Make(MakeHead(request), request.body);
+  made.is_head_request = request.method == "HEAD";
+  made.connect_timeout = request.connect_timeout;
+  // Zero would mean no limit.
+  made.timeout = std::max(request.timeout, milliseconds(1));
+  made.may_reuse_connection = request.may_reuse_connection;
+  return made;
+}
 
-HttpUpstreamClient::~HttpUpstreamClient() = default;
+/// Returns the stage that an exchange without a whole response reached.
+ExchangeStage StageOf(proxy::ExchangeFault fault, bool has_head) {
+  if (fault == proxy::ExchangeFault::kInvalidRequest) {
+    return ExchangeStage::kBeforeConnect;
+  }
+  if (fault == proxy::ExchangeFault::kNotConnected) {
+    return ExchangeStage::kConnecting;
+  }
+  return has_head ? ExchangeStage::kAnswering : ExchangeStage::kSent;
+}
 
-std::unique_ptr<httplib::Client> HttpUpstreamClient::Acquire(
-    const UpstreamRequest& request) {
-  std::unique_ptr<httplib::Client> client;
-  if (request.may_reuse_connection) {
-    std::lock_guard lock(mutex_);
-    auto& idle = idle_[request.endpoint];
-    if (!idle.empty()) {
-      client = std::move(idle.back());
-      idle.pop_back();
+/// Hands progress to the receiver, or to `outcome` without one. Returns false
+/// if the receiver cancels the exchange.
+bool Deliver(ResponseProgress& progress, ResponseReceiver* receiver,
+             ExchangeOutcome& outcome) {
+  if (progress.head.has_value()) {
+    outcome.status = progress.head->status;
+    for (const proxy::Header& line : progress.head->headers.lines()) {
+      outcome.headers.push_back({line.name, line.value});
+    }
+    outcome.stage = ExchangeStage::kAnswering;
+    if (receiver != nullptr &&
+        !receiver->OnHead(outcome.status, outcome.headers)) {
+      return false;
     }
   }
-  if (client == nullptr) {
-    client = std::make_unique<httplib::Client>(request.endpoint.host,
-                                               request.endpoint.port);
-    client->set_tcp_nodelay(true);
+  if (receiver == nullptr) {
+    outcome.body += progress.data;
+    return true;
   }
-  client->set_keep_alive(request.may_reuse_connection);
-  client->set_connection_timeout(request.connect_timeout);
-  client->set_read_timeout(request.timeout);
-  client->set_write_timeout(request.timeout);
-  return client;
+  return progress.data.empty() || receiver->OnData(progress.data);
 }
 
-void HttpUpstreamClient::Release(const Endpoint& endpoint,
-                                 std::unique_ptr<httplib::Client> client) {
-  std::lock_guard lock(mutex_);
-  auto& idle = idle_[endpoint];
-  if (idle.size() < settings_.max_idle_per_endpoint) {
-    idle.push_back(std::move(client));
-  }
+}  // namespace
+
+HttpUpstreamClient::HttpUpstreamClient()
+    : work_(asio::make_work_guard(loop_)),
+      pool_(loop_, proxy::UpstreamConnectionSettings{}),
+      thread_([this] { loop_.run(); }) {}
+
+HttpUpstreamClient::~HttpUpstreamClient() {
+  // Exchanges that were cancelled before are closed first.
+  asio::post(loop_, [this] { loop_.stop(); });
+  thread_.join();
 }
 
 ExchangeOutcome HttpUpstreamClient::Exchange(const UpstreamRequest& request,
                                              ResponseReceiver* receiver) {
   ExchangeOutcome outcome;
-  const TimePoint deadline = clock_.Now() + request.timeout;
-  std::unique_ptr<httplib::Client> client = Acquire(request);
-  httplib::Request http_request = MakeRequest(request);
-  bool head_arrived = false;
-  bool timed_out = false;
-  http_request.response_handler = [&](const httplib::Response& head) {
-    head_arrived = true;
-    outcome.status = head.status;
-    outcome.headers = CopyHeaders(head.headers);
-    if (receiver == nullptr) return true;
-    outcome.cancelled = !receiver->OnHead(head.status, outcome.headers);
-    return !outcome.cancelled;
-  };
-  http_request.content_receiver = [&](const char* data, std::size_t n,
-                                      std::uint64_t /*offset*/,
-                                      std::uint64_t /*total*/) {
-    timed_out = clock_.Now() > deadline;
-    if (timed_out) return false;
-    if (receiver == nullptr) {
-      outcome.body.append(data, n);
-      return true;
-    }
-    outcome.cancelled = !receiver->OnData(std::string_view(data, n));
-    return !outcome.cancelled;
-  };
-  httplib::Response response;
-  httplib::Error error = httplib::Error::Success;
-  client->send(http_request, response, error);
-  outcome.stage = StageOf(error, head_arrived);
-  if (outcome.stage != ExchangeStage::kEnded) {
-    outcome.failure = timed_out ? "timed out" : httplib::to_string(error);
-    // The library reports a refused connection like other connection failures,
-    // so a second connection attempt finds out whether it was refused.
-    outcome.refused =
-        error == httplib::Error::Connection &&
-        IsConnectionRefused(request.endpoint, request.connect_timeout);
+  const auto address = Resolve(request.endpoint);
+  if (!address.has_value()) {
+    outcome.stage = ExchangeStage::kConnecting;
+    outcome.failure = "host name not found";
     return outcome;
   }
-  if (request.may_reuse_connection) {
-    Release(request.endpoint, std::move(client));
+  const auto exchange = std::make_shared<PendingExchange>();
+  asio::post(loop_, [this, exchange,
+                     made = MakeExchangeRequest(request, *address)]() mutable {
+    exchange->Start(pool_, std::move(made));
+  });
+  while (true) {
+    ResponseProgress progress = exchange->Wait();
+    if (!Deliver(progress, receiver, outcome)) {
+      asio::post(loop_, [exchange] { exchange->Cancel(); });
+      outcome.cancelled = true;
+      outcome.failure = "cancelled";
+      return outcome;
+    }
+    if (progress.has_ended) {
+      outcome.stage = ExchangeStage::kEnded;
+      return outcome;
+    }
+    if (progress.failure.has_value()) {
+      const proxy::ExchangeFault fault = progress.failure->fault;
+      outcome.stage =
+          StageOf(fault, outcome.stage == ExchangeStage::kAnswering);
+      outcome.failure = proxy::ToString(fault);
+      outcome.refused = fault == proxy::ExchangeFault::kNotConnected &&
+                        IsConnectionRefused(*address, request.connect_timeout);
+      return outcome;
+    }
+    asio::post(loop_, [exchange] { exchange->Resume(); });
   }
-  return outcome;
 }
 
 }  // namespace briarspread
--- a/briarspread/transport/http_upstream_client.h
+++ b/briarspread/transport/http_upstream_client.h
@@ -1,54 +1,36 @@
 #ifndef BRIARSPREAD_TRANSPORT_HTTP_UPSTREAM_CLIENT_H_
 #define BRIARSPREAD_TRANSPORT_HTTP_UPSTREAM_CLIENT_H_
 
-#include <map>
-#include <memory>
-#include <mutex>
-#include <vector>
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <thread>
 
 #include "briarspread/core/upstream_client.h"
-
-namespace httplib {
-class Client;
-}  // namespace httplib
+#include "briarspread/proxy/connection_pool.h"
 
 namespace briarspread {
 
-/// Settings of `HttpUpstreamClient`.
-struct HttpUpstreamClientSettings {
-  /// Maximum number of idle connections kept for each endpoint.
-  std::size_t max_idle_per_endpoint = 64;
-};
-
-/// Calls upstreams over HTTP/1.1, based on cpp-httplib. Thread-safe: each
-/// exchange uses a connection exclusively.
+/// Calls upstreams over HTTP/1.1. A thread of its own runs the connections and
+/// reads the answers, so that these are judged as everywhere else in the
+/// project; receivers are called on the calling thread. Thread-safe.
 class HttpUpstreamClient final : public UpstreamClient {
  public:
-  /// Precondition: `clock` outlives this object.
-  HttpUpstreamClient(const HttpUpstreamClientSettings& settings,
-                     const Clock& clock);
+  HttpUpstreamClient();
+  /// Precondition: no exchange is in flight.
   ~HttpUpstreamClient() override;
+  HttpUpstreamClient(const HttpUpstreamClient&) = delete;
+  HttpUpstreamClient& operator=(const HttpUpstreamClient&) = delete;
 
+  /// A host name is resolved first, which its resolver alone limits in time.
   ExchangeOutcome Exchange(const UpstreamRequest& request,
                            ResponseReceiver* receiver) override;
 
  private:
-  /// Returns an idle connection if the request may reuse one and one exists,
-  /// else a new one.
-  std::unique_ptr<httplib::Client> Acquire(const UpstreamRequest& request);
-  /// Keeps the connection for reuse unless the endpoint has the maximum number
-  /// of idle connections.
-  void Release(const Endpoint& endpoint,
-               std::unique_ptr<httplib::Client> client);
-
-  const HttpUpstreamClientSettings settings_;
-  /// Measures the deadline of a whole exchange; the library's timeouts bound
-  /// only single reads.
-  const Clock& clock_;
-  /// Guards `idle_`.
-  std::mutex mutex_;
-  /// Idle connections whose last exchange was complete.
-  std::map<Endpoint, std::vector<std::unique_ptr<httplib::Client>>> idle_;
+  asio::io_context loop_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  /// Used on the loop's thread only.
+  proxy::ConnectionPool pool_;
+  std::thread thread_;
 };
 
 }  // namespace briarspread
--- a/programs/load/main.cc
+++ b/programs/load/main.cc
@@ -220,7 +220,7 @@
   }
   SystemClock clock;
   SeededRandom random(FLAGS_seed);
-  HttpUpstreamClient client(HttpUpstreamClientSettings{}, clock);
+  HttpUpstreamClient client;
   CallerClient caller(entries, client, clock, random);
   TrainerClient trainer(TrainerId("lima"), entries, client);
   LoadReport report;
--- a/programs/rules/main.cc
+++ b/programs/rules/main.cc
@@ -144,7 +144,7 @@
 
 int Run(const Arguments& arguments) {
   SystemClock clock;
-  HttpUpstreamClient client(HttpUpstreamClientSettings{}, clock);
+  HttpUpstreamClient client;
   ConsulSettings settings;
   settings.endpoint = {FLAGS_platform_host,
                        static_cast<std::uint16_t>(FLAGS_platform_port)};
--- a/programs/scenario/main.cc
+++ b/programs/scenario/main.cc
@@ -66,7 +66,7 @@
 int Run() {
   SystemClock clock;
   SeededRandom random(FLAGS_seed);
-  HttpUpstreamClient client(HttpUpstreamClientSettings{}, clock);
+  HttpUpstreamClient client;
   ProcessTable processes(FLAGS_processes, FLAGS_commands);
   const Status loaded = processes.Reload();
   if (!IsOk(loaded)) return Fail(ErrorOf(loaded));
--- a/tests/transport/connect_probe_test.cc
+++ b/tests/transport/connect_probe_test.cc
@@ -12,8 +12,7 @@
 TEST_CASE("connections are refused only on a port without a listener") {
   const Endpoint endpoint{"127.0.0.1", testing::FreePort()};
   REQUIRE(IsConnectionRefused(endpoint, seconds(5)));
-  SystemClock clock;
-  HttpUpstreamClient client(HttpUpstreamClientSettings{}, clock);
+  HttpUpstreamClient client;
   UpstreamRequest request;
   request.endpoint = endpoint;
   request.path = "/";
