One Base64 and one type of a header line, in core

Cause: platform and transport each had the same Base64 functions, and core and proxy the same type of a header line, copied between them by hand.

Change: core/base64 (platform's version, which takes an empty text apart) and core/header serve both; no behaviour is changed. The test of Base64 moved along and has the empty text too.

--- a/platform/base64.cc
+++ b/briarspread/core/base64.cc
@@ -1,8 +1,8 @@
-#include "platform/base64.h"
+#include "briarspread/core/base64.h"
 
 #include <openssl/evp.h>
 
-namespace briarspread::platform {
+namespace briarspread {
 
 std::string EncodeBase64(std::string_view bytes) {
   std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0');
@@ -30,4 +30,4 @@
   return out;
 }
 
-}  // namespace briarspread::platform
+}  // namespace briarspread
--- a/platform/base64.h
+++ b/briarspread/core/base64.h
@@ -1,11 +1,11 @@
-#ifndef BRIARSPREAD_PLATFORM_BASE64_H_
-#define BRIARSPREAD_PLATFORM_BASE64_H_
+#ifndef BRIARSPREAD_CORE_BASE64_H_
+#define BRIARSPREAD_CORE_BASE64_H_
 
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace briarspread::platform {
+namespace briarspread {
 
 /// Returns `bytes` in standard base64 with padding. Thread-safe.
 std::string EncodeBase64(std::string_view bytes);
@@ -13,6 +13,6 @@
 /// Thread-safe.
 std::optional<std::string> DecodeBase64(std::string_view text);
 
-}  // namespace briarspread::platform
+}  // namespace briarspread
 
-#endif  // BRIARSPREAD_PLATFORM_BASE64_H_
+#endif  // BRIARSPREAD_CORE_BASE64_H_
--- a/briarspread/core/upstream_client.h
+++ b/briarspread/core/upstream_client.h
@@ -6,17 +6,11 @@
 #include <vector>
 
 #include "briarspread/core/clock.h"
+#include "briarspread/core/header.h"
 #include "briarspread/core/upstream.h"
 
 namespace briarspread {
 
-/// One HTTP header.
-struct Header {
-  /// Compared case-insensitively.
-  std::string name;
-  std::string value;
-};
-
 /// An HTTP request to an upstream or to another instance.
 struct UpstreamRequest {
   Endpoint endpoint;
--- a/briarspread/proxy/http_message.h
+++ b/briarspread/proxy/http_message.h
@@ -8,15 +8,12 @@
 #include <vector>
 
 #include "briarspread/core/clock.h"
+#include "briarspread/core/header.h"
 #include "briarspread/core/memory_budget.h"
 
 namespace briarspread::proxy {
 
-/// One header line.
-struct Header {
-  std::string name;
-  std::string value;
-};
+using briarspread::Header;
 
 /// The header lines of one message in the order received. Names are compared
 /// case-insensitively. Not thread-safe.
--- a/briarspread/transport/consul_store.cc
+++ b/briarspread/transport/consul_store.cc
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "briarspread/transport/base64.h"
+#include "briarspread/core/base64.h"
 
 namespace briarspread {
 namespace {
--- a/briarspread/transport/http_upstream_client.cc
+++ b/briarspread/transport/http_upstream_client.cc
@@ -87,9 +87,7 @@
              ExchangeOutcome& outcome) {
   if (progress.head.has_value()) {
     outcome.status = progress.head->status;
-    for (const proxy::Header& line : progress.head->headers.lines()) {
-      outcome.headers.push_back({line.name, line.value});
-    }
+    outcome.headers = progress.head->headers.lines();
     outcome.stage = ExchangeStage::kAnswering;
     if (receiver != nullptr &&
         !receiver->OnHead(outcome.status, outcome.headers)) {
--- a/standins/fake_platform/main.cc
+++ b/standins/fake_platform/main.cc
@@ -8,7 +8,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "briarspread/transport/base64.h"
+#include "briarspread/core/base64.h"
 #include "briarspread/transport/http_server.h"
 #include "standins/common/registration.h"
 #include "standins/fake_platform/platform_state.h"
--- a/tests/transport/base64_test.cc
+++ b/tests/core/base64_test.cc
@@ -1,4 +1,4 @@
-#include "briarspread/transport/base64.h"
+#include "briarspread/core/base64.h"
 
 #include <rapidcheck/catch.h>
 
@@ -14,6 +14,7 @@
 }
 
 TEST_CASE("DecodeBase64 rejects text that is not base64") {
+  REQUIRE(DecodeBase64("") == "");
   REQUIRE_FALSE(DecodeBase64("abc").has_value());
   REQUIRE_FALSE(DecodeBase64("????").has_value());
 }
--- a/tests/platform/accounts_test.cc
+++ b/tests/platform/accounts_test.cc
@@ -2,7 +2,7 @@
 // what reaches the replica, and that no key leaves the instance.
 #include <catch2/catch.hpp>
 
-#include "platform/base64.h"
+#include "briarspread/core/base64.h"
 #include "platform/configuration_codec.h"
 #include "platform/key_redaction.h"
 #include "tests/platform/edge_fixture.h"
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -2,7 +2,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/base64.h"
+#include "briarspread/core/base64.h"
 #include "platform/batch_codec.h"
 #include "platform/configuration_codec.h"
 #include "platform/peer_interface.h"
--- a/tests/platform/lost_links_test.cc
+++ b/tests/platform/lost_links_test.cc
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 #include <utility>
 
-#include "platform/base64.h"
+#include "briarspread/core/base64.h"
 #include "tests/platform/edge_fixture.h"
 
 namespace briarspread::platform {
--- a/tests/platform/store_stand_in.cc
+++ b/tests/platform/store_stand_in.cc
@@ -4,7 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "platform/base64.h"
+#include "briarspread/core/base64.h"
 
 namespace briarspread::platform {
 namespace {
--- a/tests/pressure/pressure_test.cc
+++ b/tests/pressure/pressure_test.cc
@@ -3,7 +3,7 @@
 // ends the process. Checks only what the speed of the machine doesn't change.
 #include <catch2/catch.hpp>
 
-#include "platform/base64.h"
+#include "briarspread/core/base64.h"
 #include "tests/platform/edge_fixture.h"
 #include "tests/pressure/crowd.h"
 #include "tests/pressure/edge_process.h"
