A refused connection is told from a late one, and a closed one is not reused

Cause: the client tried a second connection after each failed one, to learn whether it was refused, also after one that had timed out, so that probes of a frozen peer took 800 ms in place of 400 and takeovers came late. And after a pause of the process the first calls took idle connections that the peer had closed meanwhile: the loop had not processed the close yet.

Evidence: log lines of a trial, with the time of each call: 800 ms for GET /peer/v1/self, and "broken" after 0 ms for /peer/v1/witness after the thaw.

Change: an exchange's failure says whether the connection was refused, which makes the second connection, and transport/connect_probe, superfluous; the pool looks at an idle connection before it uses it.

Tests: connection_test "a connection that was closed while the loop stood is not reused" failed before.

--- a/briarspread/proxy/connection_pool.cc
+++ b/briarspread/proxy/connection_pool.cc
@@ -50,7 +50,9 @@
   });
   const auto last = std::find_if(
       kept.rbegin(), kept.rend(), [&request](const Connection& connection) {
-        return !connection->HasRecentEcho(request.echo_value);
+        // After a pause of the process, closes may not be processed yet.
+        return !connection->HasRecentEcho(request.echo_value) &&
+               !connection->IsStale();
       });
   Connection taken;
   if (last != kept.rend()) {
--- a/briarspread/proxy/exchange.h
+++ b/briarspread/proxy/exchange.h
@@ -36,6 +36,8 @@
   /// received. This says little about the upstream's health: the upstream may
   /// have closed the connection because it was idle.
   bool was_reused_connection = false;
+  /// Whether the connection was refused: no process listens at the address.
+  bool was_refused = false;
   /// Whether another instance carried out the exchange.
   bool was_relayed = false;
 };
--- a/briarspread/proxy/upstream_connection.cc
+++ b/briarspread/proxy/upstream_connection.cc
@@ -1,11 +1,13 @@
 #include "briarspread/proxy/upstream_connection.h"
 
 #include <glog/logging.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 #include <cassert>
+#include <cerrno>
 #include <utility>
 
 namespace briarspread::proxy {
@@ -92,6 +94,13 @@
   Connect();
 }
 
+bool UpstreamConnection::IsStale() {
+  char byte = 0;
+  const ssize_t n =
+      recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 bool UpstreamConnection::HasRecentEcho(const std::string& echo_value) const {
   return !echo_value.empty() &&
          std::find(recent_echoes_.begin(), recent_echoes_.end(), echo_value) !=
@@ -120,6 +129,7 @@
         // request may have become obsolete meanwhile.
         const bool is_late =
             std::chrono::steady_clock::now() - self->started_ > limit;
+        self->is_refused_ = error == asio::error::connection_refused;
         if (error || (is_late && self->listener_ != nullptr)) {
           self->Fail(ExchangeFault::kNotConnected, Verdict::kNotRun);
           return;
@@ -346,9 +356,10 @@
   if (observer_ != nullptr && fault == ExchangeFault::kNotConnected) {
     observer_->OnNotConnected(to_);
   }
-  const ExchangeFailure failure{
-      fault, verdict,
-      is_reused_ && !reader_.has_started() && fault == ExchangeFault::kBroken};
+  ExchangeFailure failure{fault, verdict};
+  failure.was_reused_connection =
+      is_reused_ && !reader_.has_started() && fault == ExchangeFault::kBroken;
+  failure.was_refused = is_refused_;
   Close(fault == ExchangeFault::kNotConnected ? CloseCause::kNotConnected
                                               : CloseCause::kFailed);
   if (listener != nullptr) listener->OnFailure(failure);
--- a/briarspread/proxy/upstream_connection.h
+++ b/briarspread/proxy/upstream_connection.h
@@ -108,6 +108,9 @@
   void SetPaused(bool is_paused);
 
   bool is_usable() const { return !is_closed_; }
+  /// Whether the upstream has closed the idle connection, or has sent bytes,
+  /// which the loop has not processed yet.
+  bool IsStale();
   const Endpoint& endpoint() const { return to_; }
   /// Whether one of the connection's latest requests had this echo value; false
   /// for an empty value.
@@ -153,6 +156,8 @@
   milliseconds idle_timeout_;
   TimePoint started_{};
   bool is_connected_ = false;
+  /// Whether no process listens at the address.
+  bool is_refused_ = false;
   /// Whether the current request is being written.
   bool is_writing_ = false;
   /// Whether a write reported a reset or another loss of the connection. The
--- a/briarspread/transport/http_upstream_client.cc
+++ b/briarspread/transport/http_upstream_client.cc
@@ -7,7 +7,6 @@
 #include <optional>
 #include <utility>
 
-#include "briarspread/transport/connect_probe.h"
 #include "briarspread/transport/pending_exchange.h"
 
 namespace briarspread {
@@ -145,8 +144,7 @@
       outcome.stage =
           StageOf(fault, outcome.stage == ExchangeStage::kAnswering);
       outcome.failure = proxy::ToString(fault);
-      outcome.refused = fault == proxy::ExchangeFault::kNotConnected &&
-                        IsConnectionRefused(*address, request.connect_timeout);
+      outcome.refused = progress.failure->was_refused;
       return outcome;
     }
     asio::post(loop_, [exchange] { exchange->Resume(); });
--- a/tests/proxy/connection_test.cc
+++ b/tests/proxy/connection_test.cc
@@ -60,6 +60,24 @@
   REQUIRE(caller.pool.closed().at("forgotten") == 1);
 }
 
+TEST_CASE("a connection that was closed while the loop stood is not reused") {
+  asio::io_context loop;
+  ConnectionPool pool(loop, {});
+  asio::ip::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
+  const Endpoint to{"127.0.0.1", acceptor.local_endpoint().port()};
+  pool.Connect(to);
+  asio::ip::tcp::socket accepted = acceptor.accept();
+  REQUIRE(RunUntil(loop, [&] { return pool.HasIdle(to); }));
+  accepted.close();
+  ExchangeRequest request;
+  request.to = to;
+  request.bytes = RequestBytes::Make(RequestHead{"GET", "/", {}}, "");
+  const auto cancel =
+      StartCall(pool, std::move(request), [](const CallResult&) {});
+  REQUIRE(pool.opened() == 2);
+  cancel();
+}
+
 TEST_CASE("closed connections are counted by cause") {
   asio::io_context loop;
   RawUpstream upstream(
