The test of a late connection begins its connections only

A stack trace shows it in poll_connect, called by the test's own line.

Change: the connections that fill the queue are begun and not waited for. The assertions are the same.

--- a/tests/transport/refused_connection_test.cc
+++ b/tests/transport/refused_connection_test.cc
@@ -45,14 +45,13 @@
   acceptor.open(tcp::v4());
   acceptor.bind({asio::ip::address_v4::loopback(), 0});
   acceptor.listen(0);
-  // Nobody accepts them, so that the system answers no further ones.
+  // Nobody accepts them, so that the system answers no further ones. They are
+  // only begun: `connect` would wait.
   std::vector<tcp::socket> waiting;
   for (int i = 0; i < 4; ++i) {
     waiting.emplace_back(loop);
-    waiting.back().open(tcp::v4());
-    waiting.back().non_blocking(true);
-    asio::error_code ec;
-    waiting.back().connect(acceptor.local_endpoint(), ec);
+    waiting.back().async_connect(acceptor.local_endpoint(),
+                                 [](asio::error_code) {});
   }
   const ExchangeOutcome outcome =
       CallEndpoint({"127.0.0.1", acceptor.local_endpoint().port()});
