One list of invalid answers for the tests; plainer names and comments

Change: MakeInvalidAnswers serves the items, reward calls, relays, the store, orders and the control API; the relays now take all six names in place of three. Test names and doc comments in plain terms, and the preconditions of IsStale and Wait. In the product, comments and a const reference only.

--- a/briarspread/proxy/message_reader.h
+++ b/briarspread/proxy/message_reader.h
@@ -23,8 +23,8 @@
 /// Incremental HTTP/1.1 parser for the successive messages of one connection.
 /// Rejects messages that two parsers could interpret differently: heads that
 /// are not `IsAcceptable`, both `Content-Length` and `Transfer-Encoding`,
-/// malformed chunks and, in a head, continued lines and carriage returns or
-/// line feeds that are not a line end together. Not thread-safe.
+/// malformed chunks and, in a head, continued lines and a carriage return or a
+/// line feed without the other. Not thread-safe.
 class MessageReader {
  public:
   enum class Kind { kRequest, kResponse };
@@ -102,7 +102,8 @@
   std::size_t body_bytes_ = 0;
   /// The beginning of a response's first line.
   std::string status_line_;
-  /// The last byte of the head received so far, used to detect half line ends.
+  /// The last byte of the head received so far, used to detect a
+  /// carriage return or a line feed without the other.
   char last_byte_ = 0;
   /// Bytes of the head's current line, excluding the line end.
   std::size_t line_bytes_ = 0;
--- a/briarspread/proxy/upstream_connection.h
+++ b/briarspread/proxy/upstream_connection.h
@@ -108,8 +108,9 @@
   void SetPaused(bool is_paused);
 
   bool is_usable() const { return !is_closed_; }
-  /// Whether the upstream has closed the idle connection, or has sent bytes,
-  /// which the loop has not processed yet.
+  /// Whether the idle connection was closed by the upstream or has received
+  /// bytes, even if the loop has not processed that yet. Precondition: no
+  /// exchange is in flight.
   bool IsStale();
   const Endpoint& endpoint() const { return to_; }
   /// Whether one of the connection's latest requests had this echo value; false
--- a/briarspread/transport/http_upstream_client.cc
+++ b/briarspread/transport/http_upstream_client.cc
@@ -28,8 +28,8 @@
                   endpoint.port};
 }
 
-/// Percent-encodes what may not stand in a target. A plus sign is encoded too:
-/// in a query it would be read as a blank.
+/// Percent-encodes characters that a target must not contain. A plus sign is
+/// encoded too: in a query it would be read as a blank.
 std::string EncodeTarget(const std::string& path) {
   std::string target;
   for (const char c : path) {
@@ -82,7 +82,7 @@
 
 /// Hands progress to the receiver, or to `outcome` without one. Returns false
 /// if the receiver cancels the exchange.
-bool Deliver(ResponseProgress& progress, ResponseReceiver* receiver,
+bool Deliver(const ResponseProgress& progress, ResponseReceiver* receiver,
              ExchangeOutcome& outcome) {
   if (progress.head.has_value()) {
     outcome.status = progress.head->status;
@@ -128,7 +128,7 @@
     exchange->Start(pool_, std::move(made));
   });
   while (true) {
-    ResponseProgress progress = exchange->Wait();
+    const ResponseProgress progress = exchange->Wait();
     if (!Deliver(progress, receiver, outcome)) {
       asio::post(loop_, [exchange] { exchange->Cancel(); });
       outcome.cancelled = true;
--- a/briarspread/transport/http_upstream_client.h
+++ b/briarspread/transport/http_upstream_client.h
@@ -10,9 +10,10 @@
 
 namespace briarspread {
 
-/// Calls upstreams over HTTP/1.1. A thread of its own runs the connections and
-/// reads the answers, so that these are judged as everywhere else in the
-/// project; receivers are called on the calling thread. Thread-safe.
+/// Calls upstreams over HTTP/1.1 through a `ConnectionPool`, so that one parser
+/// reads all responses of the project. The pool runs on a thread of its own;
+/// receivers are called on the calling thread. The pool's limits hold for idle
+/// connections and for the size of a response. Thread-safe.
 class HttpUpstreamClient final : public UpstreamClient {
  public:
   HttpUpstreamClient();
@@ -21,7 +22,8 @@
   HttpUpstreamClient(const HttpUpstreamClient&) = delete;
   HttpUpstreamClient& operator=(const HttpUpstreamClient&) = delete;
 
-  /// A host name is resolved first, which its resolver alone limits in time.
+  /// Resolves a host name first; the time for that is not part of
+  /// `request.timeout`.
   ExchangeOutcome Exchange(const UpstreamRequest& request,
                            ResponseReceiver* receiver) override;
 
--- a/briarspread/transport/pending_exchange.h
+++ b/briarspread/transport/pending_exchange.h
@@ -29,13 +29,15 @@
   /// Starts the exchange, which keeps this object until its end. Loop's thread.
   /// Precondition: `pool` outlives the exchange.
   void Start(proxy::ConnectionPool& pool, proxy::ExchangeRequest request);
-  /// Goes on reading after much was held back. Loop's thread.
+  /// Resumes reading, which pauses while many bytes are not fetched. Loop's
+  /// thread.
   void Resume();
   /// Closes the connection if the response has not ended. Loop's thread.
   void Cancel();
 
   /// Blocks until something has arrived or the exchange has ended, and returns
-  /// it. Not to be called again after the end. Waiting thread.
+  /// what is new. Precondition: no earlier call returned the end or a failure.
+  /// Waiting thread.
   ResponseProgress Wait();
 
   void OnHead(const proxy::ResponseHead& head) override;
@@ -44,7 +46,8 @@
   void OnFailure(const proxy::ExchangeFailure& failure) override;
 
  private:
-  /// Lets go of the exchange. Loop's thread.
+  /// Destroys the exchange and drops this object's reference to itself. Loop's
+  /// thread.
   void Release();
 
   std::unique_ptr<proxy::Exchange> exchange_;
--- a/tests/batch/broken_answer_test.cc
+++ b/tests/batch/broken_answer_test.cc
@@ -11,6 +11,7 @@
 namespace {
 
 using briarspread::testing::kLongBodyBytes;
+using briarspread::testing::MakeInvalidAnswers;
 using briarspread::testing::MakeResetAnswer;
 using briarspread::testing::RawUpstream;
 
@@ -37,7 +38,7 @@
 std::string RunRewardCall(const std::string& answer, std::size_t body_bytes) {
   JobRunnerFixture fixture;
   fixture.AddIdempotentRoute("/reward/", milliseconds(1000));
-  RawUpstream broken(fixture.loop, briarspread::testing::Repeat(answer));
+  RawUpstream broken(fixture.loop, briarspread::testing::RepeatAnswer(answer));
   fixture.AddEngineAt("broken", broken.endpoint());
   std::optional<RewardOutcome> outcome;
   RewardRun run(fixture.context,
@@ -60,19 +61,7 @@
       RunRewardCall(MakeResetAnswer(kSigned, "half"), kLongBodyBytes).empty());
 }
 
-/// Answers that are none for another reason than their end.
-std::vector<std::string> MakeInvalidAnswers(const std::string& lines,
-                                            const std::string& body) {
-  std::vector<std::string> answers = {"HTTP/1.1 000 Odd\r\n" + lines + "\r\n" +
-                                      body + RawUpstream::kClose};
-  for (const std::string& name : briarspread::testing::kInvalidNames) {
-    answers.push_back(
-        briarspread::testing::MakeAnswerWithName(lines, name, body));
-  }
-  return answers;
-}
-
-TEST_CASE("an item's text is not completed by an answer that is none") {
+TEST_CASE("an item's text is not completed by an invalid answer") {
   const std::string type = "Content-Type: text/event-stream\r\n";
   for (const std::string& answer :
        MakeInvalidAnswers(kSigned + type, "id: 1\ndata: e1\n\n")) {
@@ -81,7 +70,7 @@
   }
 }
 
-TEST_CASE("a reward call has no score from an answer that is none") {
+TEST_CASE("a reward call has no score from an invalid answer") {
   for (const std::string& answer : MakeInvalidAnswers(kSigned, "no")) {
     CAPTURE(answer);
     REQUIRE(RunRewardCall(answer, 0).empty());
--- a/tests/forward/relayed_exchange_test.cc
+++ b/tests/forward/relayed_exchange_test.cc
@@ -196,12 +196,9 @@
   REQUIRE(site.listener.failure->verdict == Verdict::kMayHaveRun);
 }
 
-TEST_CASE("a response that is none is not relayed") {
+TEST_CASE("an invalid response is not relayed") {
   for (const std::string& answer :
-       {std::string("HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nno"),
-        briarspread::testing::MakeAnswerWithName("X: y\r\n", " Y", "no"),
-        briarspread::testing::MakeAnswerWithName("X: y\r\n", "\rY", "no"),
-        briarspread::testing::MakeAnswerWithName("X: y\r\n", "Y Z", "no")}) {
+       briarspread::testing::MakeInvalidAnswers("X: y\r\n", "no")) {
     CAPTURE(answer);
     Site site(RespondWith(200, ""));
     RawUpstream upstream(site.peers[0].fixture.loop, {answer});
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -1,8 +1,8 @@
-// Answers of replicas that are none, or that break off: callers get a 502, and
-// another attempt is made only where the request allows it. They guard against
-// reports of operators (MIXED): a status of 000, a 200 made of a head that
-// broke off, and a 200 without a length that was reset while its request was
-// written.
+// Invalid answers of replicas, and answers that break off: callers get a 502,
+// and another attempt is made only where the request allows it. They guard
+// against reports of operators (MIXED): a status of 000, a name of a field with
+// a blank or a control byte, a 200 made of a head that broke off, and a 200
+// without a length that was reset while its request was written.
 
 #include <catch2/catch.hpp>
 #include <vector>
@@ -20,7 +20,7 @@
 /// An instance whose only replica of the plain service sends given bytes.
 struct BrokenReplica {
   explicit BrokenReplica(const std::string& answer)
-      : upstream(fixture.loop, briarspread::testing::Repeat(answer)) {
+      : upstream(fixture.loop, briarspread::testing::RepeatAnswer(answer)) {
     Json entry = Json::parse(fixture.replica.Registration("desk"));
     entry["Address"] = "127.0.0.1:" + std::to_string(upstream.endpoint().port);
     fixture.store.memory().Write("servers/desk", entry.dump());
--- a/tests/platform/broken_control_answer_test.cc
+++ b/tests/platform/broken_control_answer_test.cc
@@ -16,16 +16,11 @@
 
 using briarspread::testing::RawUpstream;
 
-/// Answers that are none, or that are reset, with a body that would do.
+/// Answers that are invalid or reset, with a body that would be accepted.
 std::vector<std::string> MakeBrokenAnswers() {
   const std::string body = R"({"Models":[],"Orders":1})";
-  std::vector<std::string> answers = {
-      briarspread::testing::MakeResetAnswer("", body),
-      "HTTP/1.1 000 Odd\r\n\r\n" + body + RawUpstream::kClose};
-  for (const std::string& name : briarspread::testing::kInvalidNames) {
-    answers.push_back(
-        briarspread::testing::MakeAnswerWithName("X: y\r\n", name, body));
-  }
+  auto answers = briarspread::testing::MakeInvalidAnswers("X: y\r\n", body);
+  answers.push_back(briarspread::testing::MakeResetAnswer("", body));
   return answers;
 }
 
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -56,13 +56,11 @@
 
 TEST_CASE("a broken answer of the store commits nothing") {
   const std::string committed = R"({"Revision":7})";
-  std::vector<std::string> answers = {
-      briarspread::testing::MakeResetAnswer("", committed),
-      "HTTP/1.1 000 Odd\r\nContent-Length: 14\r\n\r\n" + committed};
-  for (const std::string& name : briarspread::testing::kInvalidNames) {
-    answers.push_back(
-        briarspread::testing::MakeAnswerWithName("X: y\r\n", name, committed));
-  }
+  const std::string reset =
+      briarspread::testing::MakeResetAnswer("", committed);
+  auto answers =
+      briarspread::testing::MakeInvalidAnswers("X: y\r\n", committed);
+  answers.push_back(reset);
   for (const std::string& answer : answers) {
     CAPTURE(answer);
     StoreClientFixture fixture;
@@ -70,10 +68,9 @@
     StoreTransport path(fixture.loop, store.endpoint(), fixture.peers,
                         fixture.clock, fixture.random, {});
     StoreClient client(path);
-    // Only the first one is to arrive while the transaction is still written.
-    const bool is_reset = answer == answers.front();
-    const std::string value(is_reset ? briarspread::testing::kLongBodyBytes : 1,
-                            'v');
+    // A long body would have each answer reset, and so hide the invalid ones.
+    const std::string value(
+        answer == reset ? briarspread::testing::kLongBodyBytes : 1, 'v');
     StoreTransaction put;
     put.writes.push_back({"p/a", value, StoreLeaseId()});
     const auto result = fixture.Await<StoreOutcome>(
--- a/tests/proxy/connection_test.cc
+++ b/tests/proxy/connection_test.cc
@@ -60,7 +60,7 @@
   REQUIRE(caller.pool.closed().at("forgotten") == 1);
 }
 
-TEST_CASE("a connection that was closed while the loop stood is not reused") {
+TEST_CASE("a connection whose close is not processed yet is not reused") {
   asio::io_context loop;
   ConnectionPool pool(loop, {});
   asio::ip::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
--- a/tests/proxy/head_validation_test.cc
+++ b/tests/proxy/head_validation_test.cc
@@ -144,7 +144,7 @@
 // Guards against a report of operators (MIXED): a caller got an answer in whose
 // head the name of a field held a blank or a control byte, with that line or
 // with a body that was not the upstream's.
-TEST_CASE("a head with a blank or a control byte in a name is no head") {
+TEST_CASE("a head with a blank or a control byte in a name is rejected") {
   for (const std::string& name : briarspread::testing::MakeAllInvalidNames()) {
     for (const std::string before : {"", "X: y\r\n"}) {
       const std::string lines = before + name + ": 2\r\n\r\n";
--- a/tests/support/broken_answers.h
+++ b/tests/support/broken_answers.h
@@ -21,13 +21,14 @@
          RawUpstream::kResetLater;
 }
 
-/// Names of a field that hold a blank or a control byte: one for each way in
-/// which a reader may take its line for something else.
+/// Names of a field that hold a blank or a control byte: one for each kind of
+/// line that a parser may read as a continued line, as the end of the head or
+/// as a field.
 inline const std::vector<std::string> kInvalidNames = {
     " Content-Length", "\tX", "\rX", "\nX", "X Y", "X\x01"};
 
-/// Returns a field's name with each blank or control byte at its begin, within
-/// it and at its end.
+/// Returns a field's name with each blank or control byte at its beginning,
+/// in its middle and at its end.
 inline std::vector<std::string> MakeAllInvalidNames() {
   std::vector<std::string> names;
   const std::string name = "Content-Length";
@@ -52,8 +53,21 @@
          RawUpstream::kClose;
 }
 
-/// Returns an answer as often as any request of the tests takes attempts.
-inline std::deque<std::string> Repeat(const std::string& answer) {
+/// Returns invalid answers for `RawUpstream` with these header lines: one with
+/// status 000, and one for each of `kInvalidNames`.
+inline std::vector<std::string> MakeInvalidAnswers(const std::string& lines,
+                                                   const std::string& body) {
+  std::vector<std::string> answers = {"HTTP/1.1 000 Odd\r\n" + lines + "\r\n" +
+                                      body + RawUpstream::kClose};
+  for (const std::string& name : kInvalidNames) {
+    answers.push_back(MakeAnswerWithName(lines, name, body));
+  }
+  return answers;
+}
+
+/// Returns the answer once for each attempt that a request of the tests can
+/// make.
+inline std::deque<std::string> RepeatAnswer(const std::string& answer) {
   constexpr std::size_t kAttempts = 8;
   return std::deque<std::string>(kAttempts, answer);
 }
--- a/tests/transport/broken_answer_test.cc
+++ b/tests/transport/broken_answer_test.cc
@@ -59,7 +59,7 @@
   }
 }
 
-TEST_CASE("an answer whose status is none is not whole") {
+TEST_CASE("an answer with an invalid status is not whole") {
   for (const char* status : {"000 Odd", "00", "099 X", "600 X", "0200 OK"}) {
     CAPTURE(status);
     const ExchangeOutcome outcome =
