review: a stream that goes on at another replica breaks the first one's length

Cause: LiveRequest::StartStreaming passes the first replica's Content-Length on, although a resumable stream may be put together from several replicas' answers.

--- a/review/common-3/lab.cc
+++ b/review/common-3/lab.cc
@@ -378,6 +378,11 @@
   ++runs_[id];
   ++active_;
   record_.Write("run request=" + id + " replica=" + settings_.id);
+  if (answer) {
+    --active_;
+    answer(request, responder);
+    return;
+  }
   Later(loop_, settings_.work, [this, id, responder, response]() mutable {
     --active_;
     response.head.headers.Add("X-Server-Stamp", "stamp-" + id);
--- a/review/common-3/lab.h
+++ b/review/common-3/lab.h
@@ -120,6 +120,9 @@
   };
   Replica(asio::io_context& loop, Store& store, Recorder& record,
           Settings settings);
+  /// If set, answers a request instead of the replica; called once the request
+  /// counts as run.
+  std::function<void(const proxy::Request&, const ResponderPtr&)> answer;
 
   void OnRequest(proxy::Request request, ResponderPtr responder) override;
   /// Returns its entry in the list of replicas.
