--- a/review/common-3/lab.cc
+++ b/review/common-3/lab.cc
@@ -95,6 +95,13 @@
   return ntohs(address.sin_port);
 }
 
+const std::vector<std::pair<std::string, std::string>>& Zones() {
+  static const std::vector<std::pair<std::string, std::string>> zones = {
+      {"lim-a", "lim"}, {"aqp-a", "aqp"}, {"lim-b", "lim"},
+      {"aqp-b", "aqp"}, {"lim-c", "lim"}, {"aqp-c", "aqp"}};
+  return zones;
+}
+
 // --- Recorder
 
 Recorder::Recorder(const std::string& path) : out_(path), start_(Steady()) {}
@@ -344,6 +351,16 @@
   heartbeat_.Every(kHeartbeat, [this] { Register(); });
 }
 
+void Replica::Crash() {
+  record_.Write("crash replica=" + settings_.id +
+                " requests=" + std::to_string(active_));
+  is_down_ = true;
+  heartbeat_.Cancel();
+  listener_.Stop();
+  Later(loop_, 3 * kHeartbeat,
+        [this] { store_.Remove("servers/" + settings_.id); });
+}
+
 Json Replica::Entry() const {
   return {{"Service", settings_.service},
           {"Address", settings_.host + ":" + std::to_string(listener_.port())},
@@ -384,6 +401,7 @@
     return;
   }
   Later(loop_, settings_.work, [this, id, responder, response]() mutable {
+    if (is_down_) return;
     --active_;
     response.head.headers.Add("X-Server-Stamp", "stamp-" + id);
     response.head.headers.Add(
@@ -409,9 +427,11 @@
   };
   out << "NodeName=" << settings_.name << "\nRole=edge\nMachineClass=edge\n"
       << "Serves=edge,control\nIp=" << settings_.ip
-      << "\nZone=" << settings_.zone << "\nRegion=lim\nZones.lim-a=lim\n"
-      << "Zones.lim-b=lim\nZones.lim-c=lim\n"
-      << "Listen.Frontend=" << at(settings_.frontend)
+      << "\nZone=" << settings_.zone << "\nRegion=" << settings_.region << "\n";
+  for (const auto& [zone, region] : Zones()) {
+    out << "Zones." << zone << "=" << region << "\n";
+  }
+  out << "Listen.Frontend=" << at(settings_.frontend)
       << "\nListen.Ready=" << at(settings_.ready)
       << "\nListen.ControlPlane=" << at(settings_.control)
       << "\nSeedNodes=" << settings_.seeds
@@ -494,14 +514,15 @@
 Fleet::Fleet(asio::io_context& loop, Recorder& record, const Store& store,
              const std::string& folder, int count)
     : loop_(loop), pool_(loop, {}), timer_(loop) {
-  const std::array<std::string, 3> zones = {"lim-a", "lim-b", "lim-c"};
   std::vector<EdgeProcess::Settings> all;
   std::string seeds;
   for (int i = 0; i < count; ++i) {
     EdgeProcess::Settings settings;
     settings.name = "edge-" + std::to_string(i + 1);
     settings.ip = "127.0.1." + std::to_string(i + 1);
-    settings.zone = zones.at(static_cast<std::size_t>(i) % zones.size());
+    const auto& place = Zones().at(static_cast<std::size_t>(i));
+    settings.zone = place.first;
+    settings.region = place.second;
     settings.folder = folder;
     settings.frontend = FreePort(settings.ip);
     settings.ready = FreePort(settings.ip);
--- a/review/common-3/lab.h
+++ b/review/common-3/lab.h
@@ -14,6 +14,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "briarspread/fleet/loop_timer.h"
@@ -125,6 +126,10 @@
   std::function<void(const proxy::Request&, const ResponderPtr&)> answer;
 
   void OnRequest(proxy::Request request, ResponderPtr responder) override;
+  /// Ends at once, as a crashed replica does: its connections close, and it
+  /// sends nothing any more. Its entry is removed after three heartbeats.
+  void Crash();
+  bool is_down() const { return is_down_; }
   /// Returns its entry in the list of replicas.
   Json Entry() const;
   void Register();
@@ -142,6 +147,7 @@
   std::list<std::unique_ptr<LoopTimer>> work_;
   std::map<std::string, int> runs_;
   int active_ = 0;
+  bool is_down_ = false;
   std::uint64_t sequence_ = 0;
   const std::int64_t born_;
 };
@@ -154,6 +160,7 @@
     std::string name;
     std::string ip;
     std::string zone;
+    std::string region;
     std::string seeds;
     std::string folder;
     std::uint16_t frontend = 0;
@@ -190,7 +197,10 @@
 /// Returns a free port of an address.
 std::uint16_t FreePort(const std::string& ip);
 
-/// The edge processes of a small deployment, three in two regions.
+/// The zones of the deployment, with the region of each.
+const std::vector<std::pair<std::string, std::string>>& Zones();
+
+/// The edge processes of a small deployment, in the first `count` zones.
 class Fleet {
  public:
   Fleet(asio::io_context& loop, Recorder& record, const Store& store,
