--- a/review/12/case.cc
+++ b/review/12/play.cc
@@ -212,7 +212,9 @@
   const std::vector<std::string> zones = {"lim-a", "lim-b", "lim-c"};
   const auto seed = static_cast<unsigned>(NumberFrom("SEED", 1));
   std::vector<std::unique_ptr<Replica>> replicas;
+  replicas.reserve(kReplicas);
   std::vector<std::unique_ptr<Generator>> generators;
+  generators.reserve(kReplicas);
   for (int i = 0; i < kReplicas; ++i) {
     replicas.push_back(std::make_unique<Replica>(
         loop, store, record,
@@ -272,7 +274,7 @@
 
 int main(int argc, char** argv) {
   if (argc != 3) {
-    std::cerr << "usage: case FOLDER RECORD\n";
+    std::cerr << "usage: case-12 FOLDER RECORD\n";
     return briarspread::review::kCouldNotRun;
   }
   return briarspread::review::Run(argv[1], argv[2]);
--- a/review/13/case.cc
+++ b/review/13/play.cc
@@ -13,7 +13,7 @@
 
 constexpr std::size_t kZones = 6;
 constexpr int kReplicasPerZone = 3;
-constexpr int kCallersPerEdge = 6;
+constexpr int kCallersPerEdge = 9;
 /// Work of a request at a replica, and the client's deadline.
 constexpr milliseconds kWork{500};
 constexpr milliseconds kDeadline{2000};
@@ -218,7 +218,7 @@
 
 int main(int argc, char** argv) {
   if (argc != 3) {
-    std::cerr << "usage: case FOLDER RECORD\n";
+    std::cerr << "usage: case-13 FOLDER RECORD\n";
     return briarspread::review::kCouldNotRun;
   }
   return briarspread::review::Run(argv[1], argv[2]);
--- a/review/14/case.cc
+++ b/review/14/play.cc
@@ -161,7 +161,9 @@
   store.Put("op/config", Configuration());
   const auto seed = static_cast<unsigned>(NumberFrom("SEED", 1));
   std::vector<std::unique_ptr<Replica>> replicas;
+  replicas.reserve(kReplicas);
   std::vector<std::unique_ptr<OrderDesk>> desks;
+  desks.reserve(kReplicas);
   for (int i = 0; i < kReplicas; ++i) {
     replicas.push_back(std::make_unique<Replica>(
         loop, store, record,
@@ -219,7 +221,7 @@
 
 int main(int argc, char** argv) {
   if (argc != 3) {
-    std::cerr << "usage: case FOLDER RECORD\n";
+    std::cerr << "usage: case-14 FOLDER RECORD\n";
     return briarspread::review::kCouldNotRun;
   }
   return briarspread::review::Run(argv[1], argv[2]);
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,7 +9,7 @@
   target/briarspread/core/libbriarspread_core.a
   -lglog -lhttp_parser -lgflags -lxxhash -lurcu-memb -lcrypto -lpthread)
 g++ "${flags[@]}" -c review/common-3/lab.cc -o target/review-3/lab.o
-for case in review/1[1-5]/case.cc; do
+for case in review/1[1-5]/play.cc; do
   n="$(basename "$(dirname "$case")")"
   g++ "${flags[@]}" "$case" target/review-3/lab.o "${libs[@]}" \
     -o "target/review-3/case-$n"
--- a/review/common-3/lab.cc
+++ b/review/common-3/lab.cc
@@ -89,8 +89,10 @@
   address.sin_family = AF_INET;
   inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
   socklen_t size = sizeof address;
-  bind(fd, reinterpret_cast<sockaddr*>(&address), size);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  auto* const any = reinterpret_cast<sockaddr*>(&address);
+  if (bind(fd, any, size) != 0 || getsockname(fd, any, &size) != 0) {
+    std::exit(kCouldNotRun);
+  }
   close(fd);
   return ntohs(address.sin_port);
 }
@@ -217,8 +219,8 @@
   }
   Json events = Json::array();
   for (const Change& change : history_) {
-    if (change.revision <= watch.after || !change.key.starts_with(watch.prefix))
-      continue;
+    const bool is_news = change.revision > watch.after;
+    if (!is_news || !change.key.starts_with(watch.prefix)) continue;
     Json event = {{"Key", change.key}, {"Revision", change.revision}};
     if (change.item.has_value()) {
       event["Value"] = EncodeBase64(change.item->value);
@@ -415,8 +417,7 @@
 
 EdgeProcess::EdgeProcess(asio::io_context& loop, Recorder& record,
                          const Store& store, Settings settings)
-    : loop_(loop),
-      record_(record),
+    : record_(record),
       store_(store.address()),
       settings_(std::move(settings)),
       reaper_(loop),
@@ -461,6 +462,7 @@
   const std::vector<std::string> command = RunCommand();
   if (command.empty()) return false;
   std::vector<char*> words;
+  words.reserve(command.size() + 1);
   for (const std::string& word : command) {
     words.push_back(const_cast<char*>(word.c_str()));
   }
@@ -482,6 +484,7 @@
     pid_ = 0;
     return false;
   }
+  ++starts_;
   record_.Write("start edge=" + settings_.name);
   // The script ends what is left if this program is cut off.
   std::ofstream(settings_.folder + "/pids", std::ios::app) << pid_ << "\n";
@@ -513,7 +516,7 @@
 
 Fleet::Fleet(asio::io_context& loop, Recorder& record, const Store& store,
              const std::string& folder, int count)
-    : loop_(loop), pool_(loop, {}), timer_(loop) {
+    : pool_(loop, {}), timer_(loop) {
   std::vector<EdgeProcess::Settings> all;
   std::string seeds;
   for (int i = 0; i < count; ++i) {
--- a/review/common-3/lab.h
+++ b/review/common-3/lab.h
@@ -178,13 +178,14 @@
   const Settings& settings() const { return settings_; }
   Endpoint frontend() const { return {settings_.ip, settings_.frontend}; }
   Endpoint ready() const { return {settings_.ip, settings_.ready}; }
+  /// How often it was started.
+  int starts() const { return starts_; }
   /// How often it has ended by itself.
   int own_ends() const { return own_ends_; }
 
  private:
   void Reap();
 
-  asio::io_context& loop_;
   Recorder& record_;
   const std::string store_;
   const Settings settings_;
@@ -192,6 +193,7 @@
   LoopTimer restart_;
   pid_t pid_ = 0;
   int own_ends_ = 0;
+  int starts_ = 0;
 };
 
 /// Returns a free port of an address.
@@ -214,7 +216,6 @@
  private:
   void AskNext();
 
-  asio::io_context& loop_;
   proxy::ConnectionPool pool_;
   std::vector<std::unique_ptr<EdgeProcess>> edges_;
   std::function<void(bool)> done_;
