--- a/briarspread/contracts/suspect_table.cc
+++ b/briarspread/contracts/suspect_table.cc
@@ -13,212 +13,323 @@
                   std::chrono::duration_cast<milliseconds>(now - time));
 }
 
-const InFlightRequest* FindIn(const std::vector<InFlightRequest>& in_flight,
-                              Fingerprint fingerprint) {
-  const auto it = std::find_if(
-      in_flight.begin(), in_flight.end(),
-      [fingerprint](const auto& w) { return w.fingerprint == fingerprint; });
-  return it == in_flight.end() ? nullptr : &*it;
+/// Removes the oldest entries of `times` until it has at most `limit`.
+template <typename Key>
+void KeepNewest(std::map<Key, TimePoint>& times, std::size_t limit) {
+  while (times.size() > limit) {
+    times.erase(std::min_element(
+        times.begin(), times.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
+  }
 }
 
 }  // namespace
 
-SuspectTable::SuspectTable(SuspectSettings settings, ProcessId self,
+SuspectTable::SuspectTable(const SuspectSettings& settings, InstanceId self,
                            const Clock& clock)
-    : settings_(settings), self_(std::move(self)), clock_(clock) {}
-
-/// Returns whether no instance reports another request in flight at the same
-/// crash.
-bool SuspectTable::IsOnlyInFlight(const StoredReport& report,
-                                  Fingerprint fingerprint) const {
-  for (const auto& [id, other] : reports_) {
-    const auto distance = std::chrono::abs(other.time - report.time);
-    if (other.upstream != report.upstream ||
-        distance > settings_.same_crash_window) {
-      continue;
+    : settings_(settings),
+      self_(std::move(self)),
+      clock_(clock),
+      answers_(settings.recent_answers, clock) {}
+
+// --- Verdicts
+
+std::vector<const SuspectTable::Crash*> SuspectTable::Independent(
+    const Suspect& suspect) const {
+  std::vector<const Crash*> chain;
+  for (const Crash& crash : suspect.crashes) {
+    if (!chain.empty()) {
+      const Crash& last = *chain.back();
+      const Duration margin = crash.reporter == last.reporter
+                                  ? Duration(0)
+                                  : Duration(settings_.transfer_margin);
+      if (crash.sent < last.broke + margin) continue;
     }
-    for (const InFlightRequest& it : other.in_flight) {
-      if (it.fingerprint != fingerprint) return false;
+    chain.push_back(&crash);
+  }
+  return chain;
+}
+
+std::size_t SuspectTable::CountCrashes(Fingerprint request) const {
+  const auto it = suspects_.find(request);
+  return it == suspects_.end() ? 0 : Independent(it->second).size();
+}
+
+bool SuspectTable::IsGuilty(const Suspect& suspect) const {
+  return suspect.crashes.size() >= settings_.max_crashes &&
+         Independent(suspect).size() >= settings_.max_crashes;
+}
+
+std::size_t SuspectTable::refused_count() const {
+  return static_cast<std::size_t>(
+      std::count_if(suspects_.begin(), suspects_.end(),
+                    [this](const auto& it) { return IsGuilty(it.second); }));
+}
+
+std::size_t SuspectTable::crash_count() const {
+  std::set<UpstreamId> upstreams;
+  for (const auto& [request, suspect] : suspects_) {
+    for (const Crash& it : suspect.crashes) upstreams.insert(it.upstream);
+  }
+  return upstreams.size();
+}
+
+TimePoint SuspectTable::NextTrial(const Suspect& suspect) const {
+  milliseconds delay = settings_.first_trial_delay;
+  for (std::uint32_t i = 0; i < suspect.trials; ++i) {
+    delay *= settings_.trial_delay_factor;
+  }
+  return std::max(suspect.crashes.back().broke, suspect.last_trial) + delay;
+}
+
+SuspectAdmission SuspectTable::Decide(Fingerprint request) const {
+  const auto it = suspects_.find(request);
+  if (it == suspects_.end() || !IsGuilty(it->second)) {
+    return SuspectAdmission::kRun;
+  }
+  const Suspect& suspect = it->second;
+  const bool is_due = suspect.trials < settings_.max_trials &&
+                      clock_.Now() >= NextTrial(suspect);
+  return is_due ? SuspectAdmission::kTryOnce : SuspectAdmission::kRefuse;
+}
+
+std::optional<Duration> SuspectTable::TimeUntilTrial(
+    Fingerprint request) const {
+  const auto it = suspects_.find(request);
+  if (it == suspects_.end() || !IsGuilty(it->second) ||
+      it->second.trials >= settings_.max_trials) {
+    return std::nullopt;
+  }
+  return std::max(Duration(0), NextTrial(it->second) - clock_.Now());
+}
+
+bool SuspectTable::StartTrial(Fingerprint request) {
+  if (Decide(request) != SuspectAdmission::kTryOnce) return false;
+  Suspect& suspect = suspects_.at(request);
+  ++suspect.trials;
+  suspect.last_trial = clock_.Now();
+  Publish(request);
+  if (on_verdict_) on_verdict_(request);
+  return true;
+}
+
+// --- Evidence
+
+void SuspectTable::RecordCrash(const UpstreamId& upstream,
+                               const std::vector<BrokenRequest>& in_flight) {
+  for (const BrokenRequest& it : in_flight) {
+    if (Add(it.fingerprint, Crash{upstream, self_, it.sent, it.broke})) {
+      Publish(it.fingerprint);
     }
   }
+  DropOld();
+}
+
+bool SuspectTable::Add(Fingerprint request, const Crash& crash) {
+  const auto retracted = retracted_.find(crash.upstream);
+  if (retracted != retracted_.end() && crash.broke <= retracted->second) {
+    return false;
+  }
+  if (const auto answered = answers_.Find(request)) {
+    if (*answered >= crash.broke && Clear(request, *answered)) Publish(request);
+  }
+  const auto cleared = cleared_.find(request);
+  if (cleared != cleared_.end() && crash.broke <= cleared->second) return false;
+  Suspect& suspect = suspects_[request];
+  const bool was_guilty = IsGuilty(suspect);
+  std::vector<Crash>& crashes = suspect.crashes;
+  const auto known = std::find_if(
+      crashes.begin(), crashes.end(),
+      [&crash](const Crash& it) { return it.upstream == crash.upstream; });
+  if (known != crashes.end()) {
+    // The one sent last was the closest to the end.
+    if (crash.sent <= known->sent) return false;
+    crashes.erase(known);
+  }
+  const auto place = std::upper_bound(
+      crashes.begin(), crashes.end(), crash,
+      [](const Crash& a, const Crash& b) { return a.broke < b.broke; });
+  crashes.insert(place, crash);
+  Trim(suspect);
+  if (IsGuilty(suspect) != was_guilty && on_verdict_) on_verdict_(request);
   return true;
 }
 
-SuspectTable::State SuspectTable::StateOf(Fingerprint fingerprint,
-                                          TimePoint now) const {
-  const auto cleared = cleared_.find(fingerprint);
-  bool is_suspect = false;
-  bool is_confirming = false;
-  for (const auto& [id, report] : reports_) {
-    const InFlightRequest* found = FindIn(report.in_flight, fingerprint);
-    if (found == nullptr) continue;
-    if (cleared != cleared_.end() && report.time <= cleared->second) continue;
-    is_suspect = true;
-    // A trial follows an earlier crash, so this is at least the second crash
-    // with this request in flight.
-    if (!found->is_trial || !IsOnlyInFlight(report, fingerprint)) continue;
-    if (now - report.time >= settings_.confirm_delay) return State::kBlocked;
-    is_confirming = true;
-  }
-  if (is_confirming) return State::kConfirming;
-  return is_suspect ? State::kSuspect : State::kClean;
-}
-
-SuspectAdmission SuspectTable::Admit(Fingerprint fingerprint,
-                                     bool is_trial_instance) {
-  if (!has_reports_) return SuspectAdmission::kRunNormally;
-  std::lock_guard lock(mutex_);
+void SuspectTable::Trim(Suspect& suspect) const {
+  if (suspect.crashes.size() <= settings_.max_crashes_held) return;
+  const std::vector<const Crash*> chain = Independent(suspect);
+  const auto is_in_chain = [&chain](const Crash& it) {
+    return std::find(chain.begin(), chain.end(), &it) != chain.end();
+  };
+  const auto extra = std::find_if_not(suspect.crashes.begin(),
+                                      suspect.crashes.end(), is_in_chain);
+  suspect.crashes.erase(extra == suspect.crashes.end() ? suspect.crashes.begin()
+                                                       : extra);
+}
+
+void SuspectTable::RetractCrash(const UpstreamId& upstream) {
+  retracted_[upstream] = clock_.Now();
+  for (auto it = suspects_.begin(); it != suspects_.end();) {
+    auto& [request, suspect] = *it;
+    const bool was_guilty = IsGuilty(suspect);
+    std::erase_if(suspect.crashes, [&upstream](const Crash& crash) {
+      return crash.upstream == upstream;
+    });
+    const bool is_guilty = !suspect.crashes.empty() && IsGuilty(suspect);
+    const Fingerprint changed = request;
+    it = suspect.crashes.empty() ? suspects_.erase(it) : std::next(it);
+    if (was_guilty && !is_guilty && on_verdict_) on_verdict_(changed);
+  }
+  KeepNewest(retracted_, settings_.max_clearances);
+}
+
+void SuspectTable::RecordAnswer(Fingerprint request) {
+  answers_.Record(request);
+  if (!suspects_.contains(request)) return;
+  if (Clear(request, clock_.Now())) Publish(request);
+  DropOld();
+}
+
+bool SuspectTable::Clear(Fingerprint request, TimePoint time) {
+  const auto [cleared, is_new] = cleared_.try_emplace(request, time);
+  if (!is_new && cleared->second >= time) return false;
+  cleared->second = time;
+  const auto it = suspects_.find(request);
+  if (it == suspects_.end()) return true;
+  Suspect& suspect = it->second;
+  const bool was_guilty = IsGuilty(suspect);
+  std::erase_if(suspect.crashes,
+                [time](const Crash& crash) { return crash.broke <= time; });
+  const bool is_guilty = !suspect.crashes.empty() && IsGuilty(suspect);
+  if (!is_guilty) {
+    suspect.trials = 0;
+    suspect.last_trial = {};
+  }
+  if (suspect.crashes.empty()) suspects_.erase(it);
+  if (was_guilty && !is_guilty && on_verdict_) on_verdict_(request);
+  return true;
+}
+
+void SuspectTable::DropOld() {
   const TimePoint now = clock_.Now();
-  switch (StateOf(fingerprint, now)) {
-    case State::kClean:
-      return SuspectAdmission::kRunNormally;
-    case State::kBlocked:
-      return SuspectAdmission::kRefuseForGood;
-    case State::kConfirming:
-      return SuspectAdmission::kRefuseForNow;
-    case State::kSuspect:
-      break;
-  }
-  if (!is_trial_instance) return SuspectAdmission::kForward;
-  const bool is_busy =
-      trials_.contains(fingerprint) || trials_.size() >= settings_.max_trials;
-  if (is_busy) return SuspectAdmission::kRefuseForNow;
-  trials_.emplace(fingerprint, now);
-  return SuspectAdmission::kRunAlone;
-}
-
-Error SuspectTable::RefusalOf(SuspectAdmission admission) const {
-  if (admission == SuspectAdmission::kRefuseForGood) {
-    return Error{ErrorCode::kRefusedForGood, Verdict::kNotRun,
-                 "requests with this body crash the upstreams that run them"};
-  }
-  return Error{ErrorCode::kUnavailable, Verdict::kNotRun,
-               "an upstream died while running this request; it is being "
-               "tried alone",
-               settings_.retry_after};
-}
-
-void SuspectTable::OnCrash(const UpstreamId& upstream,
-                           const std::vector<Fingerprint>& in_flight) {
-  if (in_flight.empty()) return;
-  std::lock_guard lock(mutex_);
-  StoredReport report{upstream, clock_.Now(), {}};
-  for (const Fingerprint it : in_flight) {
-    if (FindIn(report.in_flight, it) != nullptr) continue;
-    report.in_flight.push_back({it, trials_.erase(it) > 0});
-  }
-  std::sort(report.in_flight.begin(), report.in_flight.end());
-  reports_[{self_, ++last_report_}] = std::move(report);
-  EvictOld(clock_.Now());
-}
-
-void SuspectTable::EndTrial(Fingerprint fingerprint, bool is_answered) {
-  std::lock_guard lock(mutex_);
-  const auto it = trials_.find(fingerprint);
-  if (it == trials_.end()) return;
-  if (is_answered) cleared_[fingerprint] = it->second;
-  trials_.erase(it);
-  EvictOld(clock_.Now());
-}
-
-std::size_t SuspectTable::CountCrashes(Fingerprint fingerprint) const {
-  std::lock_guard lock(mutex_);
-  const auto cleared = cleared_.find(fingerprint);
-  std::vector<const StoredReport*> crashes;
-  for (const auto& [id, report] : reports_) {
-    if (FindIn(report.in_flight, fingerprint) == nullptr) continue;
-    if (cleared != cleared_.end() && report.time <= cleared->second) continue;
-    const StoredReport& crash = report;
-    const bool is_known = std::any_of(
-        crashes.begin(), crashes.end(), [&](const StoredReport* other) {
-          return other->upstream == crash.upstream &&
-                 std::chrono::abs(other->time - crash.time) <=
-                     settings_.same_crash_window;
-        });
-    if (!is_known) crashes.push_back(&report);
-  }
-  return crashes.size();
-}
-
-std::size_t SuspectTable::report_count() const {
-  std::lock_guard lock(mutex_);
-  return reports_.size();
-}
-
-void SuspectTable::Clear(Fingerprint fingerprint) {
-  std::lock_guard lock(mutex_);
-  const bool is_suspect =
-      std::any_of(reports_.begin(), reports_.end(), [&](const auto& it) {
-        return FindIn(it.second.in_flight, fingerprint) != nullptr;
-      });
-  if (is_suspect) cleared_[fingerprint] = clock_.Now();
-  EvictOld(clock_.Now());
-}
-
-void SuspectTable::EvictOld(TimePoint now) {
-  const TimePoint oldest = now - settings_.time_to_live;
-  std::erase_if(reports_,
-                [oldest](const auto& it) { return it.second.time < oldest; });
-  std::erase_if(cleared_,
-                [oldest](const auto& it) { return it.second < oldest; });
-  while (reports_.size() > settings_.max_reports) {
-    reports_.erase(std::min_element(reports_.begin(), reports_.end(),
-                                    [](const auto& a, const auto& b) {
-                                      return a.second.time < b.second.time;
-                                    }));
-  }
-  while (cleared_.size() > settings_.max_clearances) {
-    cleared_.erase(std::min_element(
-        cleared_.begin(), cleared_.end(),
-        [](const auto& a, const auto& b) { return a.second < b.second; }));
+  std::erase_if(suspects_, [&](const auto& it) {
+    return now - it.second.crashes.back().broke > settings_.time_to_live;
+  });
+  std::erase_if(cleared_, [&](const auto& it) {
+    return now - it.second > settings_.clearance_time;
+  });
+  KeepNewest(cleared_, settings_.max_clearances);
+  while (suspects_.size() > settings_.max_suspects) {
+    suspects_.erase(std::min_element(
+        suspects_.begin(), suspects_.end(),
+        [this](const auto& a, const auto& b) {
+          return std::make_pair(IsGuilty(a.second),
+                                a.second.crashes.back().broke) <
+                 std::make_pair(IsGuilty(b.second),
+                                b.second.crashes.back().broke);
+        }));
   }
-  has_reports_ = !reports_.empty();
 }
 
-SuspectDigest SuspectTable::Digest(std::size_t limit) const {
-  std::lock_guard lock(mutex_);
+// --- Exchange with other instances
+
+void SuspectTable::Publish(Fingerprint request) {
+  unpublished_.insert(request);
+  if (on_unpublished_) on_unpublished_();
+}
+
+SuspectDigest SuspectTable::DigestOf(
+    const std::vector<Fingerprint>& requests) const {
   const TimePoint now = clock_.Now();
   SuspectDigest digest;
-  for (const auto& [id, it] : reports_) {
-    digest.reports.push_back(
-        {id, it.upstream, AgeOf(it.time, now), it.in_flight});
-  }
-  for (const auto& [fingerprint, time] : cleared_) {
-    digest.clearances.push_back({fingerprint, AgeOf(time, now)});
-  }
-  const auto keep_newest = [limit](auto& list) {
-    std::stable_sort(
-        list.begin(), list.end(),
-        [](const auto& a, const auto& b) { return a.age < b.age; });
-    if (list.size() > limit) list.resize(limit);
-  };
-  keep_newest(digest.reports);
-  keep_newest(digest.clearances);
+  std::map<std::pair<InstanceId, UpstreamId>, CrashReport> reports;
+  for (const Fingerprint request : requests) {
+    const auto cleared = cleared_.find(request);
+    if (cleared != cleared_.end()) {
+      digest.clearances.push_back({request, AgeOf(cleared->second, now)});
+    }
+    const auto suspect = suspects_.find(request);
+    if (suspect == suspects_.end()) continue;
+    if (suspect->second.trials > 0) {
+      digest.trials.push_back({request, suspect->second.trials,
+                               AgeOf(suspect->second.last_trial, now)});
+    }
+    for (const Crash& it : suspect->second.crashes) {
+      const std::pair key(it.reporter, it.upstream);
+      const bool is_full = reports.size() >= settings_.max_reports;
+      if (is_full && !reports.contains(key)) continue;
+      CrashReport& report = reports[key];
+      report.reporter = it.reporter;
+      report.upstream = it.upstream;
+      report.in_flight.push_back(
+          {request, AgeOf(it.sent, now), AgeOf(it.broke, now)});
+    }
+  }
+  for (auto& [key, report] : reports) {
+    digest.reports.push_back(std::move(report));
+  }
   return digest;
 }
 
+std::vector<Fingerprint> SuspectTable::SuspectsByWeight() const {
+  std::vector<Fingerprint> requests;
+  for (const auto& [request, suspect] : suspects_) requests.push_back(request);
+  std::stable_partition(
+      requests.begin(), requests.end(),
+      [this](Fingerprint it) { return IsGuilty(suspects_.at(it)); });
+  return requests;
+}
+
+SuspectDigest SuspectTable::All() const {
+  std::vector<Fingerprint> requests = SuspectsByWeight();
+  for (const auto& [request, time] : cleared_) {
+    if (!suspects_.contains(request)) requests.push_back(request);
+  }
+  return DigestOf(requests);
+}
+
+SuspectDigest SuspectTable::Verdicts(std::size_t max_requests) const {
+  std::vector<Fingerprint> requests = SuspectsByWeight();
+  std::erase_if(requests,
+                [this](Fingerprint it) { return !IsGuilty(suspects_.at(it)); });
+  std::sort(requests.begin(), requests.end(), [this](auto a, auto b) {
+    return suspects_.at(a).crashes.back().broke >
+           suspects_.at(b).crashes.back().broke;
+  });
+  if (requests.size() > max_requests) requests.resize(max_requests);
+  return DigestOf(requests);
+}
+
+SuspectDigest SuspectTable::TakeUnpublished() {
+  const auto requests = std::exchange(unpublished_, {});
+  return DigestOf({requests.begin(), requests.end()});
+}
+
 void SuspectTable::Merge(const SuspectDigest& digest) {
-  std::lock_guard lock(mutex_);
   const TimePoint now = clock_.Now();
-  for (const CrashReport& it : digest.reports) {
-    reports_.try_emplace(it.id,
-                         StoredReport{it.upstream, now - it.age, it.in_flight});
-  }
   for (const Clearance& it : digest.clearances) {
-    TimePoint& time = cleared_[it.fingerprint];
-    time = std::max(time, now - it.age);
+    Clear(it.fingerprint, now - it.age);
+    // The peer has told everybody already.
+    if (!suspects_.contains(it.fingerprint)) {
+      unpublished_.erase(it.fingerprint);
+    }
   }
-  EvictOld(now);
-}
-
-bool SuspectTable::IsSuspect(Fingerprint fingerprint) const {
-  std::lock_guard lock(mutex_);
-  return StateOf(fingerprint, clock_.Now()) != State::kClean;
+  for (const CrashReport& report : digest.reports) {
+    for (const InFlightRequest& it : report.in_flight) {
+      Add(it.fingerprint, Crash{report.upstream, report.reporter,
+                                now - it.sent_age, now - it.broke_age});
+    }
+  }
+  for (const TrialRecord& it : digest.trials) MergeTrial(it, now);
+  DropOld();
 }
 
-bool SuspectTable::IsBlocked(Fingerprint fingerprint) const {
-  std::lock_guard lock(mutex_);
-  return StateOf(fingerprint, clock_.Now()) == State::kBlocked;
+void SuspectTable::MergeTrial(const TrialRecord& trial, TimePoint now) {
+  const auto it = suspects_.find(trial.fingerprint);
+  if (it == suspects_.end()) return;
+  Suspect& suspect = it->second;
+  suspect.trials = std::max(suspect.trials, trial.count);
+  suspect.last_trial = std::max(suspect.last_trial, now - trial.age);
 }
 
 InstanceId SelectTrialInstance(Fingerprint fingerprint,
--- a/briarspread/contracts/suspect_table.h
+++ b/briarspread/contracts/suspect_table.h
@@ -1,208 +1,251 @@
 #ifndef BRIARSPREAD_CONTRACTS_SUSPECT_TABLE_H_
 #define BRIARSPREAD_CONTRACTS_SUSPECT_TABLE_H_
 
-#include <atomic>
-#include <compare>
 #include <cstdint>
+#include <functional>
 #include <map>
-#include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "briarspread/contracts/home_table.h"
+#include "briarspread/contracts/recent_answers.h"
 #include "briarspread/core/clock.h"
 #include "briarspread/core/ids.h"
 #include "briarspread/core/result.h"
 
 namespace briarspread {
 
-/// A request that was in flight on an upstream when the upstream crashed.
+/// A request that was in flight at an upstream when the upstream ended.
 struct InFlightRequest {
-  /// Hash of the request's body.
   Fingerprint fingerprint;
-  /// Whether the request was running alone, in the trial of a suspect.
-  bool is_trial = false;
+  /// Time since the request was sent to the upstream.
+  milliseconds sent_age{0};
+  /// Time since its exchange broke off.
+  milliseconds broke_age{0};
 
-  friend auto operator<=>(const InFlightRequest&,
-                          const InFlightRequest&) = default;
+  friend bool operator==(const InFlightRequest&,
+                         const InFlightRequest&) = default;
 };
 
-/// Identifies one report within the fleet.
-struct CrashReportId {
-  /// The process that made the report.
-  ProcessId reporter;
-  /// Number of the report within that process.
-  std::uint64_t number = 0;
-
-  friend auto operator<=>(const CrashReportId&, const CrashReportId&) = default;
-};
-
-/// The requests that one instance had in flight on an upstream when the
-/// upstream crashed.
+/// The requests that one instance had in flight at one start of an upstream
+/// when it ended.
 struct CrashReport {
-  CrashReportId id;
+  InstanceId reporter;
+  /// Names the start that ended; no other start has the same name.
   UpstreamId upstream;
-  /// Time since the crash.
-  milliseconds age{0};
-  /// The requests, sorted, without duplicates.
   std::vector<InFlightRequest> in_flight;
 
   friend bool operator==(const CrashReport&, const CrashReport&) = default;
 };
 
-/// States that a suspect request got a complete response.
+/// States that a request was answered completely.
 struct Clearance {
-  /// Hash of the request's body.
   Fingerprint fingerprint;
-  /// Time since the point before which crashes no longer count against the
-  /// request: the start of its trial, or the call of `Clear`.
+  /// Time since the answer.
   milliseconds age{0};
 
   friend bool operator==(const Clearance&, const Clearance&) = default;
 };
 
-/// Reports and clearances that instances send to each other.
+/// States how often a refused request was sent on trial.
+struct TrialRecord {
+  Fingerprint fingerprint;
+  std::uint32_t count = 0;
+  /// Time since the last trial began.
+  milliseconds age{0};
+
+  friend bool operator==(const TrialRecord&, const TrialRecord&) = default;
+};
+
+/// Evidence that instances send to each other and keep in the store.
 struct SuspectDigest {
   std::vector<CrashReport> reports;
   std::vector<Clearance> clearances;
+  std::vector<TrialRecord> trials;
 
+  bool empty() const {
+    return reports.empty() && clearances.empty() && trials.empty();
+  }
   friend bool operator==(const SuspectDigest&, const SuspectDigest&) = default;
 };
 
 /// Serializes a digest as JSON. Thread-safe.
 std::string ToJson(const SuspectDigest& digest);
-/// Parses a digest. Returns `kInvalidArgument` if the text is malformed or a
-/// list in it is too long. Thread-safe.
+/// Parses a digest, also one of an earlier build, whose reports do not tell
+/// when a request was sent. Returns `kInvalidArgument` if the text is malformed
+/// or a list in it is too long. Thread-safe.
 Result<SuspectDigest> ParseSuspectDigest(std::string_view text);
+/// Returns the digest as it is after `time` has passed. Thread-safe.
+SuspectDigest Aged(SuspectDigest digest, milliseconds time);
 
 /// Settings of a suspect table.
 struct SuspectSettings {
-  /// Reports about one upstream whose crash times differ by at most this time
-  /// are about the same crash.
-  milliseconds same_crash_window{10'000};
-  /// How long to wait, after a crash in a trial, for reports of other instances
-  /// about the same crash before the request is blocked. Must be at least the
-  /// time in which digests reach all instances.
-  milliseconds confirm_delay{5'000};
-  /// How long reports and clearances are kept.
+  /// Number of independent crashes after which a request is refused.
+  std::size_t max_crashes = 3;
+  /// Where two instances observed two crashes, the request must have been sent
+  /// this long after the first crash for the second to be independent: ages
+  /// from another instance are late by the time that the digest took.
+  milliseconds transfer_margin{100};
+  /// How long crashes count, and a verdict holds, without further evidence.
   seconds time_to_live{86'400};
-  /// When a caller may retry after a refusal with `kRefuseForNow`.
-  milliseconds retry_after{1'000};
-  /// Maximum number of concurrent trials at this instance.
-  std::size_t max_trials = 1;
-  /// Maximum number of reports in the table. Above it, the oldest are evicted.
-  std::size_t max_reports = 1024;
-  /// Maximum number of clearances. Above it, the oldest are evicted.
+  /// How long a clearance is kept for reports that come later.
+  seconds clearance_time{600};
+  /// When a refused request is first tried again, and by how much each further
+  /// delay is longer. Upstreams that ended together are back by then.
+  milliseconds first_trial_delay{10'000};
+  int trial_delay_factor = 10;
+  /// Maximum number of trials of one request. A request that ended an upstream
+  /// in each of them stays refused for `time_to_live`.
+  std::uint32_t max_trials = 2;
+  /// Maximum number of requests with crashes. Above it, those that are not
+  /// refused are evicted first, then the oldest.
+  std::size_t max_suspects = 4096;
+  /// Maximum number of crashes held for one request, and of clearances.
+  std::size_t max_crashes_held = 16;
+  /// Maximum number of reports in one digest.
+  std::size_t max_reports = 2048;
   std::size_t max_clearances = 4096;
+  RecentAnswersSettings recent_answers;
 };
 
 /// How a request may be run.
 enum class SuspectAdmission {
   /// Run it like any other request.
-  kRunNormally,
-  /// Run it as a trial, with no other request on its upstream, then call
-  /// `EndTrial` or `OnCrash`.
-  kRunAlone,
-  /// Forward it to the instance that runs its trial; see `SelectTrialInstance`.
-  kForward,
-  /// Refuse it temporarily: its trial is running or being confirmed, or the
-  /// maximum number of trials are running.
-  kRefuseForNow,
-  /// Refuse it permanently: it is blocked because it crashes upstreams.
-  kRefuseForGood,
+  kRun,
+  /// Refuse it: it ends the upstreams that run it.
+  kRefuse,
+  /// Refuse it unless `StartTrial` succeeds; it may then run once.
+  kTryOnce,
 };
 
-/// Finds requests, identified by a hash of their body, that crash every
-/// upstream that runs them.
+/// Finds requests that end every upstream that runs them, by one rule of
+/// evidence (docs/design/crashing-requests.md):
 ///
-/// A request in flight on an upstream that crashes becomes a suspect. A suspect
-/// runs alone on an upstream, in a trial at one instance of the fleet. It is
-/// cleared if the trial ends with a complete response. It is blocked if the
-/// upstream crashes and no instance reports another request in flight there.
-/// Every instance derives these decisions from the reports and clearances,
-/// which are merged by union. So all instances come to the same decisions, and
-/// a decision survives the loss of the instance that made the report.
-/// Thread-safe.
+/// Against a request counts the end of an upstream with the request in flight.
+/// Two ends are independent only if the request was sent to the second upstream
+/// after the first had ended; upstreams that end together count once. For it
+/// counts a complete answer by any upstream: all crashes before it are dropped.
+/// After `max_crashes` independent crashes without an answer the request is
+/// refused, and may run again only in few trials, at growing intervals.
+///
+/// Evidence of all instances is merged by union, in any order, so that all come
+/// to the same verdict and a verdict survives the instances that found it. Must
+/// be used on one thread.
 class SuspectTable {
  public:
-  /// Preconditions: `clock` outlives this object; no earlier process had the id
-  /// `self`.
-  SuspectTable(SuspectSettings settings, ProcessId self, const Clock& clock);
-
-  /// Returns how to run a request with this body. `is_trial_instance` states
-  /// whether this instance runs the body's trials; see `SelectTrialInstance`.
-  /// If the result is `kRunAlone` the trial has started.
-  SuspectAdmission Admit(Fingerprint fingerprint, bool is_trial_instance);
-  /// Returns the error for `kRefuseForNow` or `kRefuseForGood`. Its verdict is
-  /// `kNotRun`.
-  Error RefusalOf(SuspectAdmission admission) const;
-
-  /// Records that the upstream crashed while these requests of this instance
-  /// were in flight, and ends the trials among them. Must be called before the
-  /// requests are answered, and the digest must be sent to peers right after,
-  /// so that a re-send to a peer is recognized as a suspect.
-  void OnCrash(const UpstreamId& upstream,
-               const std::vector<Fingerprint>& in_flight);
-  /// Ends a trial in which the upstream did not crash. The request is cleared
-  /// only if `is_answered`: it got a complete response.
-  void EndTrial(Fingerprint fingerprint, bool is_answered);
-
-  /// Returns the number of crashes with this request in flight since it was
-  /// last cleared. Several reports about one crash count once.
-  std::size_t CountCrashes(Fingerprint fingerprint) const;
-  /// Records that the request got a complete response. Crashes up to now no
-  /// longer count against it.
-  void Clear(Fingerprint fingerprint);
-  /// Returns whether the table holds any report.
-  bool has_reports() const { return has_reports_; }
-  std::size_t report_count() const;
-
-  /// Returns the newest reports and clearances, at most `limit` of each.
-  SuspectDigest Digest(std::size_t limit) const;
-  /// Adds the contents of a peer's digest. Digests may be merged repeatedly and
-  /// in any order.
-  void Merge(const SuspectDigest& digest);
+  /// A request whose exchange broke off at an upstream that has ended.
+  struct BrokenRequest {
+    Fingerprint fingerprint;
+    TimePoint sent{};
+    TimePoint broke{};
+  };
 
-  /// Returns whether a request with this body is a suspect or blocked.
-  bool IsSuspect(Fingerprint fingerprint) const;
-  bool IsBlocked(Fingerprint fingerprint) const;
+  /// Precondition: `clock` outlives this object.
+  SuspectTable(const SuspectSettings& settings, InstanceId self,
+               const Clock& clock);
+
+  /// Called when this instance has evidence that its peers do not have yet.
+  void SetOnUnpublished(std::function<void()> on_unpublished) {
+    on_unpublished_ = std::move(on_unpublished);
+  }
+  /// Called when a request becomes refused, is tried, or is no longer refused.
+  void SetOnVerdict(std::function<void(Fingerprint)> on_verdict) {
+    on_verdict_ = std::move(on_verdict);
+  }
+
+  /// Returns whether any request has crashes that count. Callers check this
+  /// first, because it is cheaper than hashing a request.
+  bool has_suspects() const { return !suspects_.empty(); }
+  std::size_t suspect_count() const { return suspects_.size(); }
+  std::size_t refused_count() const;
+  /// Returns the number of ends of upstreams that count against a request.
+  std::size_t crash_count() const;
+  SuspectAdmission Decide(Fingerprint request) const;
+  bool IsRefused(Fingerprint request) const {
+    return Decide(request) != SuspectAdmission::kRun;
+  }
+  /// Returns the number of independent crashes since the last answer.
+  std::size_t CountCrashes(Fingerprint request) const;
+  /// Returns the time until a refused request may be tried; nothing if it is
+  /// not refused or has no trial left.
+  std::optional<Duration> TimeUntilTrial(Fingerprint request) const;
+  /// Records a trial that begins now. Returns false, without effect, if none is
+  /// due.
+  bool StartTrial(Fingerprint request);
+
+  /// Records that a start of an upstream has ended, with these requests of this
+  /// instance in flight.
+  void RecordCrash(const UpstreamId& upstream,
+                   const std::vector<BrokenRequest>& in_flight);
+  /// Drops all that was reported about a start that turned out to be running.
+  void RetractCrash(const UpstreamId& upstream);
+  /// Records that the request was answered completely.
+  void RecordAnswer(Fingerprint request);
+
+  /// Returns all evidence held.
+  SuspectDigest All() const;
+  /// Returns the evidence for the verdicts in force, at most `max_requests`:
+  /// those with the newest crashes.
+  SuspectDigest Verdicts(std::size_t max_requests) const;
+  /// Returns what was not published yet, and counts it as published.
+  SuspectDigest TakeUnpublished();
+  /// Adds the contents of a peer's digest.
+  void Merge(const SuspectDigest& digest);
 
  private:
-  /// A crash report as kept in the table.
-  struct StoredReport {
+  /// The end of an upstream with the request in flight there.
+  struct Crash {
     UpstreamId upstream;
-    /// Time of the crash by the local clock.
-    TimePoint time;
-    std::vector<InFlightRequest> in_flight;
+    InstanceId reporter;
+    TimePoint sent{};
+    TimePoint broke{};
   };
-  enum class State { kClean, kSuspect, kConfirming, kBlocked };
-  State StateOf(Fingerprint fingerprint, TimePoint now) const;
-  bool IsOnlyInFlight(const StoredReport& report,
-                      Fingerprint fingerprint) const;
-  void EvictOld(TimePoint now);
-
-  SuspectSettings settings_;
-  /// The id of this process.
-  ProcessId self_;
+  struct Suspect {
+    /// Ordered by `broke`, one for each upstream.
+    std::vector<Crash> crashes;
+    std::uint32_t trials = 0;
+    TimePoint last_trial{};
+  };
+
+  /// Returns the largest chain of independent crashes, oldest first.
+  std::vector<const Crash*> Independent(const Suspect& suspect) const;
+  bool IsGuilty(const Suspect& suspect) const;
+  TimePoint NextTrial(const Suspect& suspect) const;
+  /// Returns whether the crash counts, and was not known as it is.
+  bool Add(Fingerprint request, const Crash& crash);
+  /// Keeps the number of crashes of one request in its limit.
+  void Trim(Suspect& suspect) const;
+  /// Drops crashes up to `time`. Returns whether that was new.
+  bool Clear(Fingerprint request, TimePoint time);
+  void MergeTrial(const TrialRecord& trial, TimePoint now);
+  void Publish(Fingerprint request);
+  /// Returns the requests with crashes, those that are refused first.
+  std::vector<Fingerprint> SuspectsByWeight() const;
+  /// Returns the evidence about `requests`; where it is too much, that about
+  /// the first ones.
+  SuspectDigest DigestOf(const std::vector<Fingerprint>& requests) const;
+  void DropOld();
+
+  const SuspectSettings settings_;
+  const InstanceId self_;
   const Clock& clock_;
-  /// Whether `reports_` is not empty. Lets `Admit` return without taking the
-  /// lock in the common case that there are no reports.
-  std::atomic<bool> has_reports_{false};
-  /// Guards all members below.
-  mutable std::mutex mutex_;
-  /// Reports of all instances.
-  std::map<CrashReportId, StoredReport> reports_;
-  /// The time up to which crashes no longer count, by request; see `Clearance`.
+  std::function<void()> on_unpublished_;
+  std::function<void(Fingerprint)> on_verdict_;
+  /// Requests with crashes that count.
+  std::map<Fingerprint, Suspect> suspects_;
+  /// Time of the last answer that is known, by request.
   std::map<Fingerprint, TimePoint> cleared_;
-  /// Start times of the trials that run at this instance, by request.
-  std::map<Fingerprint, TimePoint> trials_;
-  /// The number of this process's last report.
-  std::uint64_t last_report_ = 0;
+  /// Starts that were reported as ended and came back, and when.
+  std::map<UpstreamId, TimePoint> retracted_;
+  /// An upstream's end is known only seconds later; answers until then count.
+  RecentAnswers answers_;
+  std::set<Fingerprint> unpublished_;
 };
 
-/// Returns the instance, out of the live `instances`, that runs the trials of
-/// suspects with this body. Precondition: `instances` is not empty.
+/// Returns the instance, out of the live `instances`, that grants the trials of
+/// a request and keeps its verdict. Precondition: `instances` is not empty.
 /// Thread-safe.
 InstanceId SelectTrialInstance(Fingerprint fingerprint,
                                const std::vector<InstanceId>& instances);
--- a/briarspread/forward/forward_context.h
+++ b/briarspread/forward/forward_context.h
@@ -14,6 +14,7 @@
 #include "briarspread/forward/request_limiter.h"
 #include "briarspread/forward/retry_after_planner.h"
 #include "briarspread/forward/stream_origins.h"
+#include "briarspread/forward/trial_source.h"
 #include "briarspread/forward/upstream_directory.h"
 #include "briarspread/forward/upstream_transport.h"
 #include "briarspread/routing/router.h"
@@ -40,6 +41,8 @@
   accounts::UsageRecorder* usage = nullptr;
   /// The budget for buffered bytes; null for no limit.
   MemoryBudget* memory = nullptr;
+  /// Grants trials of refused requests; null if there are none.
+  TrialSource* trials = nullptr;
 };
 
 /// Records what the head of an upstream's response, to a request sent at
--- a/briarspread/forward/live_request.cc
+++ b/briarspread/forward/live_request.cc
@@ -35,6 +35,7 @@
       chooser_(context, spec_.route.is_idempotent(), spec_.deadline),
       timer_(context.loop),
       usage_timer_(context.loop),
+      suspicion_(context, request_, spec_.account, spec_.may_be_suspected),
       response_memory_(context.memory, MemoryHolder::kResponses),
       events_("") {
   if (spec_.route.kind == RouteKind::kStream && spec_.route.is_resumable) {
@@ -115,17 +116,34 @@
   return proxy::RequestBytes::MakeHead(head, request_->body.size());
 }
 
-bool LiveRequest::CanBeSent() const {
-  const CrashGuard& crash_guard = context_.crash_guard;
-  return !spec_.may_be_suspected || !crash_guard.has_suspects() ||
-         !crash_guard.ShouldRefuse(FingerprintOf(*request_));
-}
-
 void LiveRequest::StartAttempt() {
-  if (!CanBeSent()) {
-    Refuse("crashes_upstreams");
-    return;
+  switch (suspicion_.Decide()) {
+    case SuspectAdmission::kRun:
+      PlaceAttempt();
+      break;
+    case SuspectAdmission::kTryOnce:
+      RequestTrial();
+      break;
+    case SuspectAdmission::kRefuse:
+      Refuse("crashes_upstreams");
+      break;
   }
+}
+
+void LiveRequest::RequestTrial() {
+  suspicion_.RequestTrial([this, keep = self_](bool is_granted) {
+    // The request may have ended meanwhile.
+    if (self_ == nullptr) return;
+    if (!is_granted) {
+      Refuse("crashes_upstreams");
+      return;
+    }
+    chooser_.PreferIdle();
+    PlaceAttempt();
+  });
+}
+
+void LiveRequest::PlaceAttempt() {
   if (HasEvents() && chooser_.required_software().value().empty()) {
     Refuse("origin_unknown");
     return;
@@ -168,6 +186,7 @@
   if (is_streaming_) ++context_.metrics.resumed_streams;
   if (HasEvents()) LogResumption(upstream->listed);
   upstream_ = chosen;
+  attempt_upstream_ = {chosen, upstream->listed.start_id};
   attempt_software_ = upstream->listed.software;
   chooser_.RecordAttempt(chosen);
   counters_ = upstream->counters;
@@ -194,8 +213,8 @@
   }
   context_.limiter.TakePermit(chosen, RequestPurpose::kLive);
   context_.limiter.RecordSend(chosen, RequestPurpose::kLive);
-  exchange_ = context_.upstreams.Start({chosen, upstream->listed.start_id},
-                                       std::move(request), *this);
+  exchange_ =
+      context_.upstreams.Start(attempt_upstream_, std::move(request), *this);
   if (CountsUsage()) {
     usage_timer_.After(kUsageRunTime, [this] { RecordUsage(); });
   }
@@ -222,6 +241,15 @@
       SecondsOf(context_.clock.Now() - attempt_started_));
 }
 
+void LiveRequest::CancelAttempt() {
+  exchange_->Cancel();
+  EndAttempt();
+  RecordUsage();
+  // An upstream that crashed without closing its connections is noticed only
+  // by its silence.
+  suspicion_.RecordBrokenExchange(attempt_upstream_, attempt_started_);
+}
+
 bool LiveRequest::CountsUsage() const {
   return !is_usage_recorded_ && context_.usage != nullptr &&
          spec_.account.has_value();
@@ -245,10 +273,9 @@
 
 void LiveRequest::OnFailure(const proxy::ExchangeFailure& failure) {
   EndAttempt();
-  if (failure.verdict == Verdict::kMayHaveRun) RecordUsage();
-  if (failure.verdict == Verdict::kMayHaveRun && spec_.may_be_suspected) {
-    context_.crash_guard.RecordBrokenExchange(*upstream_,
-                                              FingerprintOf(*request_));
+  if (failure.verdict == Verdict::kMayHaveRun) {
+    RecordUsage();
+    suspicion_.RecordBrokenExchange(attempt_upstream_, attempt_started_);
   }
   ++context_.metrics.faults[std::string(ToString(failure.fault))];
   context_.upstreams.RecordFailure(*upstream_, failure);
@@ -285,7 +312,10 @@
 }
 
 Duration LiveRequest::RetryAfterTime() {
-  if (!CanBeSent()) return context_.retry_after_planner.PlanAfterCrashes();
+  if (suspicion_.IsRefused()) {
+    return context_.retry_after_planner.PlanAfterCrashes(
+        suspicion_.TimeUntilTrial());
+  }
   const ServiceName& service = spec_.route.backends.empty()
                                    ? ServiceName()
                                    : spec_.route.backends.front().service;
@@ -323,9 +353,7 @@
 
 void LiveRequest::OnDeadline() {
   if (exchange_ != nullptr) {
-    exchange_->Cancel();
-    EndAttempt();
-    RecordUsage();
+    CancelAttempt();
     policy_.RecordVerdict(Verdict::kMayHaveRun);
   }
   if (error_response_.has_value()) {
@@ -368,11 +396,7 @@
 void LiveRequest::Cancel() {
   if (self_ == nullptr) return;
   ++context_.metrics.disconnected_callers;
-  if (exchange_ != nullptr) {
-    exchange_->Cancel();
-    EndAttempt();
-    RecordUsage();
-  }
+  if (exchange_ != nullptr) CancelAttempt();
   Finish();
 }
 
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -10,6 +10,7 @@
 #include "briarspread/fleet/loop_timer.h"
 #include "briarspread/forward/attempt_policy.h"
 #include "briarspread/forward/forward_context.h"
+#include "briarspread/forward/request_suspicion.h"
 #include "briarspread/forward/stream_relay.h"
 #include "briarspread/forward/upstream_chooser.h"
 #include "briarspread/proxy/request_handler.h"
@@ -97,7 +98,12 @@
   /// Finds the version that began the stream that the caller resumes, then
   /// starts the first attempt.
   void FindOrigin();
+  /// Starts an attempt, unless the request is suspected of crashing upstreams.
   void StartAttempt();
+  /// Asks for a trial of a request that is refused otherwise.
+  void RequestTrial();
+  /// Chooses an upstream and sends the request to it.
+  void PlaceAttempt();
   /// Whether the caller has events already, so that the response must go on
   /// after them.
   bool HasEvents() const {
@@ -115,7 +121,6 @@
   bool WaitForPermit(const ServiceName& service);
   std::optional<proxy::RequestBytes> SerializeRequestHead(
       const UpstreamId& upstream, milliseconds left) const;
-  bool CanBeSent() const;
   std::string_view AttemptId() const;
   void RecordResponse(int status);
   /// Whether the start of the request is still to be recorded for its account.
@@ -124,6 +129,8 @@
   /// upstream began to run the request.
   void RecordUsage();
   void EndAttempt();
+  /// Ends an attempt whose upstream may still be running the request.
+  void CancelAttempt();
   void HandleFailure(Verdict verdict, std::string_view reason);
   void StartStreaming();
   /// Records which software version sent the first event of the stream.
@@ -178,8 +185,10 @@
   /// Keeps the request alive; null once it has ended.
   std::shared_ptr<LiveRequest> self_;
   std::unique_ptr<proxy::Exchange> exchange_;
-  /// The upstream of the current or last attempt.
+  RequestSuspicion suspicion_;
+  /// The upstream of the current or last attempt, and its start.
   std::optional<UpstreamId> upstream_;
+  UpstreamStart attempt_upstream_;
   std::shared_ptr<UpstreamCounters> counters_;
   TimePoint attempt_started_{};
   /// Software version of the upstream of the current or last attempt.
--- a/briarspread/forward/live_response.cc
+++ b/briarspread/forward/live_response.cc
@@ -205,9 +205,7 @@
   }
   context_.directory.RecordSuccess(*upstream_);
   UpdateServiceTime();
-  if (context_.crash_guard.has_suspects()) {
-    context_.crash_guard.RecordCompleteResponse(FingerprintOf(*request_));
-  }
+  suspicion_.RecordResponse(status);
   if (status == 500) ++upstream_errors_;
   const bool may_differ = status >= 500 && spec_.route.is_idempotent();
   if (may_differ || is_streaming_) {
@@ -227,6 +225,7 @@
     return;
   }
   context_.directory.RecordSuccess(*upstream_);
+  suspicion_.RecordResponse(response_.head.status);
   RecordResponse(response_.head.status);
   sink_.OnResponseEnd();
   Finish();
--- a/briarspread/forward/retry_after_planner.cc
+++ b/briarspread/forward/retry_after_planner.cc
@@ -70,8 +70,11 @@
   return slot - now;
 }
 
-Duration RetryAfterPlanner::PlanAfterCrashes() {
-  return settings_.crash_delay + AddJitter(settings_.min_delay);
+Duration RetryAfterPlanner::PlanAfterCrashes(
+    std::optional<Duration> until_trial) {
+  const Duration usual = settings_.crash_delay;
+  return std::min(until_trial.value_or(usual), usual) +
+         AddJitter(settings_.min_delay);
 }
 
 Duration RetryAfterPlanner::PlanWithoutAvailability() {
--- a/briarspread/forward/retry_after_planner.h
+++ b/briarspread/forward/retry_after_planner.h
@@ -2,6 +2,7 @@
 #define BRIARSPREAD_FORWARD_RETRY_AFTER_PLANNER_H_
 
 #include <map>
+#include <optional>
 
 #include "briarspread/core/clock.h"
 #include "briarspread/core/ids.h"
@@ -34,7 +35,8 @@
   /// `min_delay`.
   milliseconds min_delay{100};
   milliseconds max_delay{8000};
-  /// Minimum time for a request that crashes upstreams.
+  /// Minimum time for a request that crashes upstreams, unless it may be tried
+  /// sooner.
   milliseconds crash_delay{30000};
 };
 
@@ -59,8 +61,9 @@
   /// should retry.
   Duration Plan(const ServiceName& service,
                 const SlotAvailability& availability);
-  /// Returns the retry time of a request that crashes upstreams.
-  Duration PlanAfterCrashes();
+  /// Returns the retry time of a request that crashes upstreams, and may be
+  /// tried again after `until_trial`, if at all.
+  Duration PlanAfterCrashes(std::optional<Duration> until_trial);
   /// Returns the retry time where no availability is known, for example before
   /// the first configuration.
   Duration PlanWithoutAvailability();
--- a/briarspread/forward/suspect_exchange.cc
+++ b/briarspread/forward/suspect_exchange.cc
@@ -4,43 +4,85 @@
 
 #include <utility>
 
-#include "briarspread/fleet/peer_broadcast.h"
-
 namespace briarspread::forward {
+namespace {
+
+/// Timeout of a call to the instance that grants a trial.
+constexpr milliseconds kTrialTimeout{500};
 
-SuspectExchange::SuspectExchange(asio::io_context& loop, CrashGuard& guard,
-                                 PeerClient& peers, PeerListFunction list_peers,
-                                 const SuspectExchangeSettings& settings)
-    : guard_(guard),
+}  // namespace
+
+SuspectExchange::SuspectExchange(asio::io_context& loop, SuspectTable& table,
+                                 PeerClient& peers, RandomSource& random,
+                                 NoticeExchange::PeerListFunction list_peers,
+                                 FindGranter find_granter,
+                                 const NoticeExchangeSettings& settings)
+    : table_(table),
       peers_(peers),
-      list_peers_(std::move(list_peers)),
-      settings_(settings),
-      timer_(loop) {
-  guard_.SetOnCrash([this] {
-    if (!timer_.is_set()) timer_.After(settings_.delay, [this] { Publish(); });
-  });
+      find_granter_(std::move(find_granter)),
+      exchange_(loop, *this, "suspects", peers, random, std::move(list_peers),
+                settings) {
+  table_.SetOnUnpublished([this] { exchange_.SchedulePublish(); });
+}
+
+// --- Evidence
+
+std::string SuspectExchange::EncodeAll() const { return ToJson(table_.All()); }
+
+std::string SuspectExchange::TakeUnpublished() {
+  const SuspectDigest digest = table_.TakeUnpublished();
+  return digest.empty() ? std::string() : ToJson(digest);
 }
 
-void SuspectExchange::Publish() {
-  // A peer that this call does not reach receives the same reports with the
-  // next digest.
-  PostToPeers(peers_, list_peers_(), kPath, ToJson(guard_.Digest()));
+bool SuspectExchange::Merge(const std::string& body) {
+  const auto digest = ParseSuspectDigest(body);
+  if (!IsOk(digest)) return false;
+  table_.Merge(ValueOf(digest));
+  return true;
 }
 
 bool SuspectExchange::TryAnswer(
     const proxy::Request& request,
     const std::shared_ptr<proxy::Responder>& responder) {
-  if (proxy::SplitTarget(request.head.target).path != kPath) return false;
-  const auto digest = ParseSuspectDigest(request.body);
-  if (!IsOk(digest)) {
-    LOG(WARNING) << "event=suspects_malformed reason=\""
-                 << ErrorOf(digest).message << "\"";
-    responder->Send(proxy::MakeResponse(400, "{\"error\":\"bad digest\"}"));
+  if (proxy::SplitTarget(request.head.target).path == kTrialPath) {
+    AnswerTrial(request.body, *responder);
     return true;
   }
-  guard_.Merge(ValueOf(digest));
-  responder->Send(proxy::MakeResponse(200, "{}"));
-  return true;
+  return exchange_.TryAnswer(request, responder);
+}
+
+// --- Trials
+
+void SuspectExchange::RequestTrial(Fingerprint request, Done done) {
+  const std::optional<Endpoint> granter = find_granter_(request);
+  if (!granter.has_value()) {
+    done(table_.StartTrial(request));
+    return;
+  }
+  PeerCall call;
+  call.method = "POST";
+  call.target = kTrialPath;
+  call.body = std::to_string(request.value());
+  call.timeout = kTrialTimeout;
+  peers_.Call(*granter, std::move(call),
+              [done = std::move(done)](const Result<proxy::Response>& result) {
+                if (!IsOk(result)) {
+                  LOG(INFO) << "event=trial_not_asked reason=\""
+                            << ErrorOf(result).message << "\"";
+                }
+                done(IsOk(result) && ValueOf(result).head.status == 200);
+              });
+}
+
+void SuspectExchange::AnswerTrial(const std::string& body,
+                                  proxy::Responder& responder) {
+  const auto request = proxy::ParseNumber(body);
+  if (!request.has_value()) {
+    responder.Send(proxy::MakeResponse(400, "{\"error\":\"bad request\"}"));
+    return;
+  }
+  const bool is_granted = table_.StartTrial(Fingerprint(*request));
+  responder.Send(proxy::MakeResponse(is_granted ? 200 : 409, "{}"));
 }
 
 }  // namespace briarspread::forward
--- a/briarspread/forward/suspect_exchange.h
+++ b/briarspread/forward/suspect_exchange.h
@@ -3,50 +3,50 @@
 
 #include <functional>
 #include <memory>
-#include <vector>
+#include <optional>
+#include <string>
 
-#include "briarspread/fleet/loop_timer.h"
-#include "briarspread/fleet/peer_client.h"
-#include "briarspread/forward/crash_guard.h"
-#include "briarspread/proxy/request_handler.h"
+#include "briarspread/contracts/suspect_table.h"
+#include "briarspread/forward/notice_exchange.h"
+#include "briarspread/forward/trial_source.h"
 
 namespace briarspread::forward {
 
-/// Settings of a suspect exchange.
-struct SuspectExchangeSettings {
-  /// Delay before a crash is published; crashes detected within it are sent
-  /// together.
-  milliseconds delay{50};
-};
-
-/// Publishes crashes of upstreams, and the requests that were in flight there,
-/// to all instances. Sends nothing while no upstream crashes. Must be used on
-/// the event loop's thread only.
-class SuspectExchange final {
+/// Publishes the evidence about requests that crash upstreams to all instances,
+/// and grants their trials: each request's trials are granted by one instance,
+/// the same one at all instances that know the same instances. Sends nothing
+/// while no upstream crashes. Must be used on the event loop's thread only.
+class SuspectExchange final : public TrialSource, public NoticeTopic {
  public:
-  /// Returns the endpoints of the other instances.
-  using PeerListFunction = std::function<std::vector<Endpoint>()>;
-
-  static constexpr char kPath[] = "/v1/suspects";
+  static constexpr char kTrialPath[] = "/v1/suspect-trials";
+  /// Returns the endpoint of the instance that grants the trials of a request;
+  /// nothing if it is this instance.
+  using FindGranter = std::function<std::optional<Endpoint>(Fingerprint)>;
 
   /// Precondition: references outlive this object.
-  SuspectExchange(asio::io_context& loop, CrashGuard& guard, PeerClient& peers,
-                  PeerListFunction list_peers,
-                  const SuspectExchangeSettings& settings);
-
-  /// Handles a peer's request and returns true if its path is `kPath`;
-  /// otherwise does nothing and returns false.
+  SuspectExchange(asio::io_context& loop, SuspectTable& table,
+                  PeerClient& peers, RandomSource& random,
+                  NoticeExchange::PeerListFunction list_peers,
+                  FindGranter find_granter,
+                  const NoticeExchangeSettings& settings);
+
+  /// Handles a peer's request and returns true if its path is one of this
+  /// object's; otherwise does nothing and returns false.
   bool TryAnswer(const proxy::Request& request,
                  const std::shared_ptr<proxy::Responder>& responder);
 
+  void RequestTrial(Fingerprint request, Done done) override;
+  std::string EncodeAll() const override;
+  std::string TakeUnpublished() override;
+  bool Merge(const std::string& body) override;
+
  private:
-  void Publish();
+  void AnswerTrial(const std::string& body, proxy::Responder& responder);
 
-  CrashGuard& guard_;
+  SuspectTable& table_;
   PeerClient& peers_;
-  const PeerListFunction list_peers_;
-  const SuspectExchangeSettings settings_;
-  LoopTimer timer_;
+  const FindGranter find_granter_;
+  NoticeExchange exchange_;
 };
 
 }  // namespace briarspread::forward
--- a/briarspread/forward/upstream_chooser.cc
+++ b/briarspread/forward/upstream_chooser.cc
@@ -28,7 +28,15 @@
   Append(without_permit, route_request.excluded);
   static const RuleSet no_rules;
   const RoutingTable& table = context_.directory.table();
-  auto index = context_.router.Choose(route_request, table, no_rules);
+  std::optional<std::size_t> index;
+  if (prefers_idle_) {
+    RouteRequest idle_only = route_request;
+    Append(Busy(), idle_only.excluded);
+    index = context_.router.Choose(idle_only, table, no_rules);
+  }
+  if (!index.has_value()) {
+    index = context_.router.Choose(route_request, table, no_rules);
+  }
   if (!index.has_value() && !tried_.empty() && is_idempotent_) {
     // All upstreams were tried, so the one tried longest ago is tried again: it
     // has had the most time to recover.
@@ -48,6 +56,16 @@
   return UpstreamId(table.upstreams[*index].listed.name);
 }
 
+std::vector<UpstreamId> UpstreamChooser::Busy() const {
+  std::vector<UpstreamId> busy;
+  for (const auto& [id, upstream] : context_.directory.all()) {
+    if (upstream.counters->in_flight.load() > 0 || upstream.load.running > 0) {
+      busy.push_back(id);
+    }
+  }
+  return busy;
+}
+
 bool UpstreamChooser::StartsInTime(const UpstreamView& upstream) const {
   const TimePoint now = context_.clock.Now();
   return LoadEstimate(upstream).ExpectedWait(now) <= deadline_ - now;
--- a/briarspread/forward/upstream_chooser.h
+++ b/briarspread/forward/upstream_chooser.h
@@ -24,6 +24,9 @@
   void RequireSoftware(const SoftwareVersion& software) {
     software_ = software;
   }
+  /// Makes further choices take an upstream without running requests, as far
+  /// as is known, if there is one.
+  void PreferIdle() { prefers_idle_ = true; }
   const SoftwareVersion& required_software() const { return software_; }
 
   /// Returns the upstream of `service` for the next attempt; nothing if none
@@ -48,6 +51,8 @@
   /// is the oldest. Precondition: at least one was tried.
   std::vector<UpstreamId> TriedExceptOldest() const;
 
+  /// Returns the upstreams that run requests.
+  std::vector<UpstreamId> Busy() const;
   /// Returns whether a request sent now would start before the deadline.
   bool StartsInTime(const UpstreamView& upstream) const;
 
@@ -55,6 +60,7 @@
   const bool is_idempotent_;
   const TimePoint deadline_;
   SoftwareVersion software_;
+  bool prefers_idle_ = false;
   std::vector<UpstreamId> tried_;
 };
 
--- a/briarspread/forward/upstream_directory.cc
+++ b/briarspread/forward/upstream_directory.cc
@@ -154,6 +154,7 @@
   if (has_listed_ || IsRecentStart(added->second.listed)) {
     BeginSlowStart(added->second, 0, "started");
   }
+  if (on_added_) on_added_(added->second.listed);
 }
 
 bool UpstreamDirectory::IsRecentStart(const DiscoveredUpstream& listed) const {
--- a/briarspread/forward/upstream_directory.h
+++ b/briarspread/forward/upstream_directory.h
@@ -44,6 +44,11 @@
   std::uint64_t start_id = 0;
 };
 
+/// Returns the start that the registration names. Thread-safe.
+inline UpstreamStart StartOf(const DiscoveredUpstream& listed) {
+  return {listed.id, listed.start_id};
+}
+
 /// A registered upstream, with its load and health as measured by this
 /// instance.
 struct KnownUpstream {
@@ -104,6 +109,8 @@
   /// Called when an upstream announces in a response to this instance that it
   /// is leaving and this was not known yet; once for each start.
   using OnDeparture = std::function<void(const UpstreamStart&)>;
+  /// Called after an upstream, or a later start of one, has been added.
+  using OnAdded = std::function<void(const DiscoveredUpstream&)>;
   /// Called when a known upstream begins to leave and accepts no new requests
   /// from now on.
   using OnLeaving = std::function<void(const DiscoveredUpstream&)>;
@@ -127,6 +134,7 @@
   void SetOnRemoved(OnRemoved on_removed) {
     on_removed_ = std::move(on_removed);
   }
+  void SetOnAdded(OnAdded on_added) { on_added_ = std::move(on_added); }
   void SetOnDeparture(OnDeparture on_departure) {
     on_departure_ = std::move(on_departure);
   }
@@ -201,6 +209,7 @@
   const Locality self_;
   const Clock& clock_;
   OnRemoved on_removed_;
+  OnAdded on_added_;
   OnDeparture on_departure_;
   OnLeaving on_leaving_;
   Departures departures_;
--- a/briarspread/proxy/http_message.h
+++ b/briarspread/proxy/http_message.h
@@ -56,6 +56,12 @@
 /// Whether a response with this status reports success. Thread-safe.
 constexpr bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
+/// Whether a caller takes this status as a promise that its request has not run
+/// and never will. Thread-safe.
+constexpr bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /// Parses all of `text` as an unsigned decimal number; returns nothing if it is
 /// malformed. Thread-safe.
 std::optional<std::uint64_t> ParseNumber(std::string_view text);
--- a/tests/platform/edge_node_test.cc
+++ b/tests/platform/edge_node_test.cc
@@ -173,6 +173,10 @@
         return instance->node.FormatMetrics().find(known) != std::string::npos;
       });
     }
+    // Crashes at two instances at nearly the same time count once.
+    const TimePoint next =
+        fixture.clock.Now() + 2 * SuspectSettings{}.transfer_margin;
+    fixture.Await([&] { return fixture.clock.Now() >= next; });
   }
   for (const Endpoint& endpoint : at) {
     REQUIRE(fixture.Call(endpoint, "POST", "/once/x").head.status == 503);
