A resumed stream no longer has the length of its first replica

Cause: LiveRequest::StartStreaming passed the first replica's head on as it was, while the body of a stream with a relay is put together from several replicas. ConnectionResponder framed by the length it was given and counted nothing.

The events themselves were whole and in order.

Change: StreamRelay::HeadFrom drops what describes one replica's bytes (length, digests, ranges, ETag, Trailer); signature and the other headers stay, and the last chunk shows the end. A stream that may not be resumed keeps its length. ConnectionResponder closes the connection rather than exceed a length or end short of it, whoever wrote the body.

--- a/briarspread/forward/live_response.cc
+++ b/briarspread/forward/live_response.cc
@@ -185,7 +185,12 @@
   context_.directory.RecordFirstEvent(*upstream_);
   timer_.Every(spec_.stall_detection.check_interval,
                [this] { CheckProgress(); });
-  sink_.OnResponseHead(response_.head);
+  // A response without a body can't be put together from several.
+  const bool has_body = request_->head.method != "HEAD" &&
+                        proxy::StatusHasBody(response_.head.status);
+  sink_.OnResponseHead(relay_.has_value() && has_body
+                           ? StreamRelay::HeadFrom(response_.head)
+                           : response_.head);
 }
 
 void LiveRequest::OnDrained() {
--- a/briarspread/forward/stream_relay.cc
+++ b/briarspread/forward/stream_relay.cc
@@ -1,8 +1,16 @@
 #include "briarspread/forward/stream_relay.h"
 
+#include <array>
+
 namespace briarspread::forward {
 namespace {
 
+/// Headers that describe the bytes of a body.
+constexpr std::array<const char*, 9> kBodyHeaders{
+    "Content-Length", "Content-MD5", "Content-Digest",
+    "Repr-Digest",    "Digest",      "Content-Range",
+    "Accept-Ranges",  "ETag",        "Trailer"};
+
 proxy::EventStreamReader MakeRawReader() {
   // Version fields are passed on to the caller and not evaluated here.
   return proxy::EventStreamReader("", true);
@@ -13,6 +21,12 @@
 StreamRelay::StreamRelay(std::optional<std::uint64_t> last_event_id)
     : last_event_id_(last_event_id), reader_(MakeRawReader()) {}
 
+proxy::ResponseHead StreamRelay::HeadFrom(const proxy::ResponseHead& first) {
+  proxy::ResponseHead head = first;
+  for (const char* name : kBodyHeaders) head.headers.Remove(name);
+  return head;
+}
+
 void StreamRelay::Restart() { reader_.Reset(); }
 
 StreamRelay::Outcome StreamRelay::Feed(std::string_view bytes,
--- a/briarspread/forward/stream_relay.h
+++ b/briarspread/forward/stream_relay.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "briarspread/proxy/event_stream_reader.h"
+#include "briarspread/proxy/http_message.h"
 
 namespace briarspread::forward {
 
@@ -27,6 +28,11 @@
   /// unset where it has none.
   explicit StreamRelay(std::optional<std::uint64_t> last_event_id);
 
+  /// Returns the head to pass on, made from that of the first upstream. It says
+  /// nothing of that upstream's bytes, such as their length or a digest of
+  /// them, because the body may go on with bytes of other upstreams.
+  static proxy::ResponseHead HeadFrom(const proxy::ResponseHead& first);
+
   /// Reads bytes from the upstream and appends the events that they complete to
   /// `out`, except those that the caller already has.
   Outcome Feed(std::string_view bytes, std::string& out);
--- a/briarspread/proxy/connection_responder.cc
+++ b/briarspread/proxy/connection_responder.cc
@@ -8,12 +8,6 @@
 #include "briarspread/proxy/message_bytes.h"
 
 namespace briarspread::proxy {
-namespace {
-
-bool HasStatusWithoutBody(int status) { return status == 204 || status == 304; }
-
-}  // namespace
-
 ServerConnection::ConnectionResponder::ConnectionResponder(
     std::shared_ptr<ServerConnection> connection, bool is_head_request)
     : connection_(std::move(connection)), is_head_request_(is_head_request) {}
@@ -21,7 +15,7 @@
 void ServerConnection::ConnectionResponder::Send(const Response& response) {
   if (connection_ == nullptr) return;
   const bool keep_alive = !connection_->closes_after_response_;
-  const bool has_no_body = HasStatusWithoutBody(response.head.status);
+  const bool has_no_body = !StatusHasBody(response.head.status);
   ResponseHead head = response.head;
   head.headers.RemoveHopByHop();
   auto bytes =
@@ -41,10 +35,10 @@
   ResponseHead out = head;
   const auto length = out.headers.FindNumber("Content-Length");
   out.headers.RemoveHopByHop();
-  is_chunked_ = !length.has_value();
+  framing_ = FramingOf(head.status, length.has_value());
+  left_ = length.value_or(0);
   const auto bytes =
-      SerializeHead(out, is_chunked_ ? Framing::kChunked : Framing::kLength,
-                    length.value_or(0), !connection_->closes_after_response_);
+      SerializeHead(out, framing_, left_, !connection_->closes_after_response_);
   if (!bytes.has_value()) {
     AbortInvalid(out.status);
     return;
@@ -53,14 +47,36 @@
   connection_->Queue(*bytes);
 }
 
+Framing ServerConnection::ConnectionResponder::FramingOf(
+    int status, bool has_length) const {
+  if (!StatusHasBody(status)) return Framing::kNoBody;
+  if (has_length) return Framing::kLength;
+  return is_head_request_ ? Framing::kNoBody : Framing::kChunked;
+}
+
 void ServerConnection::ConnectionResponder::Write(std::string_view data) {
   if (connection_ == nullptr || data.empty()) return;
-  connection_->Queue(is_chunked_ ? SerializeChunk(data) : std::string(data));
+  if (is_head_request_ || framing_ == Framing::kNoBody) return;
+  if (framing_ == Framing::kChunked) {
+    connection_->Queue(SerializeChunk(data));
+    return;
+  }
+  if (data.size() > left_) {
+    // The rest would be taken for the next response.
+    AbortMisfit(data.size());
+    return;
+  }
+  left_ -= data.size();
+  connection_->Queue(data);
 }
 
 void ServerConnection::ConnectionResponder::End() {
   if (connection_ == nullptr) return;
-  if (is_chunked_) connection_->Queue(SerializeChunk({}));
+  if (framing_ == Framing::kChunked) connection_->Queue(SerializeChunk({}));
+  if (framing_ == Framing::kLength && !is_head_request_ && left_ > 0) {
+    AbortMisfit(0);
+    return;
+  }
   Finish();
 }
 
@@ -103,6 +119,12 @@
   Abort();
 }
 
+void ServerConnection::ConnectionResponder::AbortMisfit(std::size_t written) {
+  LOG(ERROR) << "event=response_length_wrong bytes_left=" << left_
+             << " bytes_written=" << written;
+  Abort();
+}
+
 void ServerConnection::ConnectionResponder::Finish() {
   const auto connection = std::exchange(connection_, nullptr);
   on_disconnect_ = nullptr;
--- a/briarspread/proxy/connection_responder.h
+++ b/briarspread/proxy/connection_responder.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string_view>
 
+#include "briarspread/proxy/message_bytes.h"
 #include "briarspread/proxy/server_connection.h"
 
 namespace briarspread::proxy {
@@ -35,12 +36,18 @@
  private:
   /// Closes the connection in place of a response that must not be sent.
   void AbortInvalid(int status);
+  /// Closes the connection where the body isn't as long as its head says.
+  void AbortMisfit(std::size_t written);
+  Framing FramingOf(int status, bool has_length) const;
   void Finish();
 
   /// Null once the response has ended or the connection is closed.
   std::shared_ptr<ServerConnection> connection_;
   const bool is_head_request_;
-  bool is_chunked_ = false;
+  /// How the body that arrives in parts is delimited.
+  Framing framing_ = Framing::kNoBody;
+  /// Bytes of the announced length that are still to be written.
+  std::size_t left_ = 0;
   bool has_begun_ = false;
   std::function<void()> on_disconnect_;
   std::function<void()> on_drained_;
--- a/briarspread/proxy/http_message.h
+++ b/briarspread/proxy/http_message.h
@@ -56,6 +56,11 @@
 /// Whether a response with this status reports success. Thread-safe.
 constexpr bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
+/// Whether a response with this status has a body. Thread-safe.
+constexpr bool StatusHasBody(int status) {
+  return status >= 200 && status != 204 && status != 304;
+}
+
 /// Whether a caller takes this status as a promise that its request has not run
 /// and never will. Thread-safe.
 constexpr bool PromisesNotRun(int status) {
--- a/tests/forward/live_request_test.cc
+++ b/tests/forward/live_request_test.cc
@@ -285,6 +285,73 @@
   REQUIRE_FALSE(sent.sink.answer.has_value());
 }
 
+/// Returns a function that answers like `respond`, but with this length and
+/// other headers that describe the bytes of its body.
+FakeUpstream::RespondFunction DescribeBody(const ExchangeHeaders& headers,
+                                           const std::string& body,
+                                           std::size_t bytes_sent) {
+  return [&headers, body, bytes_sent](const proxy::Request&,
+                                      const ResponderPtr& responder) {
+    proxy::ResponseHead head;
+    head.status = 200;
+    head.headers.Add(headers.signature, "first");
+    head.headers.Add("Content-Type", "text/event-stream");
+    head.headers.Add("Content-Length", std::to_string(body.size()));
+    head.headers.Add("ETag", "\"a\"");
+    head.headers.Add("Content-Digest", "sha-256=:YQ==:");
+    head.headers.Add("Accept-Ranges", "bytes");
+    responder->Start(head);
+    responder->Write(body.substr(0, bytes_sent));
+    if (bytes_sent == body.size()) {
+      responder->End();
+      return;
+    }
+    responder->SetOnDrained([responder] {
+      if (responder->unsent() == 0) responder->Abort();
+    });
+  };
+}
+
+// Guards against a length of the first upstream over a body that goes on with
+// another upstream's bytes: answers that look complete with pieces missing, and
+// answers that never end (review/12).
+TEST_CASE("a resumable stream names nothing of its first upstream's bytes") {
+  for (const std::uint64_t last : {4U, 20U}) {
+    ForwardFixture fixture;
+    const std::string first = EventsUpTo(9);
+    FakeUpstream breaks(fixture.loop, DescribeBody(fixture.headers, first, 30));
+    fixture.Add("breaks", breaks);
+    SentRequest sent(fixture, RouteKind::kStream, 2, seconds(20), true);
+    fixture.Await([&] { return sent.sink.head.has_value(); });
+    FakeUpstream goes_on(fixture.loop, StreamEvents(fixture.headers, last, 99,
+                                                    "text/event-stream"));
+    fixture.Add("goes-on", goes_on);
+    fixture.Await([&] { return sent.sink.has_ended; });
+    REQUIRE(sent.sink.body == EventsUpTo(last));
+    const proxy::HeaderList& headers = sent.sink.head->headers;
+    for (const char* name :
+         {"Content-Length", "ETag", "Content-Digest", "Accept-Ranges"}) {
+      CAPTURE(name);
+      REQUIRE(headers.Find(name) == nullptr);
+    }
+    REQUIRE(*headers.Find(fixture.headers.signature) == "first");
+    REQUIRE(headers.MediaType() == "text/event-stream");
+  }
+}
+
+// The length lets a caller see the end of what one upstream sends.
+TEST_CASE("a stream that comes from one upstream only keeps its length") {
+  ForwardFixture fixture;
+  const std::string body = EventsUpTo(9);
+  FakeUpstream sound(fixture.loop,
+                     DescribeBody(fixture.headers, body, body.size()));
+  fixture.Add("sound", sound);
+  SentRequest sent(fixture, RouteKind::kStream, 2, seconds(20), false);
+  fixture.Await([&] { return sent.sink.has_ended; });
+  REQUIRE(sent.sink.head->headers.FindNumber("Content-Length") == body.size());
+  REQUIRE(sent.sink.head->headers.Find("ETag") != nullptr);
+}
+
 TEST_CASE("a broken stream is resumed elsewhere within one response") {
   ForwardFixture fixture;
   FakeUpstream breaks(fixture.loop, StreamEvents(fixture.headers, 6, 2));
