A replica's 503 without the statement "not run" is no promise to the caller

A replica begins a request that may run once, fails, and answers 503 without the statement that it did not run it.

Cause: what a response means was read from its status at several places, each by its own rule. 408, 421, 429 and 503 are promises to a caller whoever made them, and were passed on; 421 counted as "not run" by itself.

Change: forward::VerdictOf alone says what a response means. "Not run" needs the statement; the four statuses without it mean "may have run". A request that may run once is then answered 502, with the line unmarked_refusal; one that may be repeated gets the replica's status as it is, but for 421, which is retried within the route's attempts. Items and usage follow the same rule. Related: a peer that fails without an outcome may have relayed the request; it is no longer passed over.

--- a/briarspread/batch/item_run.cc
+++ b/briarspread/batch/item_run.cc
@@ -5,6 +5,8 @@
 #include <cassert>
 #include <utility>
 
+#include "briarspread/forward/response_verdict.h"
+
 namespace briarspread::batch {
 namespace {
 
@@ -85,8 +87,7 @@
 }
 
 RunOutcome ItemRun::OutcomeOf(const proxy::ResponseHead& head) const {
-  if (head.status == 421 ||
-      head.headers.Find(context_.headers.not_run) != nullptr) {
+  if (forward::VerdictOf(head, context_.headers) == Verdict::kNotRun) {
     return RunOutcome::kRefused;
   }
   if (head.status == 422) return RunOutcome::kImpossible;
--- a/briarspread/forward/forward_context.cc
+++ b/briarspread/forward/forward_context.cc
@@ -1,5 +1,7 @@
 #include "briarspread/forward/forward_context.h"
 
+#include "briarspread/forward/response_verdict.h"
+
 namespace briarspread::forward {
 
 void UpdateFromResponseHead(ForwardContext& context, const UpstreamId& upstream,
@@ -15,8 +17,11 @@
   if (leaving != nullptr && *leaving == "1") {
     context.directory.MarkLeaving(upstream);
   }
-  const bool is_refused = head.status == 421 ||
-                          head.headers.Find(context.headers.not_run) != nullptr;
+  const Verdict verdict = VerdictOf(head, context.headers);
+  if (verdict == Verdict::kMayHaveRun) {
+    ++context.metrics.faults["unmarked_refusal"];
+  }
+  const bool is_refused = verdict == Verdict::kNotRun;
   // Limits of the request rate are kept by the limiter.
   if (is_refused && head.headers.Find(context.headers.limit) == nullptr) {
     context.directory.RecordRefusal(upstream);
--- a/briarspread/forward/live_request.h
+++ b/briarspread/forward/live_request.h
@@ -166,7 +166,14 @@
   void Finish();
   milliseconds TimeLeft() const;
   bool IsUnsigned(const proxy::ResponseHead& head) const;
-  bool IsNotRun(const proxy::ResponseHead& head) const;
+  /// Returns what the response being received means for the request. A status
+  /// that callers would take for "not run", without that statement, makes it
+  /// `kMayHaveRun`; a request that may be repeated gets it as it is, unless
+  /// another upstream was expected.
+  Verdict ResponseVerdict() const;
+  /// Logs the status of a response that is not passed on, since callers would
+  /// take it for a statement that its upstream did not make.
+  void LogUnmarkedRefusal() const;
   /// Whether a response may go on with the stream that was begun: it has the
   /// same status, and the same media type if the first response named one.
   bool ContinuesStream(const proxy::ResponseHead& head) const;
--- a/briarspread/forward/live_response.cc
+++ b/briarspread/forward/live_response.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "briarspread/forward/live_request.h"
+#include "briarspread/forward/response_verdict.h"
 
 namespace briarspread::forward {
 namespace {
@@ -18,6 +19,8 @@
 constexpr std::size_t kMaxUnsentBytes = std::size_t{256} * 1024;
 /// Both limits while little memory is free.
 constexpr std::size_t kMaxTightBytes = std::size_t{32} * 1024;
+/// Status of an upstream that is not the one expected.
+constexpr int kMisdirected = 421;
 
 }  // namespace
 
@@ -32,15 +35,18 @@
          head.headers.Find(context_.headers.signature) == nullptr;
 }
 
-bool LiveRequest::IsNotRun(const proxy::ResponseHead& head) const {
-  return head.status == 421 ||
-         head.headers.Find(context_.headers.not_run) != nullptr;
+Verdict LiveRequest::ResponseVerdict() const {
+  const Verdict verdict = VerdictOf(response_.head, context_.headers);
+  const bool is_harmless = verdict == Verdict::kMayHaveRun &&
+                           spec_.route.is_idempotent() &&
+                           response_.head.status != kMisdirected;
+  return is_harmless ? Verdict::kAnswered : verdict;
 }
 
 void LiveRequest::OnHead(const proxy::ResponseHead& head) {
   UpdateFromResponseHead(context_, *upstream_, head, attempt_started_);
   response_.head = head;
-  if (!IsNotRun(head)) RecordUsage();
+  if (ResponseVerdict() != Verdict::kNotRun) RecordUsage();
   if (IsUnsigned(head)) {
     exchange_->Cancel();
     EndAttempt();
@@ -107,7 +113,7 @@
 bool LiveRequest::CanForwardResponse() const {
   // After the start of a stream, the error response of the upstream that should
   // resume it is not passed on.
-  if (is_streaming_ || IsNotRun(response_.head)) return false;
+  if (is_streaming_ || ResponseVerdict() != Verdict::kAnswered) return false;
   return response_.head.status < 500 || !spec_.route.is_idempotent();
 }
 
@@ -115,10 +121,12 @@
   exchange_->Cancel();
   EndAttempt();
   context_.directory.RecordFailure(*upstream_);
-  const bool is_not_run = IsNotRun(response_.head);
+  const Verdict verdict = ResponseVerdict();
+  if (verdict == Verdict::kMayHaveRun) LogUnmarkedRefusal();
   response_ = {};
-  HandleFailure(is_not_run ? Verdict::kNotRun : Verdict::kMayHaveRun,
-                "endless_failure");
+  HandleFailure(
+      verdict == Verdict::kNotRun ? Verdict::kNotRun : Verdict::kMayHaveRun,
+      "endless_failure");
 }
 
 void LiveRequest::UpdateProgress(std::string_view data) {
@@ -204,9 +212,16 @@
     return;
   }
   const int status = response_.head.status;
-  if (IsNotRun(response_.head)) {
-    HandleFailure(Verdict::kNotRun, "upstream_refused");
-    return;
+  switch (ResponseVerdict()) {
+    case Verdict::kNotRun:
+      HandleFailure(Verdict::kNotRun, "upstream_refused");
+      return;
+    case Verdict::kMayHaveRun:
+      LogUnmarkedRefusal();
+      HandleFailure(Verdict::kMayHaveRun, "unmarked_refusal");
+      return;
+    case Verdict::kAnswered:
+      break;
   }
   context_.directory.RecordSuccess(*upstream_);
   UpdateServiceTime();
@@ -221,6 +236,12 @@
   Respond(std::move(response_));
 }
 
+void LiveRequest::LogUnmarkedRefusal() const {
+  LOG(WARNING) << "event=unmarked_refusal request=" << AttemptId()
+               << " upstream=" << *upstream_
+               << " status=" << response_.head.status;
+}
+
 void LiveRequest::OnStreamEnd() {
   if (relay_.has_value() && relay_->has_partial()) {
     // The body ended in the middle of an event, although the connection ended
--- a/briarspread/forward/relayed_exchange.cc
+++ b/briarspread/forward/relayed_exchange.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "briarspread/proxy/http_message.h"
+
 namespace briarspread::forward {
 namespace {
 
@@ -12,6 +14,12 @@
 /// the process, the sender may no longer want it.
 constexpr milliseconds kMaxTimeToDirect{1000};
 
+/// Whether a peer gives this status to a request that its handlers have seen.
+/// Any other one without an outcome comes from before they do.
+bool IsFailureInHandler(int status) {
+  return status >= 500 && !proxy::PromisesNotRun(status);
+}
+
 }  // namespace
 
 std::string FormatRelayFailure(const proxy::ExchangeFailure& failure) {
@@ -111,6 +119,12 @@
 
 void RelayedExchange::OnHead(const proxy::ResponseHead& head) {
   const std::string* outcome = head.headers.Find(kRelayOutcomeHeader);
+  if (outcome == nullptr && IsFailureInHandler(head.status)) {
+    // The peer may have relayed the request before it failed.
+    failure_ = proxy::ExchangeFailure{};
+    failure_->was_relayed = true;
+    return;
+  }
   if (outcome == nullptr || *outcome == kRelayRefused) {
     // An instance that does not know the path has not relayed the request.
     peers_.RecordUnusable(*peer_);
--- a/tests/forward/relayed_exchange_test.cc
+++ b/tests/forward/relayed_exchange_test.cc
@@ -25,6 +25,10 @@
   }
   void OnRequest(proxy::Request request, ResponderPtr responder) override {
     ++requests;
+    if (fails_with.has_value()) {
+      responder->Send(proxy::MakeResponse(*fails_with, "{}"));
+      return;
+    }
     if (!knows_path || !handler.TryAnswer(request, responder)) {
       responder->Send(proxy::MakeResponse(404, "{}"));
     }
@@ -38,6 +42,8 @@
   int requests = 0;
   /// False for an instance of a build that does not relay.
   bool knows_path = true;
+  /// Status of an answer that its handlers did not make.
+  std::optional<int> fails_with;
 
  private:
   proxy::HttpListener listener_;
@@ -263,6 +269,23 @@
   REQUIRE(site.upstream.requests.size() == 8);
 }
 
+// Guards against a request that is sent twice because its peer failed after it
+// had relayed it.
+TEST_CASE("a request may have run if the peer fails without an outcome") {
+  for (const int status : {500, 504}) {
+    Site site(RespondWith(200, "whole"));
+    for (Peer& peer : site.peers) peer.fails_with = status;
+    site.Start();
+    site.AwaitEnd();
+    CAPTURE(status);
+    REQUIRE(site.listener.failure.has_value());
+    REQUIRE(site.listener.failure->verdict == Verdict::kMayHaveRun);
+    REQUIRE(site.listener.failure->was_relayed);
+    REQUIRE(site.upstream.requests.empty());
+    REQUIRE(site.peers[0].requests + site.peers[1].requests == 1);
+  }
+}
+
 TEST_CASE("a peer sends nothing to an upstream that is leaving") {
   Site site(RespondWith(200, ""));
   for (Peer& peer : site.peers) {
