Verdicts on crashing requests outlive restarts of the instances

Cause: evidence was told once, to the instances there at that time. A start asked nobody, though NoticeExchange can (as for departures and limits), and nothing was kept outside the instances' memory. The logs of the case show no suspect_verdict at a started instance before three crashes of its own.

--- a/briarspread/contracts/suspect_table.cc
+++ b/briarspread/contracts/suspect_table.cc
@@ -324,6 +324,25 @@
   DropOld();
 }
 
+bool SuspectTable::IsKnown(Fingerprint request) const {
+  return suspects_.contains(request) || cleared_.contains(request);
+}
+
+void SuspectTable::MergeUnknown(const SuspectDigest& digest) {
+  SuspectDigest unknown;
+  for (const CrashReport& it : digest.reports) {
+    CrashReport report = it;
+    std::erase_if(report.in_flight, [this](const InFlightRequest& request) {
+      return IsKnown(request.fingerprint);
+    });
+    unknown.reports.push_back(std::move(report));
+  }
+  for (const TrialRecord& it : digest.trials) {
+    if (!IsKnown(it.fingerprint)) unknown.trials.push_back(it);
+  }
+  Merge(unknown);
+}
+
 void SuspectTable::MergeTrial(const TrialRecord& trial, TimePoint now) {
   const auto it = suspects_.find(trial.fingerprint);
   if (it == suspects_.end()) return;
@@ -332,12 +351,17 @@
   suspect.last_trial = std::max(suspect.last_trial, now - trial.age);
 }
 
-InstanceId SelectTrialInstance(Fingerprint fingerprint,
-                               const std::vector<InstanceId>& instances) {
+std::vector<InstanceId> OrderVerdictKeepers(
+    Fingerprint request, const std::vector<InstanceId>& instances) {
   std::vector<std::string> names;
   names.reserve(instances.size());
   for (const InstanceId& it : instances) names.push_back(it.value());
-  return instances[RendezvousFirst(std::to_string(fingerprint.value()), names)];
+  std::vector<InstanceId> keepers;
+  for (const std::size_t i :
+       RendezvousOrder(std::to_string(request.value()), names)) {
+    keepers.push_back(instances[i]);
+  }
+  return keepers;
 }
 
 }  // namespace briarspread
--- a/briarspread/contracts/suspect_table.h
+++ b/briarspread/contracts/suspect_table.h
@@ -193,6 +193,10 @@
   SuspectDigest TakeUnpublished();
   /// Adds the contents of a peer's digest.
   void Merge(const SuspectDigest& digest);
+  /// Adds what a digest has on requests of which nothing is known here. For one
+  /// whose ages are less exact, since they come from another machine's wall
+  /// clock.
+  void MergeUnknown(const SuspectDigest& digest);
 
  private:
   /// The end of an upstream with the request in flight there.
@@ -220,6 +224,8 @@
   /// Drops crashes up to `time`. Returns whether that was new.
   bool Clear(Fingerprint request, TimePoint time);
   void MergeTrial(const TrialRecord& trial, TimePoint now);
+  /// Whether there are crashes or an answer of this request.
+  bool IsKnown(Fingerprint request) const;
   void Publish(Fingerprint request);
   /// Returns the requests with crashes, those that are refused first.
   std::vector<Fingerprint> SuspectsByWeight() const;
@@ -244,11 +250,11 @@
   std::set<Fingerprint> unpublished_;
 };
 
-/// Returns the instance, out of the live `instances`, that grants the trials of
-/// a request and keeps its verdict. Precondition: `instances` is not empty.
-/// Thread-safe.
-InstanceId SelectTrialInstance(Fingerprint fingerprint,
-                               const std::vector<InstanceId>& instances);
+/// Returns the live `instances` in the order in which they answer for a
+/// request: the first one grants its trials and keeps its verdict, the next one
+/// checks that it does. Thread-safe.
+std::vector<InstanceId> OrderVerdictKeepers(
+    Fingerprint request, const std::vector<InstanceId>& instances);
 
 }  // namespace briarspread
 
--- a/briarspread/forward/notice_exchange.cc
+++ b/briarspread/forward/notice_exchange.cc
@@ -47,7 +47,14 @@
 void NoticeExchange::OnInstancesChanged() {
   // Peers are queried also when they become known only after the start has
   // stopped waiting.
-  if (has_sent_queries_) return;
+  if (!has_sent_queries_) QueryPeers();
+}
+
+void NoticeExchange::QueryAgain() {
+  if (outstanding_queries_ == 0) QueryPeers();
+}
+
+void NoticeExchange::QueryPeers() {
   std::vector<Endpoint> peers = list_peers_();
   if (peers.empty()) return;
   has_sent_queries_ = true;
@@ -56,10 +63,6 @@
   const auto first = static_cast<std::ptrdiff_t>(random_.Next() % peers.size());
   std::rotate(peers.begin(), peers.begin() + first, peers.end());
   peers.resize(std::min(peers.size(), settings_.max_queried_peers));
-  QueryPeers(peers);
-}
-
-void NoticeExchange::QueryPeers(const std::vector<Endpoint>& peers) {
   outstanding_queries_ = peers.size();
   for (const Endpoint& peer : peers) {
     PeerCall call;
--- a/briarspread/forward/notice_exchange.h
+++ b/briarspread/forward/notice_exchange.h
@@ -62,6 +62,9 @@
   /// Queries peers for known notices the first time that there are peers. Must
   /// be called when the set of known instances changes.
   void OnInstancesChanged();
+  /// Queries peers once more, after a time in which notices may have been
+  /// missed. Does nothing while a query is under way.
+  void QueryAgain();
   /// Returns whether the initial query is over: the queried peers have
   /// responded or timed out, or no peer was known for twice `query_timeout`.
   bool is_initial_query_done() const { return is_initial_query_done_; }
@@ -73,7 +76,8 @@
 
  private:
   void Publish();
-  void QueryPeers(const std::vector<Endpoint>& peers);
+  /// Queries up to `max_queried_peers` peers. Does nothing if there are none.
+  void QueryPeers();
   void OnResponse(const Result<proxy::Response>& result);
   bool Merge(const std::string& body);
 
--- a/briarspread/forward/suspect_exchange.h
+++ b/briarspread/forward/suspect_exchange.h
@@ -30,6 +30,13 @@
                   FindGranter find_granter,
                   const NoticeExchangeSettings& settings);
 
+  /// As the functions of `NoticeExchange`.
+  void OnInstancesChanged() { exchange_.OnInstancesChanged(); }
+  void QueryAgain() { exchange_.QueryAgain(); }
+  bool is_initial_query_done() const {
+    return exchange_.is_initial_query_done();
+  }
+
   /// Handles a peer's request and returns true if its path is one of this
   /// object's; otherwise does nothing and returns false.
   bool TryAnswer(const proxy::Request& request,
--- a/tests/forward/crash_guard_test.cc
+++ b/tests/forward/crash_guard_test.cc
@@ -170,6 +170,21 @@
   REQUIRE_FALSE(fixture.one.IsRefused(kCrashing));
 }
 
+// Guards against review/15: a started instance asked nobody, and one that was
+// paused had missed what was told once.
+TEST_CASE("an instance asks for crashes at its start, and when told to") {
+  ExchangeFixture fixture;
+  fixture.two.peer_list = {};
+  for (int i = 0; i < 3; ++i) fixture.two.Crash(i, kCrashing);
+  fixture.one.exchange.OnInstancesChanged();
+  fixture.base.Await(
+      [&] { return fixture.one.exchange.is_initial_query_done(); });
+  REQUIRE(fixture.one.IsRefused(kCrashing));
+  for (int i = 3; i < 6; ++i) fixture.two.Crash(i, kHarmless);
+  fixture.one.exchange.QueryAgain();
+  fixture.base.Await([&] { return fixture.one.IsRefused(kHarmless); });
+}
+
 TEST_CASE("an answer at one instance ends the refusal at the other") {
   ExchangeFixture fixture;
   for (int i = 0; i < 3; ++i) fixture.one.Crash(i, kCrashing);
