An entry with an unknown service no longer ends all instances

Another writer's entry gives a known replica a service that nobody named; all edge processes end with SIGSEGV within 0.4 s, and requests of kept connections close without an answer.

Cause: UpstreamDirectory keeps a known upstream and takes over its listed service; the service's limit on open breakers was created for new upstreams only. table() read quotas_[service], a null pointer that this inserts.

Change: QuotaOf creates the limit wherever it is asked for; an upstream that changes its service gets a breaker under the new one; UpdateQuotas sets all limits and drops those of services without upstreams.

--- a/briarspread/forward/upstream_directory.cc
+++ b/briarspread/forward/upstream_directory.cc
@@ -133,6 +133,10 @@
       loaded.version =
           std::max(loaded.version, upstream.VersionOf(loaded.name));
     }
+    if (upstream.listed.service != listed.service) {
+      upstream.breaker = std::make_shared<CircuitBreaker>(
+          settings_.breaker, QuotaOf(listed.service));
+    }
     const bool leaves_now = listed.is_leaving && !upstream.listed.is_leaving;
     upstream.listed = std::move(listed);
     table_.reset();
@@ -141,10 +145,9 @@
   }
   if (it != known_.end()) Drop(listed.id);
   KnownUpstream upstream;
-  auto& quota = quotas_[listed.service];
-  if (quota == nullptr) quota = std::make_shared<EjectionQuota>();
   upstream.counters = std::make_shared<UpstreamCounters>();
-  upstream.breaker = std::make_shared<CircuitBreaker>(settings_.breaker, quota);
+  upstream.breaker = std::make_shared<CircuitBreaker>(settings_.breaker,
+                                                      QuotaOf(listed.service));
   upstream.load.slots = listed.slots;
   upstream.listed = std::move(listed);
   const UpstreamId id = upstream.listed.id;
@@ -258,13 +261,31 @@
   return it == known_.end() ? nullptr : &it->second;
 }
 
+std::shared_ptr<EjectionQuota> UpstreamDirectory::QuotaOf(
+    const ServiceName& service) {
+  std::shared_ptr<EjectionQuota>& quota = quotas_[service];
+  if (quota == nullptr) quota = std::make_shared<EjectionQuota>();
+  return quota;
+}
+
+void UpstreamDirectory::UpdateQuotas() {
+  std::map<ServiceName, std::uint32_t> live;
+  for (const auto& [id, upstream] : known_) {
+    std::uint32_t& count = live[upstream.listed.service];
+    if (!upstream.listed.is_leaving) ++count;
+  }
+  std::erase_if(quotas_,
+                [&live](const auto& it) { return !live.contains(it.first); });
+  for (const auto& [service, count] : live) {
+    QuotaOf(service)->SetLimit(count / 2);
+  }
+}
+
 const RoutingTable& UpstreamDirectory::table() {
   if (table_ != nullptr) return *table_;
   std::vector<UpstreamView> views;
-  std::map<ServiceName, std::uint32_t> live;
   for (const auto& [id, upstream] : known_) {
     const DiscoveredUpstream& listed = upstream.listed;
-    if (!listed.is_leaving) ++live[listed.service];
     ListedInstance row{
         id.value(),
         InstanceKind::kPlainService,
@@ -277,7 +298,7 @@
                                  upstream.counters, InstanceShare{},
                                  upstream.breaker, upstream.slow_start});
   }
-  for (const auto& [service, n] : live) quotas_[service]->SetLimit(n / 2);
+  UpdateQuotas();
   table_ = MakeRoutingTable(std::move(views), self_, links_);
   table_index_.clear();
   for (std::size_t i = 0; i < table_->upstreams.size(); ++i) {
--- a/briarspread/forward/upstream_directory.h
+++ b/briarspread/forward/upstream_directory.h
@@ -204,6 +204,11 @@
   InstanceShare ShareOf(const UpstreamId& id) const;
   void Drop(const UpstreamId& id);
   bool IsMassExpiry(const std::vector<UpstreamId>& ids) const;
+  /// Returns the service's limit on open circuit breakers.
+  std::shared_ptr<EjectionQuota> QuotaOf(const ServiceName& service);
+  /// Sets the limits by the upstreams that are live, and drops those of
+  /// services without upstreams.
+  void UpdateQuotas();
 
   const UpstreamDirectorySettings settings_;
   const Locality self_;
--- a/tests/platform/edge_input_test.cc
+++ b/tests/platform/edge_input_test.cc
@@ -181,5 +181,40 @@
   }
 }
 
+// Guards against review/11: such an entry, of another writer, ended all
+// instances at once.
+TEST_CASE("an entry that changes the service of a replica ends no instance") {
+  EdgeFixture fixture;
+  FakeReplica other(fixture.loop);
+  fixture.store.memory().Write("servers/other", other.Registration("desk"));
+  ReadyInstance one(fixture, fixture.Settings("one"));
+  ReadyInstance two(fixture, fixture.Settings("two"));
+  const auto call_both = [&] {
+    for (const ReadyInstance* it : {&one, &two}) {
+      REQUIRE(fixture.Call(*it->settings.frontend, "POST", "/plain/x")
+                  .head.status == 200);
+    }
+  };
+  for (int i = 0; i < 3; ++i) {
+    fixture.store.memory().Write(
+        "servers/desk",
+        fixture.replica.Registration("unheard-of-" + std::to_string(i)));
+    // Until neither instance sends anything there any more.
+    fixture.Await([&] {
+      const int before = fixture.replica.requests;
+      for (int n = 0; n < 8; ++n) call_both();
+      return fixture.replica.requests == before;
+    });
+    // The replica's own heartbeat restores its entry.
+    fixture.store.memory().Write("servers/desk",
+                                 fixture.replica.Registration("desk"));
+    fixture.Await([&] {
+      const int before = fixture.replica.requests;
+      call_both();
+      return fixture.replica.requests > before;
+    });
+  }
+}
+
 }  // namespace
 }  // namespace briarspread::platform
