A long answer that is no success gives no score

What trainers saw: an item whose reward call was answered by a 4xx of 1 MB was listed as complete, with the signature of that failure as its score.

Cause: RewardRun asked for a 2xx only where the answer came whole, not where it is passed on by its head.

Change: one function takes the score for both.

Evidence: job_runner_test "a long answer that is no success gives no score" fails on (a score for 404); all of batch_test passes now.

--- a/briarspread/batch/reward_run.cc
+++ b/briarspread/batch/reward_run.cc
@@ -59,20 +59,22 @@
   Finish();
 }
 
-void RewardRun::OnResponse(proxy::Response answer) {
-  const std::string* signature =
-      answer.head.headers.Find(context_.headers.signature);
-  if (proxy::IsSuccess(answer.head.status) && signature != nullptr) {
+void RewardRun::TakeScore(const proxy::ResponseHead& head) {
+  const std::string* signature = head.headers.Find(context_.headers.signature);
+  if (proxy::IsSuccess(head.status) && signature != nullptr) {
     outcome_.score = *signature;
   }
+}
+
+void RewardRun::OnResponse(proxy::Response answer) {
+  TakeScore(answer.head);
   // The request still uses this object, so `done`, which may destroy it, is
   // called later from the loop.
   timer_.After(milliseconds(0), [this] { Finish(); });
 }
 
 void RewardRun::OnResponseHead(const proxy::ResponseHead& head) {
-  const std::string* signature = head.headers.Find(context_.headers.signature);
-  if (signature != nullptr) outcome_.score = *signature;
+  TakeScore(head);
 }
 
 void RewardRun::OnResponseEnd() {
--- a/briarspread/batch/reward_run.h
+++ b/briarspread/batch/reward_run.h
@@ -45,6 +45,8 @@
   void OnResponseAborted() override;
 
  private:
+  /// Takes the signature of a successful response as the score.
+  void TakeScore(const proxy::ResponseHead& head);
   void Finish();
   /// Ends a call whose response does not end.
   void Abandon();
--- a/tests/batch/job_runner_test.cc
+++ b/tests/batch/job_runner_test.cc
@@ -382,5 +382,26 @@
   REQUIRE(outcome->score == "sig");
 }
 
+// Guards against a score that is the signature of a failure: an answer too long
+// to be kept is passed on by its head, whatever its status.
+TEST_CASE("a long answer that is no success gives no score") {
+  for (const int status : {404, 500}) {
+    CAPTURE(status);
+    JobRunnerFixture fixture;
+    const std::string body(1'000'000, 'x');
+    FakeUpstream rewards(fixture.loop, [&](const proxy::Request&,
+                                           const ResponderPtr& responder) {
+      responder->Send(forward::SignedResponse(fixture.headers, status, body));
+    });
+    fixture.Add("rewards", rewards);
+    std::optional<RewardOutcome> outcome;
+    RewardRun run(fixture.context, RewardCall{"r", "h", "/p/score", "body"},
+                  [&](const RewardOutcome& got) { outcome = got; });
+    run.Start();
+    fixture.Await([&] { return outcome.has_value(); });
+    REQUIRE(outcome->score.empty());
+  }
+}
+
 }  // namespace
 }  // namespace briarspread::batch
