--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -78,7 +78,7 @@
 }
 
 void SoakFaults::InjectFault() {
-  constexpr std::uint64_t kKinds = 8;
+  constexpr std::uint64_t kKinds = 10;
   switch (random_.Below(kKinds)) {
     case 0:
       SignalEdge("kill", SIGKILL);
@@ -101,6 +101,12 @@
     case 6:
       CrashReplica();
       break;
+    case 7:
+      MakeReplicaIll();
+      break;
+    case 8:
+      OverwriteEntry();
+      break;
     default:
       ChangeConfiguration();
   }
@@ -175,14 +181,32 @@
   });
 }
 
+SoakReplica& SoakFaults::RandomReplica() {
+  return *targets_.replicas[random_.Below(targets_.replicas.size())];
+}
+
 void SoakFaults::CrashReplica() {
-  SoakReplica& replica =
-      *targets_.replicas[random_.Below(targets_.replicas.size())];
   ++counts_["replica"];
-  replica.Crash(
+  RandomReplica().Crash(
       milliseconds(500 + static_cast<std::int64_t>(random_.Below(2000))));
 }
 
+void SoakFaults::MakeReplicaIll() {
+  SoakReplica& replica = RandomReplica();
+  ++counts_["ill"];
+  replica.SetIll(true);
+  ScheduleEnd(milliseconds(300), milliseconds(3000),
+              [&replica] { replica.SetIll(false); });
+}
+
+void SoakFaults::OverwriteEntry() {
+  SoakReplica& replica = RandomReplica();
+  ++counts_["entry"];
+  replica.OverwriteEntry("unknown-" + std::to_string(random_.Below(3)));
+  ScheduleEnd(milliseconds(100), milliseconds(1200),
+              [&replica] { replica.RestoreEntry(); });
+}
+
 void SoakFaults::ChangeConfiguration() {
   ++counts_["configuration"];
   configuration_ += 1 + random_.Below(3);
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -45,6 +45,9 @@
   void FaultStore();
   void FaultLink();
   void CrashReplica();
+  void MakeReplicaIll();
+  void OverwriteEntry();
+  SoakReplica& RandomReplica();
   void ChangeConfiguration();
   /// Calls `end` after a random time between `least` and `most`.
   void ScheduleEnd(milliseconds least, milliseconds most,
--- a/tests/soak/soak_replica.cc
+++ b/tests/soak/soak_replica.cc
@@ -43,7 +43,7 @@
   Register();
 }
 
-void SoakReplica::Register() {
+void SoakReplica::WriteEntry(const std::string& service) {
   Json models = Json::array();
   for (std::size_t i = 0; i < versions_.size(); ++i) {
     models.push_back({{"Name", "m" + std::to_string(i)},
@@ -51,7 +51,7 @@
                       {"Adapters", Json::array()}});
   }
   const Json entry = {
-      {"Service", settings_.service},
+      {"Service", service},
       {"Address", "127.0.0.1:" + std::to_string(settings_.registered_port)},
       {"Zone", settings_.zone},
       {"Slots", settings_.slots},
@@ -137,6 +137,10 @@
                                 incarnation = incarnation_] {
     if (incarnation != incarnation_) return;
     --running_;
+    if (is_ill_) {
+      responder->Send(proxy::MakeResponse(503, "{}"));
+      return;
+    }
     if (is_score) context_.record.RecordScored(id.substr(6));
     proxy::Response response = proxy::MakeResponse(200, SoakRecord::BodyOf(id));
     response.head.headers.Add("X-Attempt-Id", id);
--- a/tests/soak/soak_replica.h
+++ b/tests/soak/soak_replica.h
@@ -47,6 +47,15 @@
   /// Simulates a crash: drops all runs without a response and removes the store
   /// entry. The replica restarts and registers again after `after`.
   void Crash(milliseconds after);
+  /// Sets whether requests fail with 503 after they have run, without the
+  /// statement that they did not.
+  void SetIll(bool is_ill) { is_ill_ = is_ill; }
+  /// Writes the replica's entry as another writer would, with another service.
+  void OverwriteEntry(const std::string& service) { WriteEntry(service); }
+  /// Writes the replica's own entry, unless it is down.
+  void RestoreEntry() {
+    if (is_up_) Register();
+  }
   const std::string& name() const { return settings_.name; }
 
  private:
@@ -54,7 +63,8 @@
   /// Event stream of an item.
   struct Stream;
 
-  void Register();
+  void Register() { WriteEntry(settings_.service); }
+  void WriteEntry(const std::string& service);
   void Refuse(proxy::Responder& responder, int status);
   /// Records a violation if a request carries a key or the wrong account.
   void CheckAccount(const proxy::Request& request);
@@ -77,6 +87,7 @@
   std::uint32_t running_ = 0;
   bool is_loading_ = false;
   bool is_up_ = true;
+  bool is_ill_ = false;
   /// Loaded weight versions by model index.
   std::vector<std::uint64_t> versions_ = {1, 1};
 };
