A stored verdict is taken over also by an instance that saw a crash since

Cause: DurableSuspects merged stored verdicts only for requests of which nothing was known here. An instance that could not read the store at its start, and then saw one crash of a request, left out the verdict on it.

Change: left out are only requests refused or answered here, whose own times are more exact (SuspectTable::MergeInexact).

That the test fails with the former condition follows from reading; it was not run.

--- a/briarspread/contracts/suspect_table.cc
+++ b/briarspread/contracts/suspect_table.cc
@@ -324,23 +324,20 @@
   DropOld();
 }
 
-bool SuspectTable::IsKnown(Fingerprint request) const {
-  return suspects_.contains(request) || cleared_.contains(request);
-}
-
-void SuspectTable::MergeUnknown(const SuspectDigest& digest) {
-  SuspectDigest unknown;
+void SuspectTable::MergeInexact(const SuspectDigest& digest) {
+  SuspectDigest undecided;
   for (const CrashReport& it : digest.reports) {
     CrashReport report = it;
     std::erase_if(report.in_flight, [this](const InFlightRequest& request) {
-      return IsKnown(request.fingerprint);
+      return IsRefused(request.fingerprint) ||
+             cleared_.contains(request.fingerprint);
     });
-    unknown.reports.push_back(std::move(report));
+    undecided.reports.push_back(std::move(report));
   }
   for (const TrialRecord& it : digest.trials) {
-    if (!IsKnown(it.fingerprint)) unknown.trials.push_back(it);
+    if (!cleared_.contains(it.fingerprint)) undecided.trials.push_back(it);
   }
-  Merge(unknown);
+  Merge(undecided);
 }
 
 void SuspectTable::MergeTrial(const TrialRecord& trial, TimePoint now) {
--- a/briarspread/contracts/suspect_table.h
+++ b/briarspread/contracts/suspect_table.h
@@ -193,10 +193,10 @@
   SuspectDigest TakeUnpublished();
   /// Adds the contents of a peer's digest.
   void Merge(const SuspectDigest& digest);
-  /// Adds what a digest has on requests of which nothing is known here. For one
-  /// whose ages are less exact, since they come from another machine's wall
-  /// clock.
-  void MergeUnknown(const SuspectDigest& digest);
+  /// Adds the contents of a digest whose ages are less exact, since they come
+  /// from another machine's wall clock. Its crashes are left out of requests
+  /// that are refused or were answered here.
+  void MergeInexact(const SuspectDigest& digest);
 
  private:
   /// The end of an upstream with the request in flight there.
@@ -224,8 +224,6 @@
   /// Drops crashes up to `time`. Returns whether that was new.
   bool Clear(Fingerprint request, TimePoint time);
   void MergeTrial(const TrialRecord& trial, TimePoint now);
-  /// Whether there are crashes or an answer of this request.
-  bool IsKnown(Fingerprint request) const;
   void Publish(Fingerprint request);
   /// Returns the requests with crashes, those that are refused first.
   std::vector<Fingerprint> SuspectsByWeight() const;
--- a/briarspread/forward/durable_suspects.cc
+++ b/briarspread/forward/durable_suspects.cc
@@ -111,7 +111,7 @@
     read_timer_.After(settings_.retry_delay, [this] { Read(); });
     return;
   }
-  table_.MergeUnknown(Parse(ValueOf(stored)));
+  table_.MergeInexact(Parse(ValueOf(stored)));
   is_initial_read_done_ = true;
 }
 
@@ -158,7 +158,7 @@
 
 void DurableSuspects::Write(const Stored& stored) {
   const SuspectDigest kept = Parse(stored);
-  table_.MergeUnknown(kept);
+  table_.MergeInexact(kept);
   const SuspectDigest verdicts = table_.Verdicts(settings_.max_requests);
   const Contents contents = ContentsOf(verdicts);
   if (contents == ContentsOf(kept)) return;
--- a/tests/forward/durable_suspects_test.cc
+++ b/tests/forward/durable_suspects_test.cc
@@ -206,9 +206,23 @@
   two.table.Merge(one.table.All());
   two.table.RecordAnswer(kCrashing);
   // A writer's wall clock that is far ahead makes its crashes look new.
-  two.table.MergeUnknown(one.table.All());
+  two.table.MergeInexact(one.table.All());
   REQUIRE_FALSE(two.table.has_suspects());
 }
 
+TEST_CASE("a stored verdict is taken over by who has seen one crash since") {
+  Site site;
+  Site::Instance one(site, "one", 0);
+  one.Crash(kCrashing);
+  site.Await([&] { return site.IsKept(); });
+  Site::Instance two(site, "two", 0);
+  const TimePoint sent = site.clock.Now();
+  site.clock.Advance(seconds(1));
+  two.table.RecordCrash(UpstreamId("later"),
+                        {{kCrashing, sent, site.clock.Now()}});
+  two.Start();
+  REQUIRE(two.table.IsRefused(kCrashing));
+}
+
 }  // namespace
 }  // namespace briarspread::forward
