A refused crasher is convicted; "verdict" is left to exchanges

A newcomer met two things called verdict: the outcome of an exchange (Verdict, in the glossary) and the state of a request that is refused because it crashes upstreams, which the glossary calls a conviction. The observer of the table is called at one place (NotifyIfChanged) in place of three.

--- a/briarspread/contracts/suspect_table.cc
+++ b/briarspread/contracts/suspect_table.cc
@@ -32,7 +32,7 @@
       clock_(clock),
       answers_(settings.recent_answers, clock) {}
 
-// --- Verdicts
+// --- Convictions
 
 std::vector<const SuspectTable::Crash*> SuspectTable::Independent(
     const Suspect& suspect) const {
@@ -55,7 +55,7 @@
   return it == suspects_.end() ? 0 : Independent(it->second).size();
 }
 
-bool SuspectTable::IsGuilty(const Suspect& suspect) const {
+bool SuspectTable::IsConvicted(const Suspect& suspect) const {
   return suspect.crashes.size() >= settings_.max_crashes &&
          Independent(suspect).size() >= settings_.max_crashes;
 }
@@ -63,7 +63,7 @@
 std::size_t SuspectTable::refused_count() const {
   return static_cast<std::size_t>(
       std::count_if(suspects_.begin(), suspects_.end(),
-                    [this](const auto& it) { return IsGuilty(it.second); }));
+                    [this](const auto& it) { return IsConvicted(it.second); }));
 }
 
 std::size_t SuspectTable::crash_count() const {
@@ -84,7 +84,7 @@
 
 SuspectAdmission SuspectTable::Decide(Fingerprint request) const {
   const auto it = suspects_.find(request);
-  if (it == suspects_.end() || !IsGuilty(it->second)) {
+  if (it == suspects_.end() || !IsConvicted(it->second)) {
     return SuspectAdmission::kRun;
   }
   const Suspect& suspect = it->second;
@@ -96,7 +96,7 @@
 std::optional<Duration> SuspectTable::TimeUntilTrial(
     Fingerprint request) const {
   const auto it = suspects_.find(request);
-  if (it == suspects_.end() || !IsGuilty(it->second) ||
+  if (it == suspects_.end() || !IsConvicted(it->second) ||
       it->second.trials >= settings_.max_trials) {
     return std::nullopt;
   }
@@ -109,7 +109,7 @@
   ++suspect.trials;
   suspect.last_trial = clock_.Now();
   Publish(request);
-  if (on_verdict_) on_verdict_(request);
+  if (on_conviction_changed_) on_conviction_changed_(request);
   return true;
 }
 
@@ -136,7 +136,7 @@
   const auto cleared = cleared_.find(request);
   if (cleared != cleared_.end() && crash.broke <= cleared->second) return false;
   Suspect& suspect = suspects_[request];
-  const bool was_guilty = IsGuilty(suspect);
+  const bool was_convicted = IsConvicted(suspect);
   std::vector<Crash>& crashes = suspect.crashes;
   const auto known = std::find_if(
       crashes.begin(), crashes.end(),
@@ -151,10 +151,15 @@
       [](const Crash& a, const Crash& b) { return a.broke < b.broke; });
   crashes.insert(place, crash);
   Trim(suspect);
-  if (IsGuilty(suspect) != was_guilty && on_verdict_) on_verdict_(request);
+  NotifyIfChanged(request, was_convicted);
   return true;
 }
 
+void SuspectTable::NotifyIfChanged(Fingerprint request, bool was_convicted) {
+  if (IsRefused(request) == was_convicted) return;
+  if (on_conviction_changed_) on_conviction_changed_(request);
+}
+
 void SuspectTable::Trim(Suspect& suspect) const {
   if (suspect.crashes.size() <= settings_.max_crashes_held) return;
   const std::vector<const Crash*> chain = Independent(suspect);
@@ -171,14 +176,13 @@
   retracted_[upstream] = clock_.Now();
   for (auto it = suspects_.begin(); it != suspects_.end();) {
     auto& [request, suspect] = *it;
-    const bool was_guilty = IsGuilty(suspect);
+    const bool was_convicted = IsConvicted(suspect);
     std::erase_if(suspect.crashes, [&upstream](const Crash& crash) {
       return crash.upstream == upstream;
     });
-    const bool is_guilty = !suspect.crashes.empty() && IsGuilty(suspect);
     const Fingerprint changed = request;
     it = suspect.crashes.empty() ? suspects_.erase(it) : std::next(it);
-    if (was_guilty && !is_guilty && on_verdict_) on_verdict_(changed);
+    NotifyIfChanged(changed, was_convicted);
   }
   KeepNewest(retracted_, settings_.max_clearances);
 }
@@ -197,16 +201,16 @@
   const auto it = suspects_.find(request);
   if (it == suspects_.end()) return true;
   Suspect& suspect = it->second;
-  const bool was_guilty = IsGuilty(suspect);
+  const bool was_convicted = IsConvicted(suspect);
   std::erase_if(suspect.crashes,
                 [time](const Crash& crash) { return crash.broke <= time; });
-  const bool is_guilty = !suspect.crashes.empty() && IsGuilty(suspect);
-  if (!is_guilty) {
+  const bool is_convicted = !suspect.crashes.empty() && IsConvicted(suspect);
+  if (!is_convicted) {
     suspect.trials = 0;
     suspect.last_trial = {};
   }
   if (suspect.crashes.empty()) suspects_.erase(it);
-  if (was_guilty && !is_guilty && on_verdict_) on_verdict_(request);
+  NotifyIfChanged(request, was_convicted);
   return true;
 }
 
@@ -223,9 +227,9 @@
     suspects_.erase(std::min_element(
         suspects_.begin(), suspects_.end(),
         [this](const auto& a, const auto& b) {
-          return std::make_pair(IsGuilty(a.second),
+          return std::make_pair(IsConvicted(a.second),
                                 a.second.crashes.back().broke) <
-                 std::make_pair(IsGuilty(b.second),
+                 std::make_pair(IsConvicted(b.second),
                                 b.second.crashes.back().broke);
         }));
   }
@@ -276,7 +280,7 @@
   for (const auto& [request, suspect] : suspects_) requests.push_back(request);
   std::stable_partition(
       requests.begin(), requests.end(),
-      [this](Fingerprint it) { return IsGuilty(suspects_.at(it)); });
+      [this](Fingerprint it) { return IsConvicted(suspects_.at(it)); });
   return requests;
 }
 
@@ -288,10 +292,11 @@
   return DigestOf(requests);
 }
 
-SuspectDigest SuspectTable::Verdicts(std::size_t max_requests) const {
+SuspectDigest SuspectTable::Convictions(std::size_t max_requests) const {
   std::vector<Fingerprint> requests = SuspectsByWeight();
-  std::erase_if(requests,
-                [this](Fingerprint it) { return !IsGuilty(suspects_.at(it)); });
+  std::erase_if(requests, [this](Fingerprint it) {
+    return !IsConvicted(suspects_.at(it));
+  });
   std::sort(requests.begin(), requests.end(), [this](auto a, auto b) {
     return suspects_.at(a).crashes.back().broke >
            suspects_.at(b).crashes.back().broke;
@@ -348,7 +353,7 @@
   suspect.last_trial = std::max(suspect.last_trial, now - trial.age);
 }
 
-std::vector<InstanceId> OrderVerdictKeepers(
+std::vector<InstanceId> OrderConvictionKeepers(
     Fingerprint request, const std::vector<InstanceId>& instances) {
   std::vector<std::string> names;
   names.reserve(instances.size());
--- a/briarspread/contracts/suspect_table.h
+++ b/briarspread/contracts/suspect_table.h
@@ -88,7 +88,7 @@
   /// this long after the first crash for the second to be independent: ages
   /// from another instance are late by the time that the digest took.
   milliseconds transfer_margin{100};
-  /// How long crashes count, and a verdict holds, without further evidence.
+  /// How long crashes count, and a conviction holds, without further evidence.
   seconds time_to_live{86'400};
   /// How long a clearance is kept for reports that come later.
   seconds clearance_time{600};
@@ -131,8 +131,8 @@
 /// refused, and may run again only in few trials, at growing intervals.
 ///
 /// Evidence of all instances is merged by union, in any order, so that all come
-/// to the same verdict and a verdict survives the instances that found it. Must
-/// be used on one thread.
+/// to the same conviction and a conviction survives the instances that found
+/// it. Must be used on one thread.
 class SuspectTable {
  public:
   /// A request whose exchange broke off at an upstream that has ended.
@@ -151,8 +151,9 @@
     on_unpublished_ = std::move(on_unpublished);
   }
   /// Called when a request becomes refused, is tried, or is no longer refused.
-  void SetOnVerdict(std::function<void(Fingerprint)> on_verdict) {
-    on_verdict_ = std::move(on_verdict);
+  void SetOnConvictionChanged(
+      std::function<void(Fingerprint)> on_conviction_changed) {
+    on_conviction_changed_ = std::move(on_conviction_changed);
   }
 
   /// Returns whether any request has crashes that count. Callers check this
@@ -186,9 +187,9 @@
 
   /// Returns all evidence held.
   SuspectDigest All() const;
-  /// Returns the evidence for the verdicts in force, at most `max_requests`:
+  /// Returns the evidence for the convictions in force, at most `max_requests`:
   /// those with the newest crashes.
-  SuspectDigest Verdicts(std::size_t max_requests) const;
+  SuspectDigest Convictions(std::size_t max_requests) const;
   /// Returns what was not published yet, and counts it as published.
   SuspectDigest TakeUnpublished();
   /// Adds the contents of a peer's digest.
@@ -215,8 +216,10 @@
 
   /// Returns the largest chain of independent crashes, oldest first.
   std::vector<const Crash*> Independent(const Suspect& suspect) const;
-  bool IsGuilty(const Suspect& suspect) const;
+  bool IsConvicted(const Suspect& suspect) const;
   TimePoint NextTrial(const Suspect& suspect) const;
+  /// Calls the observer if whether the request is refused has changed.
+  void NotifyIfChanged(Fingerprint request, bool was_convicted);
   /// Returns whether the crash counts, and was not known as it is.
   bool Add(Fingerprint request, const Crash& crash);
   /// Keeps the number of crashes of one request in its limit.
@@ -236,7 +239,7 @@
   const InstanceId self_;
   const Clock& clock_;
   std::function<void()> on_unpublished_;
-  std::function<void(Fingerprint)> on_verdict_;
+  std::function<void(Fingerprint)> on_conviction_changed_;
   /// Requests with crashes that count.
   std::map<Fingerprint, Suspect> suspects_;
   /// Time of the last answer that is known, by request.
@@ -249,9 +252,9 @@
 };
 
 /// Returns the live `instances` in the order in which they answer for a
-/// request: the first one grants its trials and keeps its verdict, the next one
-/// checks that it does. Thread-safe.
-std::vector<InstanceId> OrderVerdictKeepers(
+/// request: the first one grants its trials and keeps its conviction, the next
+/// one checks that it does. Thread-safe.
+std::vector<InstanceId> OrderConvictionKeepers(
     Fingerprint request, const std::vector<InstanceId>& instances);
 
 }  // namespace briarspread
--- a/briarspread/forward/crash_guard.cc
+++ b/briarspread/forward/crash_guard.cc
@@ -39,19 +39,20 @@
     : settings_(settings),
       clock_(clock),
       table_(settings.suspects, self, clock) {
-  table_.SetOnVerdict([this](Fingerprint request) { OnVerdict(request); });
+  table_.SetOnConvictionChanged(
+      [this](Fingerprint request) { OnConvictionChanged(request); });
 }
 
-void CrashGuard::OnVerdict(Fingerprint request) {
+void CrashGuard::OnConvictionChanged(Fingerprint request) {
   const auto until_trial = table_.TimeUntilTrial(request);
   LOG(WARNING)
-      << "event=suspect_verdict fingerprint=" << request
+      << "event=conviction_changed fingerprint=" << request
       << " is_refused=" << table_.IsRefused(request)
       << " crashes=" << table_.CountCrashes(request) << " trial_in_ms="
       << (until_trial.has_value()
               ? std::chrono::duration_cast<milliseconds>(*until_trial).count()
               : -1);
-  if (on_verdict_) on_verdict_(request);
+  if (on_conviction_changed_) on_conviction_changed_(request);
 }
 
 void CrashGuard::DropOld() {
--- a/briarspread/forward/crash_guard.h
+++ b/briarspread/forward/crash_guard.h
@@ -54,11 +54,12 @@
              const Clock& clock);
 
   /// Called when a request becomes refused, is tried, or is no longer refused.
-  void SetOnVerdict(std::function<void(Fingerprint)> on_verdict) {
-    on_verdict_ = std::move(on_verdict);
+  void SetOnConvictionChanged(
+      std::function<void(Fingerprint)> on_conviction_changed) {
+    on_conviction_changed_ = std::move(on_conviction_changed);
   }
 
-  /// The evidence and its verdicts.
+  /// The evidence and its convictions.
   SuspectTable& table() { return table_; }
   const SuspectTable& table() const { return table_; }
 
@@ -81,12 +82,12 @@
   };
 
   void DropOld();
-  void OnVerdict(Fingerprint request);
+  void OnConvictionChanged(Fingerprint request);
 
   const CrashGuardSettings settings_;
   const Clock& clock_;
   SuspectTable table_;
-  std::function<void(Fingerprint)> on_verdict_;
+  std::function<void(Fingerprint)> on_conviction_changed_;
   /// Ordered by time, oldest first.
   std::deque<BrokenExchange> broken_exchanges_;
   /// Starts that have ended, and when.
--- a/briarspread/forward/durable_suspects.cc
+++ b/briarspread/forward/durable_suspects.cc
@@ -17,7 +17,7 @@
   return std::chrono::duration_cast<milliseconds>(time.time_since_epoch());
 }
 
-/// What verdicts state, apart from the times.
+/// What convictions state, apart from the times.
 struct Contents {
   std::set<std::pair<Fingerprint, UpstreamId>> crashes;
   std::map<Fingerprint, std::uint32_t> trials;
@@ -25,14 +25,14 @@
   friend bool operator==(const Contents&, const Contents&) = default;
 };
 
-Contents ContentsOf(const SuspectDigest& verdicts) {
+Contents ContentsOf(const SuspectDigest& convictions) {
   Contents contents;
-  for (const CrashReport& report : verdicts.reports) {
+  for (const CrashReport& report : convictions.reports) {
     for (const InFlightRequest& it : report.in_flight) {
       contents.crashes.emplace(it.fingerprint, report.upstream);
     }
   }
-  for (const TrialRecord& it : verdicts.trials) {
+  for (const TrialRecord& it : convictions.trials) {
     contents.trials[it.fingerprint] = it.count;
   }
   return contents;
@@ -48,10 +48,10 @@
 
 }  // namespace
 
-std::string EncodeStoredSuspects(const SuspectDigest& verdicts,
+std::string EncodeStoredSuspects(const SuspectDigest& convictions,
                                  WallTime written) {
   const Json json{{"written_ms", SinceEpoch(written).count()},
-                  {"evidence", ToJson(verdicts)}};
+                  {"evidence", ToJson(convictions)}};
   return json.dump();
 }
 
@@ -59,16 +59,16 @@
   try {
     const Json json = Json::parse(text);
     const milliseconds written(json.at("written_ms").get<std::int64_t>());
-    auto verdicts =
+    auto convictions =
         ParseSuspectDigest(json.at("evidence").get_ref<const std::string&>());
-    if (!IsOk(verdicts)) return verdicts;
+    if (!IsOk(convictions)) return convictions;
     // Another machine's wall clock may be ahead of this one's.
     const milliseconds age =
         std::max(milliseconds(0), SinceEpoch(now) - written);
-    return Aged(std::move(ValueOf(verdicts)), age);
+    return Aged(std::move(ValueOf(convictions)), age);
   } catch (const Json::exception& e) {
     return Error{ErrorCode::kInvalidArgument, Verdict::kNotRun,
-                 std::string("stored verdicts: ") + e.what()};
+                 std::string("stored convictions: ") + e.what()};
   }
 }
 
@@ -117,16 +117,16 @@
 
 SuspectDigest DurableSuspects::Parse(const Stored& stored) const {
   if (!stored.has_value()) return {};
-  auto verdicts = ParseStoredSuspects(stored->value, clock_.WallNow());
-  if (IsOk(verdicts)) return std::move(ValueOf(verdicts));
+  auto convictions = ParseStoredSuspects(stored->value, clock_.WallNow());
+  if (IsOk(convictions)) return std::move(ValueOf(convictions));
   LOG(WARNING) << "event=stored_suspects_malformed reason=\""
-               << ErrorOf(verdicts).message << "\"";
+               << ErrorOf(convictions).message << "\"";
   return {};
 }
 
 // --- Writing
 
-void DurableSuspects::OnVerdict(Fingerprint request) {
+void DurableSuspects::OnConvictionChanged(Fingerprint request) {
   const std::size_t rank = rank_(request);
   if (rank >= settings_.max_writers) return;
   ScheduleSave(settings_.write_delay +
@@ -159,15 +159,16 @@
 void DurableSuspects::Write(const Stored& stored) {
   const SuspectDigest kept = Parse(stored);
   table_.MergeInexact(kept);
-  const SuspectDigest verdicts = table_.Verdicts(settings_.max_requests);
-  const Contents contents = ContentsOf(verdicts);
+  const SuspectDigest convictions = table_.Convictions(settings_.max_requests);
+  const Contents contents = ContentsOf(convictions);
   if (contents == ContentsOf(kept)) return;
   is_saving_ = true;
   StoreTransaction put;
   put.conditions.push_back(
       {kKey, stored.has_value() ? stored->index : StoreIndex()});
-  put.writes.push_back(
-      {kKey, EncodeStoredSuspects(verdicts, clock_.WallNow()), StoreLeaseId()});
+  put.writes.push_back({kKey,
+                        EncodeStoredSuspects(convictions, clock_.WallNow()),
+                        StoreLeaseId()});
   store_.Commit(std::move(put), [this, requests = CountRequests(contents)](
                                     const Result<StoreOutcome>& outcome) {
     OnWritten(outcome, requests);
@@ -179,7 +180,8 @@
   is_saving_ = false;
   const bool is_kept =
       IsOk(outcome) && std::holds_alternative<StoreCommitted>(ValueOf(outcome));
-  LOG(INFO) << "event=" << (is_kept ? "verdicts_kept" : "verdicts_not_kept")
+  LOG(INFO) << "event="
+            << (is_kept ? "convictions_kept" : "convictions_not_kept")
             << " requests=" << requests;
   if (!is_kept) ScheduleSave(settings_.retry_delay);
 }
--- a/briarspread/forward/durable_suspects.h
+++ b/briarspread/forward/durable_suspects.h
@@ -15,11 +15,11 @@
 
 /// Settings of `DurableSuspects`.
 struct DurableSuspectsSettings {
-  /// Verdicts that follow each other within this time are written together.
+  /// Convictions that follow each other within this time are written together.
   milliseconds write_delay{100};
-  /// How much later each further writer checks that a verdict was written.
+  /// How much later each further writer checks that a conviction was written.
   milliseconds backup_delay{2000};
-  /// Number of instances that write a verdict or check that it was written.
+  /// Number of instances that write a conviction or check that it was written.
   std::size_t max_writers = 2;
   /// Time until a call to the store that failed is repeated.
   milliseconds retry_delay{1000};
@@ -31,22 +31,23 @@
   std::size_t max_requests = 128;
 };
 
-/// Serializes verdicts for the store. Ages count from `written`. Thread-safe.
-std::string EncodeStoredSuspects(const SuspectDigest& verdicts,
+/// Serializes convictions for the store. Ages count from `written`.
+/// Thread-safe.
+std::string EncodeStoredSuspects(const SuspectDigest& convictions,
                                  WallTime written);
-/// Parses stored verdicts, with their ages at `now`. Returns `kInvalidArgument`
-/// if the text is malformed. Thread-safe.
+/// Parses stored convictions, with their ages at `now`. Returns
+/// `kInvalidArgument` if the text is malformed. Thread-safe.
 Result<SuspectDigest> ParseStoredSuspects(std::string_view text, WallTime now);
 
 /// Keeps the requests that are refused because they crash upstreams in the
 /// store, so that instances that all start at once still refuse them. The store
-/// is read after a start, and called when a verdict changes; otherwise not.
+/// is read after a start, and called when a conviction changes; otherwise not.
 /// Must be used on the event loop's thread only.
 class DurableSuspects final {
  public:
-  static constexpr char kKey[] = "suspects/verdicts";
+  static constexpr char kKey[] = "suspects/convictions";
   /// Returns this instance's rank among the live ones for a request, from 0.
-  /// The first ones write its verdict.
+  /// The first ones write its conviction.
   using RankFunction = std::function<std::size_t(Fingerprint)>;
 
   /// Precondition: references outlive this object, and this object outlives its
@@ -55,18 +56,18 @@
                   AsyncStore& store, const Clock& clock, RankFunction rank,
                   const DurableSuspectsSettings& settings);
 
-  /// Reads the stored verdicts, and repeats it until the store answers. Must be
-  /// called once.
+  /// Reads the stored convictions, and repeats it until the store answers. Must
+  /// be called once.
   void Start();
-  /// Reads the stored verdicts again, after a time in which this instance may
-  /// have missed some.
+  /// Reads the stored convictions again, after a time in which this instance
+  /// may have missed some.
   void ReadAgain();
-  /// Returns whether a start need not wait any longer: the verdicts were read,
-  /// or `max_start_wait` is over.
+  /// Returns whether a start need not wait any longer: the convictions were
+  /// read, or `max_start_wait` is over.
   bool is_initial_read_done() const { return is_initial_read_done_; }
   /// Must be called when a request becomes refused, is tried, or is no longer
   /// refused.
-  void OnVerdict(Fingerprint request);
+  void OnConvictionChanged(Fingerprint request);
 
  private:
   using Stored = std::optional<KeyValue>;
@@ -74,11 +75,12 @@
   void Read();
   void OnRead(const Result<Stored>& stored);
   void ScheduleSave(Duration delay);
-  /// Reads what is stored, then writes this instance's verdicts if they differ.
+  /// Reads what is stored, then writes this instance's convictions if they
+  /// differ.
   void Save();
   void Write(const Stored& stored);
   void OnWritten(const Result<StoreOutcome>& outcome, std::size_t requests);
-  /// Returns the stored verdicts; none if they are absent or malformed.
+  /// Returns the stored convictions; none if they are absent or malformed.
   SuspectDigest Parse(const Stored& stored) const;
 
   SuspectTable& table_;
--- a/tests/forward/suspected_request_test.cc
+++ b/tests/forward/suspected_request_test.cc
@@ -1,4 +1,5 @@
-// How live requests give evidence to the crash guard, and follow its verdicts.
+// How live requests give evidence to the crash guard, and follow its
+// convictions.
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
